--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,7 @@
+const config = {
+	files: ['dist/tests/**/*.test.js'],
+	concurrency: 4,
+	timeout: '60s',
+};
+
+export default config;
--- /dev/null
+++ b/src/cli/control-connection.ts
@@ -0,0 +1,58 @@
+/**
+ * Connections of the command line to daemons.
+ */
+import {Agent} from 'undici';
+import {createControlClient} from '../peers/trpc-peers.js';
+import type {DaemonStatus} from '../model/peer.js';
+import type {BurnSample} from '../model/burn.js';
+
+/** Time limit of a connection in milliseconds. */
+const connectLimitMs = 2000;
+
+type Client = ReturnType<typeof createControlClient>;
+
+/** State of one daemon, or the failure to read it. */
+export type DaemonAnswer<Result> = {
+	daemon: string;
+	result?: Result;
+	failure?: string;
+};
+
+/** A connection to one daemon, through which the others are found. */
+export class ControlConnection {
+	readonly client: Client;
+	private readonly agent = new Agent({connectTimeout: connectLimitMs, headersTimeout: 10_000});
+
+	constructor(private readonly address: string, private readonly credential: string) {
+		this.client = createControlClient(address, credential, this.agent);
+	}
+
+	/** Reads the state of every daemon. */
+	async statusOfAll(): Promise<Array<DaemonAnswer<DaemonStatus>>> {
+		return this.askAll(async client => client.status.query() as Promise<DaemonStatus>);
+	}
+
+	/** Reads the burn samples of every daemon. */
+	async burnOfAll(): Promise<Array<DaemonAnswer<BurnSample[]>>> {
+		return this.askAll(async client => client.burn.query());
+	}
+
+	async close(): Promise<void> {
+		await this.agent.destroy();
+	}
+
+	private async askAll<Result>(ask: (client: Client) => Promise<Result>): Promise<Array<DaemonAnswer<Result>>> {
+		const others = await this.client.peerAddresses.query();
+		const asked = [
+			{daemon: this.address, client: this.client},
+			...others.map(({daemon, address}) => ({daemon, client: createControlClient(address, this.credential, this.agent)})),
+		];
+		return Promise.all(asked.map(async ({daemon, client}) => {
+			try {
+				return {daemon, result: await ask(client)};
+			} catch (error) {
+				return {daemon, failure: error instanceof Error ? error.message : String(error)};
+			}
+		}));
+	}
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,109 @@
+/**
+ * A daemon: adapters, core and kernel, with start and graceful shutdown.
+ */
+import type {ServiceBroker} from 'moleculer';
+import {RouterCore} from '../decisions/router-core.js';
+import {LogEvent, type EventLog} from '../model/events.js';
+import {TrpcPeers} from '../peers/trpc-peers.js';
+import {EtcdStore} from '../platform/etcd-store.js';
+import {HttpVmList} from '../platform/http-vm-list.js';
+import {createKernel} from '../services/kernel.js';
+import {HttpTargetControl} from '../targets/http-target-control.js';
+import {HttpTransport} from '../targets/http-transport.js';
+import {RoarrLog} from './roarr-log.js';
+import type {Settings} from './settings.js';
+import {StatsdMetrics} from './statsd-metrics.js';
+
+/** Time in milliseconds that the balancer gets to see that the daemon is not ready. */
+const balancerNoticeMs = 1000;
+
+/** Interval in which a shutdown looks for requests in flight, in milliseconds. */
+const drainPollMs = 20;
+
+/** Runs one daemon in this process. */
+export class Daemon {
+	private readonly log: EventLog;
+	private readonly store: EtcdStore;
+	private readonly vmList: HttpVmList;
+	private readonly targets = new HttpTargetControl();
+	private readonly transport = new HttpTransport();
+	private readonly kernel: ServiceBroker;
+	private peers: TrpcPeers | undefined;
+
+	constructor(private readonly settings: Settings) {
+		const {id, zone, timing} = settings;
+		this.log = new RoarrLog(id, zone);
+		this.store = new EtcdStore(settings.store);
+		this.vmList = new HttpVmList(settings.vmList);
+		const core = new RouterCore({
+			daemon: id,
+			zone,
+			store: this.store,
+			vmList: this.vmList,
+			peers: directory => {
+				this.peers = new TrpcPeers(() => directory.peers(), settings.peerSecret);
+				return this.peers;
+			},
+			targets: this.targets,
+			transport: this.transport,
+			credentials: {operatorToken: settings.operatorToken, vetoTokens: settings.vetoTokens},
+			timing,
+			log: this.log,
+			seed: settings.seed,
+		});
+		this.kernel = createKernel({
+			daemon: id,
+			core,
+			metrics: new StatsdMetrics(settings.statsdHost, settings.statsdPort, id),
+			gateway: {host: settings.host, port: settings.port},
+			control: {host: settings.host, port: settings.controlPort, peerSecret: settings.peerSecret},
+		});
+	}
+
+	async start(): Promise<void> {
+		await this.kernel.start();
+		this.log.record(LogEvent.DaemonStarted, {port: this.settings.port, controlPort: this.settings.controlPort});
+	}
+
+	/** Shuts down in order: readiness, leadership, listener, requests in flight. No request is cut off. */
+	async shutdown(): Promise<void> {
+		this.log.record(LogEvent.ShutdownStep, {step: 'readiness'});
+		await this.kernel.call('gateway.drain');
+		this.log.record(LogEvent.ShutdownStep, {step: 'leadership'});
+		await this.kernel.call('leader.resign');
+		await delay(balancerNoticeMs);
+		this.log.record(LogEvent.ShutdownStep, {step: 'listener'});
+		await this.kernel.call('gateway.closeListener');
+		this.log.record(LogEvent.ShutdownStep, {step: 'in flight'});
+		await this.waitForRequests();
+		await this.kernel.stop();
+		await this.closeAdapters();
+		this.log.record(LogEvent.DaemonStopped, {});
+	}
+
+	/** New requests on connections that are still open are refused; those accepted go on to their end. */
+	private async waitForRequests(): Promise<void> {
+		await this.kernel.call('dispatcher.beginShutdown');
+		for (;;) {
+			// eslint-disable-next-line no-await-in-loop -- the wait ends with the last request, each of which has a deadline.
+			const load = await this.kernel.call<number>('dispatcher.load');
+			if (load === 0) {
+				return;
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- polling.
+			await delay(drainPollMs);
+		}
+	}
+
+	private async closeAdapters(): Promise<void> {
+		await this.transport.close();
+		await Promise.all([this.peers?.close(), this.targets.close(), this.vmList.close(), this.store.close()]);
+	}
+}
+
+async function delay(durationMs: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, durationMs);
+	});
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,74 @@
+#!/usr/bin/env node
+/**
+ * Program eelgrasswheeld: reads the settings and runs a daemon until it is told to stop.
+ */
+// eslint-disable-next-line import-x/no-unassigned-import, import-x/order -- the log library reads its switch when it is loaded.
+import './enable-log.js';
+import process from 'node:process';
+import meow from 'meow';
+import {Daemon} from './daemon.js';
+import {
+	flagName, readSettings, settingSpecs, SettingsError, type Settings,
+} from './settings.js';
+
+const settingsHelp = settingSpecs.map(spec => {
+	const fallback = spec.fallback === undefined ? '' : ` (default ${spec.fallback})`;
+	return `    ${flagName(spec)}, ${spec.variable}\n        ${spec.expected}${fallback}`;
+}).join('\n');
+
+const cli = meow(`
+  Usage
+    $ eelgrasswheeld [settings]
+
+  Settings, as flags or environment variables
+${settingsHelp}
+
+  Signals
+    SIGTERM  graceful shutdown; a second one stops at once
+
+  Exit codes
+    0 stopped, 1 failed, 2 wrong settings
+`, {
+	importMeta: import.meta,
+	flags: Object.fromEntries(settingSpecs.map(spec => [spec.flag, {type: 'string' as const}])),
+	allowUnknownFlags: false,
+});
+
+function settingsOrExit(): Settings {
+	try {
+		return readSettings(cli.flags);
+	} catch (error) {
+		if (!(error instanceof SettingsError)) {
+			throw error;
+		}
+
+		console.error(`${error.message}\n${error.nextStep}`);
+		process.exit(2);
+	}
+}
+
+const daemon = new Daemon(settingsOrExit());
+let isStopping = false;
+
+async function stop(): Promise<void> {
+	if (isStopping) {
+		process.exit(1);
+	}
+
+	isStopping = true;
+	await daemon.shutdown();
+	process.exit(0);
+}
+
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+	process.on(signal, () => {
+		void stop();
+	});
+}
+
+try {
+	await daemon.start();
+} catch (error) {
+	console.error(`The daemon could not start: ${error instanceof Error ? error.message : String(error)}`);
+	process.exit(1);
+}
--- /dev/null
+++ b/src/decisions/hot-spots.ts
@@ -0,0 +1,208 @@
+/**
+ * Detection of hot keys and hot shards, and the moves that spread them.
+ */
+import {ownerOf, type Assignment} from '../model/assignment.js';
+import type {Server, StandingPolicy} from '../model/configuration.js';
+import type {KeyLoad, LoadReport} from '../model/peer.js';
+import type {WantedMove} from './assignment-edit.js';
+import {eligibleServers} from './placement.js';
+
+/** Imbalance (most loaded server over the mean) that is left alone. */
+const toleratedImbalance = 1.1;
+
+/** Share of its shard's load from which a key is given a shard of its own. */
+const dominantShare = 0.5;
+
+/** Share of the mean server load below which a key is not worth a record of its own. */
+const worthwhileShare = 0.05;
+
+/** Requests per second of the most loaded server below which nothing is moved. */
+const worthwhileRate = 100;
+
+/** Bound on the number of hot-key exceptions of one service. */
+export const maxExceptions = 256;
+
+/** Milliseconds in a minute. */
+const minuteMs = 60_000;
+
+/** What the load asks for. */
+export type HotSpotProposal = {
+	hotKey?: {key: string; shard: number};
+	hotMove?: WantedMove;
+};
+
+/**
+ * Space-saving sketch of the most frequent keys: a bounded table whose smallest entry gives way to a new key.
+ */
+export class KeySketch {
+	private readonly counts = new Map<string, KeyLoad>();
+
+	/** @param capacity largest number of keys that are followed */
+	constructor(private readonly capacity: number) {}
+
+	observe(key: string, shard: number): void {
+		const known = this.counts.get(key);
+		if (known) {
+			known.requests += 1;
+			return;
+		}
+
+		if (this.counts.size < this.capacity) {
+			this.counts.set(key, {key, shard, requests: 1});
+			return;
+		}
+
+		const smallest = this.smallest();
+		this.counts.delete(smallest.key);
+		this.counts.set(key, {key, shard, requests: smallest.requests + 1});
+	}
+
+	/** Returns the most frequent keys, most frequent first. */
+	top(count: number): KeyLoad[] {
+		return [...this.counts.values()].toSorted((a, b) => b.requests - a.requests).slice(0, count);
+	}
+
+	clear(): void {
+		this.counts.clear();
+	}
+
+	private smallest(): KeyLoad {
+		let smallest: KeyLoad | undefined;
+		for (const candidate of this.counts.values()) {
+			if (!smallest || candidate.requests < smallest.requests) {
+				smallest = candidate;
+			}
+		}
+
+		return smallest!;
+	}
+}
+
+/**
+ * Collects load reports of one service and proposes one change at a time, within the standing policy.
+ */
+export class HotSpots {
+	private shardLoads = new Map<number, number>();
+	private keyLoads = new Map<string, KeyLoad>();
+	private isFresh = false;
+	private intervalMs = 0;
+	private readonly actedAt: number[] = [];
+
+	/** Replaces the collected load by a new round of reports. */
+	accept(reports: LoadReport[]): void {
+		this.shardLoads = new Map();
+		this.keyLoads = new Map();
+		for (const report of reports) {
+			for (const {shard, requests} of report.shards) {
+				this.shardLoads.set(shard, (this.shardLoads.get(shard) ?? 0) + requests);
+			}
+
+			for (const load of report.keys) {
+				const known = this.keyLoads.get(load.key);
+				this.keyLoads.set(load.key, {...load, requests: load.requests + (known?.requests ?? 0)});
+			}
+		}
+
+		this.intervalMs = Math.max(0, ...reports.map(report => report.intervalMs));
+		this.isFresh = this.shardLoads.size > 0 && this.intervalMs > 0;
+	}
+
+	/** Returns the change that the load asks for, or nothing. */
+	proposal(assignment: Assignment, servers: Server[], policy: StandingPolicy, now = performance.now()): HotSpotProposal {
+		const eligible = eligibleServers(servers, assignment.service, assignment.lost);
+		if (!this.isFresh || !policy.hotKeyMoves || assignment.moves.length > 0 || eligible.length < 2 || !this.hasBudget(policy, now)) {
+			return {};
+		}
+
+		const proposal = this.propose(assignment, eligible);
+		if (!proposal.hotKey && !proposal.hotMove) {
+			return {};
+		}
+
+		// One change a round of reports: the next decision needs the load as it is after this one.
+		this.isFresh = false;
+		this.actedAt.push(now);
+		return proposal;
+	}
+
+	private hasBudget(policy: StandingPolicy, now: number): boolean {
+		while (this.actedAt.length > 0 && now - (this.actedAt[0] ?? 0) > minuteMs) {
+			this.actedAt.shift();
+		}
+
+		return this.actedAt.length < policy.maxHotKeyMovesPerMinute;
+	}
+
+	private propose(assignment: Assignment, eligible: Server[]): HotSpotProposal {
+		const loads = this.serverLoads(assignment, eligible);
+		const ranked = [...eligible].toSorted((a, b) => (loads.get(b.id) ?? 0) - (loads.get(a.id) ?? 0));
+		const hottest = ranked[0];
+		const coolest = ranked.at(-1)!;
+		const mean = [...loads.values()].reduce((sum, load) => sum + load, 0) / eligible.length;
+		const highest = loads.get(hottest.id) ?? 0;
+		const rate = highest / this.intervalMs * 1000;
+		if (highest <= mean * toleratedImbalance || rate < worthwhileRate) {
+			return {};
+		}
+
+		const hotKey = this.dominantKey(assignment, hottest.id, mean);
+		if (hotKey) {
+			return {hotKey};
+		}
+
+		const gap = (highest - (loads.get(coolest.id) ?? 0)) * hottest.weight;
+		const shard = this.bestShard(assignment, hottest.id, gap);
+		return shard === undefined ? {} : {hotMove: {shard, to: coolest.id}};
+	}
+
+	/** Load of each server per unit of weight. */
+	private serverLoads(assignment: Assignment, eligible: Server[]): Map<string, number> {
+		const weights = new Map(eligible.map(server => [server.id, server.weight]));
+		const loads = new Map(eligible.map(server => [server.id, 0]));
+		for (const [shard, requests] of this.shardLoads) {
+			const owner = ownerOf(assignment, shard);
+			const weight = owner === undefined ? undefined : weights.get(owner);
+			if (owner !== undefined && weight !== undefined) {
+				loads.set(owner, (loads.get(owner) ?? 0) + (requests / weight));
+			}
+		}
+
+		return loads;
+	}
+
+	/** A key that makes up most of its shard, so that moving the shard would move the trouble with it. */
+	private dominantKey(assignment: Assignment, server: string, mean: number): {key: string; shard: number} | undefined {
+		if (assignment.exceptions.length >= maxExceptions) {
+			return undefined;
+		}
+
+		const baseCount = assignment.owners.length - assignment.exceptions.length;
+		const candidates = [...this.keyLoads.values()].toSorted((a, b) => b.requests - a.requests);
+		for (const {key, shard, requests} of candidates) {
+			const isOnServer = shard < baseCount && ownerOf(assignment, shard) === server;
+			const isIsolated = assignment.exceptions.some(exception => exception.key === key);
+			const shardLoad = this.shardLoads.get(shard) ?? 0;
+			const isWorthwhile = requests > mean * worthwhileShare && requests > shardLoad * dominantShare && requests < shardLoad;
+			if (isOnServer && !isIsolated && isWorthwhile) {
+				return {key, shard};
+			}
+		}
+
+		return undefined;
+	}
+
+	/** The shard whose move brings the two servers closest together without swapping their roles. */
+	private bestShard(assignment: Assignment, server: string, gap: number): number | undefined {
+		let best: number | undefined;
+		let bestLoad = 0;
+		for (const [shard, requests] of this.shardLoads) {
+			const fits = requests <= gap * 0.6 && requests > bestLoad;
+			if (fits && ownerOf(assignment, shard) === server) {
+				best = shard;
+				bestLoad = requests;
+			}
+		}
+
+		return best;
+	}
+}
--- /dev/null
+++ b/src/decisions/plan-desk.ts
@@ -0,0 +1,234 @@
+/**
+ * Intents, plans and confirmations, kept in the store.
+ */
+import {randomUUID, timingSafeEqual, createHash} from 'node:crypto';
+import {isDeepStrictEqual} from 'node:util';
+import type {Assignment} from '../model/assignment.js';
+import {emptyConfiguration, type Configuration} from '../model/configuration.js';
+import {Deadline} from '../model/deadline.js';
+import {
+	ConflictError, ErrorCode, OperatorRefusalError, type RouterError,
+} from '../model/errors.js';
+import {LogEvent, type EventLog} from '../model/events.js';
+import {storeKeys, type KeyValueStore, type StoreVersion} from '../model/key-value-store.js';
+import {PlanState, type Intent, type Plan} from '../model/plan.js';
+import type {Timing} from '../model/timing.js';
+import {DocumentWriter} from './document-writer.js';
+import type {Placement} from './placement.js';
+import {applyIntent, computePlan, type PlanBase} from './planner.js';
+
+/** Credentials that the daemon accepts. */
+export type Credentials = {
+	operatorToken: string;
+	/** Veto holders' tokens by customer. */
+	vetoTokens: Map<string, string>;
+};
+
+/** What a plan desk needs. */
+export type PlanDeskParts = {
+	store: KeyValueStore;
+	credentials: Credentials;
+	placement: Placement;
+	timing: Timing;
+	log: EventLog;
+};
+
+/** Ids of confirmed intents that the configuration keeps. */
+const appliedIntentsKept = 1000;
+
+/** Time limit of one store call of an operator's request, in milliseconds. */
+const operatorCallMs = 1000;
+
+type ReadBase = PlanBase & {
+	versions: StoreVersion[];
+};
+
+/**
+ * Answers intents with plans and puts confirmed plans in force. Every refusal is typed and changes nothing.
+ */
+export class PlanDesk {
+	private readonly writer: DocumentWriter;
+
+	constructor(private readonly parts: PlanDeskParts) {
+		this.writer = new DocumentWriter(parts.store, operatorCallMs);
+	}
+
+	/** Returns the plan for an intent; the same id twice is one intent. */
+	async submit(intent: Intent, credential: string): Promise<Plan> {
+		this.requireOperator(credential);
+		const key = storeKeys.plan(intent.id);
+		const known = await this.readPlan(intent.id);
+		if (known && !isDeepStrictEqual(known.plan.intent, intent)) {
+			throw this.refuse(ErrorCode.Conflict, `Intent ${intent.id} was submitted before with another content.`, 'Use a new id for a new intent.');
+		}
+
+		if (known && known.plan.state !== PlanState.Open) {
+			return known.plan;
+		}
+
+		const base = await this.readBase();
+		if (known && !this.isStale(known.plan, base)) {
+			return known.plan;
+		}
+
+		const plan = {...computePlan(intent, base, this.parts), token: randomUUID()};
+		await this.writer.write({
+			key,
+			token: plan.token,
+			transaction: {compare: [{key, modRevision: known?.modRevision ?? 0}], puts: [{key, value: JSON.stringify(plan)}]},
+		});
+		this.parts.log.record(LogEvent.PlanCreated, {plan: plan.id, baseVersion: plan.baseConfigurationVersion});
+		return plan;
+	}
+
+	/**
+	 * Confirms a plan for the customer whose veto credential is given; the last confirmation puts it in force.
+	 *
+	 * @throws {OperatorRefusalError} for a wrong credential, a closed plan or a stale base
+	 */
+	async confirm(planId: string, credential: string): Promise<Plan> {
+		const {plan, modRevision} = await this.requirePlan(planId);
+		const customers = this.customersOf(credential);
+		if (plan.customers.length > 0 && !plan.customers.some(customer => customers.includes(customer))) {
+			throw this.refuse(ErrorCode.NotAuthorized, `The credential is not that of a veto holder of ${plan.customers.join(', ')}.`, 'Use the credential of the customer\'s veto holder.');
+		}
+
+		this.requireOpen(plan);
+		const base = await this.readBase();
+		if (this.isStale(plan, base)) {
+			throw this.refuse(ErrorCode.StalePlan, `Plan ${planId} was computed from an older version.`, 'Submit the intent again and read the new plan.');
+		}
+
+		const approvals = [...new Set([...plan.approvals, ...plan.customers.filter(customer => customers.includes(customer))])];
+		const isComplete = plan.customers.every(customer => approvals.includes(customer));
+		const next: Plan = {
+			...plan, approvals, state: isComplete ? PlanState.Confirmed : PlanState.Open, token: randomUUID(),
+		};
+		await this.commit(next, modRevision, isComplete ? base : undefined);
+		this.parts.log.record(LogEvent.PlanConfirmed, {plan: planId, complete: isComplete, customers: customers.join(',')});
+		return next;
+	}
+
+	/** Rejects a plan; operators may withdraw it and veto holders refuse it. */
+	async reject(planId: string, credential: string): Promise<Plan> {
+		const {plan, modRevision} = await this.requirePlan(planId);
+		const isVetoHolder = this.customersOf(credential).some(customer => plan.customers.includes(customer));
+		if (!isVetoHolder) {
+			this.requireOperator(credential);
+		}
+
+		this.requireOpen(plan);
+		const next = {...plan, state: PlanState.Rejected, token: randomUUID()};
+		await this.commit(next, modRevision, undefined);
+		this.parts.log.record(LogEvent.PlanRejected, {plan: planId});
+		return next;
+	}
+
+	async show(planId: string): Promise<Plan> {
+		const {plan} = await this.requirePlan(planId);
+		return plan;
+	}
+
+	async list(): Promise<Plan[]> {
+		const entries = await this.parts.store.readPrefix(storeKeys.plans, Deadline.after(operatorCallMs, 'reading plans'));
+		return entries.map(entry => JSON.parse(entry.value) as Plan);
+	}
+
+	/** Returns the records of an assignment's last changes, oldest first. */
+	async history(service: string): Promise<unknown[]> {
+		const entries = await this.parts.store.readPrefix(storeKeys.historyPrefix(service), Deadline.after(operatorCallMs, 'reading the history'));
+		return entries.map(entry => JSON.parse(entry.value) as unknown);
+	}
+
+	requireOperator(credential: string): void {
+		if (!isSameSecret(credential, this.parts.credentials.operatorToken)) {
+			throw this.refuse(ErrorCode.NotAuthorized, 'The credential is not that of an operator.', 'Use the operator\'s credential.');
+		}
+	}
+
+	private async commit(plan: Plan, planRevision: number, base: ReadBase | undefined): Promise<void> {
+		const key = storeKeys.plan(plan.id);
+		const compare = [{key, modRevision: planRevision}, ...base?.versions ?? []];
+		const puts = [{key, value: JSON.stringify(plan)}];
+		if (base) {
+			const configuration: Configuration = {
+				version: base.configuration.version + 1,
+				body: applyIntent(base.configuration.body, plan.intent),
+				appliedIntents: [...base.configuration.appliedIntents, plan.intent.id].slice(-appliedIntentsKept),
+				token: plan.token,
+			};
+			puts.push({key: storeKeys.configuration, value: JSON.stringify(configuration)});
+		}
+
+		try {
+			await this.writer.write({key, token: plan.token, transaction: {compare, puts}});
+		} catch (error) {
+			if (error instanceof ConflictError) {
+				throw this.refuse(ErrorCode.StalePlan, `Another change came before plan ${plan.id}.`, 'Submit the intent again and read the new plan.');
+			}
+
+			throw error;
+		}
+	}
+
+	private isStale(plan: Plan, base: PlanBase): boolean {
+		if (plan.baseConfigurationVersion !== base.configuration.version) {
+			return true;
+		}
+
+		return plan.effects.some(effect => (base.assignments.get(effect.service)?.ownershipVersion ?? 0) !== effect.baseVersion);
+	}
+
+	private async readBase(): Promise<ReadBase> {
+		const entries = await this.parts.store.readPrefix(storeKeys.documents, Deadline.after(operatorCallMs, 'reading documents'));
+		const versions: StoreVersion[] = [{key: storeKeys.configuration, modRevision: 0}];
+		const base: ReadBase = {configuration: emptyConfiguration, assignments: new Map(), versions};
+		for (const {key, value, modRevision} of entries) {
+			if (key === storeKeys.configuration) {
+				base.configuration = JSON.parse(value) as Configuration;
+				versions[0] = {key, modRevision};
+				continue;
+			}
+
+			const assignment = JSON.parse(value) as Assignment;
+			base.assignments.set(assignment.service, assignment);
+			versions.push({key, modRevision});
+		}
+
+		return base;
+	}
+
+	private async readPlan(planId: string): Promise<{plan: Plan; modRevision: number} | undefined> {
+		const entry = await this.parts.store.read(storeKeys.plan(planId), Deadline.after(operatorCallMs, `reading plan ${planId}`));
+		return entry ? {plan: JSON.parse(entry.value) as Plan, modRevision: entry.modRevision} : undefined;
+	}
+
+	private async requirePlan(planId: string): Promise<{plan: Plan; modRevision: number}> {
+		const found = await this.readPlan(planId);
+		if (!found) {
+			throw this.refuse(ErrorCode.UnknownPlan, `There is no plan ${planId}.`, 'List the plans with "eelgrasswheel plan list".');
+		}
+
+		return found;
+	}
+
+	private requireOpen(plan: Plan): void {
+		if (plan.state !== PlanState.Open) {
+			throw this.refuse(ErrorCode.PlanClosed, `Plan ${plan.id} is ${plan.state}.`, 'Submit a new intent for another change.');
+		}
+	}
+
+	private customersOf(credential: string): string[] {
+		return [...this.parts.credentials.vetoTokens].filter(([, token]) => isSameSecret(credential, token)).map(([customer]) => customer);
+	}
+
+	private refuse(code: ErrorCode, message: string, nextStep: string): RouterError {
+		this.parts.log.record(LogEvent.OperatorRefused, {code, message});
+		return new OperatorRefusalError(code, message, nextStep);
+	}
+}
+
+function isSameSecret(given: string, expected: string): boolean {
+	const digest = (text: string) => createHash('sha256').update(text).digest();
+	return expected !== '' && timingSafeEqual(digest(given), digest(expected));
+}
--- /dev/null
+++ b/src/decisions/service-leader.ts
@@ -0,0 +1,441 @@
+/**
+ * Leader or standby of one service in one daemon.
+ */
+import {randomUUID} from 'node:crypto';
+import {emptyAssignment, type Assignment, type Stored} from '../model/assignment.js';
+import type {Server, Service} from '../model/configuration.js';
+import {Deadline} from '../model/deadline.js';
+import {PeerUnavailableError} from '../model/errors.js';
+import {LogEvent, type EventLog} from '../model/events.js';
+import {storeKeys, type KeyValueStore} from '../model/key-value-store.js';
+import type {Acknowledgement, PeerNetwork} from '../model/peer.js';
+import type {TargetControl} from '../model/target.js';
+import type {Timing} from '../model/timing.js';
+import {Acknowledgements} from './acknowledgements.js';
+import {changeVoters, resignLeadership, takeLeadership} from './assignment-edit.js';
+import type {Confirmation} from './confirmation.js';
+import {DocumentWriter} from './document-writer.js';
+import {EjectionVerdict, judgeSuspicion} from './ejection.js';
+import type {HotSpots} from './hot-spots.js';
+import {leaderRanking, shouldTakeLeadership} from './leadership.js';
+import {nextStep, type AssignmentStep, type Situation} from './move-step.js';
+import type {Placement} from './placement.js';
+import type {Replica} from './replica.js';
+import {ServerOpinion, type ServerDetector} from './server-detector.js';
+import {ServerSupervisor} from './server-supervisor.js';
+import {hash} from './shard-hash.js';
+import type {VmDirectory} from './vm-directory.js';
+
+/** What a leader needs. */
+export type LeaderParts = {
+	daemon: string;
+	store: KeyValueStore;
+	peers: PeerNetwork;
+	targets: TargetControl;
+	replica: Replica;
+	confirmation: Confirmation;
+	directory: VmDirectory;
+	detector: ServerDetector;
+	hotSpots: HotSpots;
+	placement: Placement;
+	timing: Timing;
+	log: EventLog;
+	/** Handles an assignment of this daemon's own and returns its acknowledgement. */
+	publishLocally: (stored: Stored<Assignment>) => Acknowledgement;
+};
+
+/** Number of versions of an assignment that the history in the store keeps. */
+const historyLength = 500;
+
+/** Interval between two questions whether a daemon has drained, in milliseconds. */
+const drainPollMs = 10;
+
+/** Number of peers that are asked about a suspected server. */
+const witnessCount = 2;
+
+/**
+ * Drives the assignment of one service while this daemon leads it, and watches the leader otherwise.
+ */
+export class ServiceLeader {
+	private readonly acknowledgements: Acknowledgements;
+	private readonly supervisor: ServerSupervisor;
+	private readonly writer: DocumentWriter;
+	private readonly publishing = new Set<string>();
+	private readonly publishedAt = new Map<string, number>();
+	private readonly witnesses = new Map<string, {answers: boolean[]; asked: number}>();
+	private isRunning = false;
+	private isWoken = false;
+	private isStopping = false;
+	private ledTerm = 0;
+	private probedAt = -Infinity;
+	private leaderSilentProbes = 0;
+	private leaderRefused = false;
+	private suspectedAt: number | undefined;
+
+	constructor(readonly service: string, private readonly parts: LeaderParts) {
+		this.acknowledgements = new Acknowledgements(parts.timing);
+		this.writer = new DocumentWriter(parts.store, parts.timing.storeCallMs);
+		this.supervisor = new ServerSupervisor({
+			targets: parts.targets,
+			detector: parts.detector,
+			directory: parts.directory,
+			timing: parts.timing,
+			wake: () => {
+				this.wake();
+			},
+		});
+	}
+
+	/** True if the newest known assignment names this daemon as leader. */
+	isLeader(): boolean {
+		return this.parts.replica.assignment(this.service)?.value.leader === this.parts.daemon;
+	}
+
+	/** Runs a round, or another one after the round under way. */
+	wake(): void {
+		if (this.isRunning) {
+			this.isWoken = true;
+			return;
+		}
+
+		this.isRunning = true;
+		const run = async () => {
+			try {
+				do {
+					this.isWoken = false;
+					// eslint-disable-next-line no-await-in-loop -- rounds follow one another.
+					await this.round();
+				} while (this.isWoken);
+			} catch (error) {
+				this.parts.log.record(LogEvent.LeaderStepFailed, {service: this.service, error: String(error)});
+			} finally {
+				this.isRunning = false;
+			}
+		};
+
+		void run();
+	}
+
+	/** Gives leadership up for a graceful shutdown. */
+	async resign(): Promise<void> {
+		this.isStopping = true;
+		const stored = this.parts.replica.assignment(this.service);
+		if (!stored || !this.isLeader()) {
+			return;
+		}
+
+		try {
+			await this.write(stored, {event: LogEvent.LeadershipLost, next: resignLeadership(stored.value), reason: 'shutdown of the leader'});
+		} catch {
+			// A standby takes over once it misses this leader.
+		}
+	}
+
+	private async round(): Promise<void> {
+		const service = this.configuredService();
+		if (!service || this.isStopping) {
+			return;
+		}
+
+		const stored = this.parts.replica.assignment(this.service);
+		if (!stored) {
+			await this.considerCreation(service);
+			return;
+		}
+
+		if (stored.value.leader !== this.parts.daemon) {
+			this.ledTerm = 0;
+			await this.watchLeader(stored);
+			return;
+		}
+
+		await this.lead(stored, service);
+	}
+
+	private configuredService(): Service | undefined {
+		const service = this.parts.replica.configuration.value.body.services.find(candidate => candidate.name === this.service);
+		return service?.divided ? service : undefined;
+	}
+
+	private configuredServers(): Server[] {
+		const {replica, directory} = this.parts;
+		const servers = replica.configuration.value.body.servers.filter(server => server.service === this.service);
+		return servers.map(server => directory.resolve(server));
+	}
+
+	private async considerCreation(service: Service): Promise<void> {
+		const empty = emptyAssignment(service.name, service.shardCount);
+		const evidence = this.leaderEvidence('');
+		if (!shouldTakeLeadership(evidence, this.ranking(), this.parts.timing)) {
+			return;
+		}
+
+		const led = takeLeadership(empty, this.parts.daemon);
+		const first = {...changeVoters(led, [this.parts.daemon]), version: 1, votersVersion: 1};
+		await this.write({value: empty, modRevision: 0}, {event: LogEvent.LeadershipTaken, next: first, reason: 'first leader'});
+	}
+
+	private async watchLeader({value, modRevision}: Stored<Assignment>): Promise<void> {
+		await this.probeLeader(value.leader);
+		const evidence = this.leaderEvidence(value.leader);
+		if (!shouldTakeLeadership(evidence, this.ranking(), this.parts.timing)) {
+			return;
+		}
+
+		if (value.leader !== '' && await this.isHeardByOthers(value.leader)) {
+			return;
+		}
+
+		const next = takeLeadership(value, this.parts.daemon);
+		await this.write({value, modRevision}, {event: LogEvent.LeadershipTaken, next, reason: `leader ${value.leader || 'none'} is missing`});
+		this.suspectedAt = undefined;
+	}
+
+	private async probeLeader(leader: string): Promise<void> {
+		const {peers, confirmation, timing} = this.parts;
+		const now = performance.now();
+		if (leader === '' || now - this.probedAt < timing.probePeriodMs) {
+			return;
+		}
+
+		this.probedAt = now;
+		try {
+			await peers.confirm(leader, Deadline.after(timing.peerCallMs, `probe of ${leader}`));
+			confirmation.noteHeard(leader);
+			this.leaderSilentProbes = 0;
+			this.leaderRefused = false;
+			this.suspectedAt = undefined;
+		} catch (error) {
+			this.leaderSilentProbes += 1;
+			this.leaderRefused = error instanceof PeerUnavailableError && this.leaderSilentProbes > 1;
+		}
+	}
+
+	private async isHeardByOthers(leader: string): Promise<boolean> {
+		const {peers, daemon, timing} = this.parts;
+		const others = peers.members().filter(member => member !== leader && member !== daemon);
+		const answers = await Promise.allSettled(others.map(async other => peers.confirm(other, Deadline.after(timing.peerCallMs, `asking ${other}`))));
+		return answers.some(answer => answer.status === 'fulfilled' && answer.value.heard.includes(leader));
+	}
+
+	private leaderEvidence(leader: string) {
+		const {daemon, confirmation, directory, timing} = this.parts;
+		const isVacant = leader === '' || directory.isDaemonGone(leader);
+		const isSuspected = isVacant || this.leaderRefused || this.leaderSilentProbes >= timing.silentProbes;
+		this.suspectedAt = isSuspected ? this.suspectedAt ?? performance.now() : undefined;
+		return {
+			daemon,
+			leader: isVacant ? '' : leader,
+			members: [...directory.members(), leader],
+			silentProbes: this.leaderSilentProbes,
+			refused: this.leaderRefused,
+			heardByOthers: false,
+			suspectedForMs: this.suspectedAt === undefined ? 0 : performance.now() - this.suspectedAt,
+			hasProof: confirmation.hasProof(),
+		};
+	}
+
+	private ranking(): string[] {
+		return leaderRanking(this.service, this.parts.directory.stableMembers(), hash);
+	}
+
+	private async lead(stored: Stored<Assignment>, service: Service): Promise<void> {
+		const servers = this.configuredServers();
+		if (this.ledTerm !== stored.value.term) {
+			this.ledTerm = stored.value.term;
+			this.acknowledgements.clear();
+			this.supervisor.begin(servers);
+		}
+
+		this.probeServers(servers);
+		this.publish(stored);
+		this.supervisor.pursue(stored.value, service, new Map(servers.map(server => [server.id, server])));
+		const step = nextStep(stored.value, this.situation(stored.value, service, servers), this.parts.placement);
+		if (step) {
+			await this.write(stored, step);
+			this.isWoken = true;
+		}
+	}
+
+	private probeServers(servers: Server[]): void {
+		const now = performance.now();
+		if (now - this.probedAt < this.parts.timing.probePeriodMs) {
+			return;
+		}
+
+		this.probedAt = now;
+		const probe = async () => {
+			await this.supervisor.probe(servers);
+			await this.askWitnesses(servers);
+			this.wake();
+		};
+
+		void probe();
+	}
+
+	private async askWitnesses(servers: Server[]): Promise<void> {
+		const {peers, daemon, detector, timing, directory} = this.parts;
+		const suspects = servers.filter(server => detector.isDoubtful(server.id) || directory.isGone(server));
+		this.witnesses.clear();
+		const others = peers.members().filter(member => member !== daemon);
+		await Promise.all(suspects.map(async server => {
+			const asked = others.map(async other => peers.probeServer(other, server.id, Deadline.after(timing.peerCallMs, `evidence of ${other}`)));
+			const answers: boolean[] = [];
+			await settleSome(asked, witnessCount, evidence => {
+				answers.push(evidence.reachable);
+			});
+			this.witnesses.set(server.id, {answers, asked: asked.length});
+		}));
+	}
+
+	/** Publishes the newest version to every daemon that has not acknowledged it and its drain. */
+	private publish(stored: Stored<Assignment>): void {
+		const {daemon, publishLocally} = this.parts;
+		this.acknowledgements.observe(publishLocally(stored));
+		for (const member of this.members(stored.value)) {
+			if (member !== daemon && !this.publishing.has(member) && this.needsPublishing(member, stored.value)) {
+				void this.publishTo(member, stored);
+			}
+		}
+	}
+
+	private needsPublishing(member: string, assignment: Assignment): boolean {
+		if (!this.acknowledgements.has(member, assignment.version)) {
+			return true;
+		}
+
+		const isDraining = this.acknowledgements.inFlightOf(member) > 0;
+		return isDraining && performance.now() - (this.publishedAt.get(member) ?? -Infinity) >= drainPollMs;
+	}
+
+	private async publishTo(member: string, stored: Stored<Assignment>): Promise<void> {
+		const {peers, confirmation, timing} = this.parts;
+		this.publishing.add(member);
+		this.publishedAt.set(member, performance.now());
+		try {
+			const acknowledgement = await peers.publish(member, stored, Deadline.after(timing.peerCallMs, `publishing to ${member}`));
+			confirmation.noteHeard(member);
+			this.acknowledgements.observe(acknowledgement);
+			this.wake();
+		} catch {
+			// The next round publishes again.
+		} finally {
+			this.publishing.delete(member);
+		}
+	}
+
+	private members(assignment: Assignment): string[] {
+		const {directory} = this.parts;
+		const unlisted = assignment.voters.filter(voter => !directory.isDaemonGone(voter));
+		return [...new Set([...directory.members(), ...unlisted])];
+	}
+
+	private situation(assignment: Assignment, service: Service, servers: Server[]): Situation {
+		const {replica, directory, detector, hotSpots, timing} = this.parts;
+		const {policy} = replica.configuration.value.body;
+		return {
+			service,
+			servers,
+			policy,
+			configurationVersion: replica.configuration.value.version,
+			ejectable: this.ejectable(assignment, service, servers),
+			recovered: assignment.lost.filter(server => detector.healthyForMs(server) >= timing.recoveryMs),
+			warmed: this.supervisor.warmed,
+			revoked: this.supervisor.revoked,
+			granted: this.supervisor.granted,
+			acknowledgements: this.acknowledgements,
+			members: this.members(assignment),
+			stableMembers: directory.stableMembers(),
+			longestDeadlineMs: Math.max(...service.classes.map(requestClass => requestClass.deadlineMs)),
+			...hotSpots.proposal(assignment, servers, policy),
+		};
+	}
+
+	private ejectable(assignment: Assignment, service: Service, servers: Server[]): string[] {
+		const {replica, directory, detector, log} = this.parts;
+		const {policy} = replica.configuration.value.body;
+		const ejectable: string[] = [];
+		for (const server of servers) {
+			const evidence = this.witnesses.get(server.id);
+			if (!evidence || assignment.lost.includes(server.id)) {
+				continue;
+			}
+
+			const vmGone = directory.isGone(server);
+			const opinion = vmGone ? ServerOpinion.Gone : detector.opinion(server.id);
+			const suspicion = {
+				server: server.id, opinion, witnesses: evidence.answers, asked: evidence.asked, vmGone,
+			};
+			const lostCount = assignment.lost.length + ejectable.length;
+			const verdict = judgeSuspicion(suspicion, service, servers, {policy, lostCount});
+			if (verdict === EjectionVerdict.Eject) {
+				ejectable.push(server.id);
+			}
+
+			if (verdict === EjectionVerdict.Forbidden || verdict === EjectionVerdict.Unproven) {
+				log.record(LogEvent.EjectionRefused, {service: this.service, server: server.id, verdict});
+			}
+		}
+
+		return ejectable;
+	}
+
+	/** Writes the next version; the condition on the revision fences a leader whose term has ended. */
+	private async write(stored: Stored<Assignment>, step: AssignmentStep): Promise<void> {
+		const {daemon, replica, log} = this.parts;
+		const token = randomUUID();
+		const next = {...step.next, token};
+		const key = storeKeys.assignment(this.service);
+		const record = {
+			version: next.version, term: next.term, leader: next.leader, event: step.event, reason: step.reason, at: new Date().toISOString(), moves: next.moves.slice(0, 50),
+		};
+		const modRevision = await this.writer.write({
+			key,
+			token,
+			transaction: {
+				compare: [{key, modRevision: stored.modRevision}],
+				puts: [
+					{key, value: JSON.stringify(next)},
+					{key: storeKeys.history(this.service, next.version), value: JSON.stringify(record)},
+				],
+				deletes: next.version > historyLength ? [storeKeys.history(this.service, next.version - historyLength)] : [],
+			},
+		});
+		const written = {value: next, modRevision};
+		replica.acceptAssignment(written);
+		log.record(step.event, {
+			service: this.service, version: next.version, term: next.term, reason: step.reason,
+		});
+		if (next.leader === daemon) {
+			this.publish(written);
+		}
+	}
+}
+
+/** Waits until some of the promises were fulfilled or all are settled. */
+async function settleSome<Result>(promises: Array<Promise<Result>>, count: number, onResult: (result: Result) => void): Promise<void> {
+	if (promises.length === 0) {
+		return;
+	}
+
+	await new Promise<void>(resolve => {
+		let fulfilled = 0;
+		let settled = 0;
+		const note = (isFulfilled: boolean) => {
+			settled += 1;
+			fulfilled += isFulfilled ? 1 : 0;
+			if (fulfilled >= count || settled === promises.length) {
+				resolve();
+			}
+		};
+
+		for (const promise of promises) {
+			promise.then(result => {
+				onResult(result);
+				note(true);
+			}, () => {
+				note(false);
+			});
+		}
+	});
+}
--- /dev/null
+++ b/src/decisions/wait-order.ts
@@ -0,0 +1,153 @@
+/**
+ * Order in which waiting requests are served.
+ */
+import {Priority} from '../model/configuration.js';
+
+/** What the order of waiting requests depends on. */
+export type WaitingRequest = {
+	priority: Priority;
+	/** True for work declared or learned to run long. */
+	long: boolean;
+	/** Monotonic time in milliseconds of arrival. */
+	arrivedAt: number;
+};
+
+/** Priorities from the first served to the first shed. */
+export const priorities: readonly Priority[] = [Priority.Instruction, Priority.Read, Priority.Extract, Priority.Poll];
+
+/** A queue of waiting requests. */
+export type WaitOrder<Item extends WaitingRequest> = {
+	readonly size: number;
+	add(item: Item): void;
+	remove(item: Item): void;
+	/** Takes the next request out; long work is passed over unless `allowLong`. */
+	take(allowLong: boolean): Item | undefined;
+	/** Takes out the request that is shed for an arriving one, if the arriving one goes first. */
+	evictFor(item: Item): Item | undefined;
+	/** Number of waiting requests that would be served before one of the given priority. */
+	ahead(priority: Priority): number;
+	items(): Item[];
+};
+
+/** Baseline: first in, first out, for all classes alike. */
+export class FifoOrder<Item extends WaitingRequest> implements WaitOrder<Item> {
+	private readonly queue = new Set<Item>();
+
+	get size(): number {
+		return this.queue.size;
+	}
+
+	add(item: Item): void {
+		this.queue.add(item);
+	}
+
+	remove(item: Item): void {
+		this.queue.delete(item);
+	}
+
+	take(_allowLong: boolean): Item | undefined {
+		const item = first(this.queue);
+		if (item) {
+			this.queue.delete(item);
+		}
+
+		return item;
+	}
+
+	evictFor(_item: Item): Item | undefined {
+		return undefined;
+	}
+
+	ahead(_priority: Priority): number {
+		return this.queue.size;
+	}
+
+	items(): Item[] {
+		return [...this.queue];
+	}
+}
+
+/** Higher priorities first; within a priority the oldest first, short work passing long work that may not start. */
+export class PriorityOrder<Item extends WaitingRequest> implements WaitOrder<Item> {
+	private readonly short = new Map(priorities.map(priority => [priority, new Set<Item>()]));
+	private readonly long = new Map(priorities.map(priority => [priority, new Set<Item>()]));
+	private count = 0;
+
+	get size(): number {
+		return this.count;
+	}
+
+	add(item: Item): void {
+		this.queueOf(item).add(item);
+		this.count += 1;
+	}
+
+	remove(item: Item): void {
+		if (this.queueOf(item).delete(item)) {
+			this.count -= 1;
+		}
+	}
+
+	take(allowLong: boolean): Item | undefined {
+		for (const priority of priorities) {
+			const short = first(this.short.get(priority)!);
+			const long = allowLong ? first(this.long.get(priority)!) : undefined;
+			const item = short && long ? (short.arrivedAt <= long.arrivedAt ? short : long) : short ?? long;
+			if (item) {
+				this.remove(item);
+				return item;
+			}
+		}
+
+		return undefined;
+	}
+
+	evictFor(item: Item): Item | undefined {
+		for (const priority of priorities.toReversed()) {
+			if (priority === item.priority) {
+				return undefined;
+			}
+
+			const victim = last(this.long.get(priority)!) ?? last(this.short.get(priority)!);
+			if (victim) {
+				this.remove(victim);
+				return victim;
+			}
+		}
+
+		return undefined;
+	}
+
+	ahead(priority: Priority): number {
+		let count = 0;
+		for (const candidate of priorities) {
+			count += this.short.get(candidate)!.size + this.long.get(candidate)!.size;
+			if (candidate === priority) {
+				break;
+			}
+		}
+
+		return count;
+	}
+
+	items(): Item[] {
+		return priorities.flatMap(priority => [...this.short.get(priority)!, ...this.long.get(priority)!]);
+	}
+
+	private queueOf(item: Item): Set<Item> {
+		return (item.long ? this.long : this.short).get(item.priority)!;
+	}
+}
+
+function first<Item>(items: Set<Item>): Item | undefined {
+	return items.values().next().value;
+}
+
+function last<Item>(items: Set<Item>): Item | undefined {
+	let found: Item | undefined;
+	for (const item of items) {
+		found = item;
+	}
+
+	return found;
+}
--- /dev/null
+++ b/src/model/errors.ts
@@ -0,0 +1,169 @@
+/**
+ * Error classes of the router. Every failure has a class with a stable code and the next step for the reader.
+ */
+
+/** Stable codes of failures, shown to callers and operators. */
+export enum ErrorCode {
+	BadRequest = 'bad_request',
+	UnknownService = 'unknown_service',
+	MissingKey = 'missing_key',
+	MissingInstructionId = 'missing_instruction_id',
+	BodyTooLarge = 'body_too_large',
+	NotRun = 'not_run',
+	OutcomeUnknown = 'outcome_unknown',
+	DuplicateInstruction = 'duplicate_instruction',
+	DeadlineExpired = 'deadline_expired',
+	StoreUnavailable = 'store_unavailable',
+	StoreAmbiguous = 'store_ambiguous',
+	PeerUnavailable = 'peer_unavailable',
+	TargetUnavailable = 'target_unavailable',
+	Conflict = 'conflict',
+	StalePlan = 'stale_plan',
+	UnknownPlan = 'unknown_plan',
+	PlanClosed = 'plan_closed',
+	InvalidIntent = 'invalid_intent',
+	NotAuthorized = 'not_authorized',
+	BadSettings = 'bad_settings',
+	LostLeadership = 'lost_leadership',
+}
+
+/** Base class of every failure of the router. */
+export class RouterError extends Error {
+	override name = 'RouterError';
+
+	/**
+	 * @param code stable code of the failure
+	 * @param message what was expected and what came
+	 * @param nextStep what the reader can do about it
+	 */
+	constructor(readonly code: ErrorCode, message: string, readonly nextStep = 'See the log of the daemon.') {
+		super(message);
+	}
+}
+
+/** The caller's request is malformed; `status` is the HTTP status to answer with. */
+export class BadRequestError extends RouterError {
+	override name = 'BadRequestError';
+
+	constructor(message: string, readonly status = 400, code = ErrorCode.BadRequest) {
+		super(code, message, 'Correct the request before sending it again.');
+	}
+}
+
+/** Reasons for refusing a request that did not run. */
+export enum NotRunReason {
+	NoRouteLease = 'no_route_lease',
+	Paused = 'paused',
+	QueueFull = 'queue_full',
+	QueueTimeout = 'queue_timeout',
+	Fenced = 'fenced',
+	Shed = 'shed',
+	Connect = 'connect',
+	NoOwner = 'no_owner',
+	ClaimUnavailable = 'claim_unavailable',
+	ShuttingDown = 'shutting_down',
+	Cancelled = 'cancelled',
+}
+
+/** The request did not run on any server; a retry is safe. */
+export class NotRunError extends RouterError {
+	override name = 'NotRunError';
+
+	/** @param retryAfterMs delay after which a retry is likely to be served */
+	constructor(readonly reason: NotRunReason, readonly retryAfterMs = 1000) {
+		super(ErrorCode.NotRun, `The request did not run: ${reason}.`, 'Send the request again after the given delay.');
+	}
+}
+
+/** The request may have run; it is never resent by the router. */
+export class OutcomeUnknownError extends RouterError {
+	override name = 'OutcomeUnknownError';
+
+	constructor(message: string) {
+		super(ErrorCode.OutcomeUnknown, message, 'Ask the service for the state of the instruction before acting on it.');
+	}
+}
+
+/** An instruction with this id was claimed before; it is not run again. */
+export class DuplicateInstructionError extends RouterError {
+	override name = 'DuplicateInstructionError';
+
+	constructor(instructionId: string, readonly firstStatus?: number) {
+		super(
+			ErrorCode.DuplicateInstruction,
+			firstStatus === undefined
+				? `Instruction ${instructionId} was accepted before and its outcome is not known.`
+				: `Instruction ${instructionId} was accepted before and answered with status ${firstStatus}.`,
+			'Ask the service for the state of the instruction; use a new id only for a new instruction.',
+		);
+	}
+}
+
+/** An awaited step passed its deadline. */
+export class DeadlineExpiredError extends RouterError {
+	override name = 'DeadlineExpiredError';
+
+	constructor(readonly step: string) {
+		super(ErrorCode.DeadlineExpired, `The deadline passed while waiting for: ${step}.`);
+	}
+}
+
+/** The store did not take the call; a write certainly had no effect. */
+export class StoreUnavailableError extends RouterError {
+	override name = 'StoreUnavailableError';
+
+	constructor(detail: string) {
+		super(ErrorCode.StoreUnavailable, `The key-value service is not available: ${detail}.`, 'Check the key-value service.');
+	}
+}
+
+/** The store's reply to a write was lost; the write may have taken effect. */
+export class StoreAmbiguousError extends RouterError {
+	override name = 'StoreAmbiguousError';
+
+	constructor(detail: string) {
+		super(ErrorCode.StoreAmbiguous, `The reply of the key-value service was lost: ${detail}.`, 'Check the key-value service.');
+	}
+}
+
+/** A peer daemon did not answer. */
+export class PeerUnavailableError extends RouterError {
+	override name = 'PeerUnavailableError';
+
+	constructor(daemon: string, detail: string) {
+		super(ErrorCode.PeerUnavailable, `Daemon ${daemon} did not answer: ${detail}.`, 'Check the VM and its network.');
+	}
+}
+
+/** A server did not answer a control call. */
+export class TargetUnavailableError extends RouterError {
+	override name = 'TargetUnavailableError';
+
+	/** @param refused true if the server's VM refused or reset the connection */
+	constructor(server: string, detail: string, readonly refused = false) {
+		super(ErrorCode.TargetUnavailable, `Server ${server} did not answer: ${detail}.`, 'Check the server and its network.');
+	}
+}
+
+/** A compare-and-swap lost against another writer. */
+export class ConflictError extends RouterError {
+	override name = 'ConflictError';
+
+	constructor(key: string) {
+		super(ErrorCode.Conflict, `The value of ${key} was changed by another writer.`, 'Read the value again and repeat the change.');
+	}
+}
+
+/** Another daemon holds a higher leader term. */
+export class LostLeadershipError extends RouterError {
+	override name = 'LostLeadershipError';
+
+	constructor(service: string, term: number) {
+		super(ErrorCode.LostLeadership, `Term ${term} of service ${service} has ended.`);
+	}
+}
+
+/** A refusal to an operator or veto holder; nothing was changed. */
+export class OperatorRefusalError extends RouterError {
+	override name = 'OperatorRefusalError';
+}
--- /dev/null
+++ b/src/model/events.ts
@@ -0,0 +1,42 @@
+/**
+ * Catalogue of log events. Numbers are stable; docs/events.md lists them and a test keeps both in step.
+ */
+export enum LogEvent {
+	DaemonStarted = 1000,
+	DaemonReady = 1001,
+	DaemonNotReady = 1002,
+	ShutdownStep = 1003,
+	DaemonStopped = 1004,
+	RequestFailed = 1100,
+	RequestUnknown = 1101,
+	ConfigurationInForce = 1200,
+	AssignmentAccepted = 1201,
+	HoldStarted = 1202,
+	HoldEnded = 1203,
+	LeadershipTaken = 1300,
+	LeadershipLost = 1301,
+	LeaderStepFailed = 1302,
+	ServerSuspected = 1400,
+	ServerLost = 1401,
+	ServerRecovered = 1402,
+	EjectionRefused = 1403,
+	MovesRecorded = 1500,
+	MovesPaused = 1501,
+	OwnersWritten = 1502,
+	MovesReleased = 1503,
+	MovesRetargeted = 1504,
+	VotersChanged = 1600,
+	HotKeyIsolated = 1700,
+	PlanCreated = 1800,
+	PlanConfirmed = 1801,
+	PlanRejected = 1802,
+	OperatorRefused = 1803,
+}
+
+/** Fields of a log event. */
+export type LogFields = Record<string, string | number | boolean | undefined>;
+
+/** Receives numbered log events. */
+export type EventLog = {
+	record(event: LogEvent, fields: LogFields): void;
+};
--- /dev/null
+++ b/src/model/peer.ts
@@ -0,0 +1,103 @@
+/**
+ * Messages between daemons and the interface of the network that carries them.
+ */
+import type {Assignment, Stored} from './assignment.js';
+import type {Configuration} from './configuration.js';
+import type {Deadline} from './deadline.js';
+
+/** Versions of the documents that a daemon knows. */
+export type KnownVersions = {
+	configuration: number;
+	/** Assignment versions by service. */
+	assignments: Record<string, number>;
+};
+
+/** Answer to a request for confirmation. */
+export type PeerConfirmation = {
+	daemon: string;
+	/** Age of the daemon's own proof from the store in milliseconds; undefined if it cannot reach the store. */
+	proofAgeMs?: number | undefined;
+	/** False after a restart until the store was read or a lapse was waited out. */
+	canAttest: boolean;
+	known: KnownVersions;
+	/** Daemons that answered this daemon within the last route lease. */
+	heard: string[];
+};
+
+/** Documents newer than the versions that were asked with. */
+export type DocumentUpdate = {
+	configuration?: Stored<Configuration>;
+	assignments: Array<Stored<Assignment>>;
+};
+
+/** Acknowledgement of a published assignment. */
+export type Acknowledgement = {
+	daemon: string;
+	version: number;
+	/** Requests for moving shards still in flight to their old servers. */
+	inFlight: number;
+	/** Milliseconds until the latest start-by deadline of that work passes. */
+	startByRemainingMs: number;
+};
+
+/** Evidence of a daemon about a server. */
+export type ServerEvidence = {
+	daemon: string;
+	server: string;
+	reachable: boolean;
+};
+
+/** Requests that a daemon dispatched to one shard since its last report. */
+export type ShardLoad = {
+	shard: number;
+	requests: number;
+};
+
+/** Requests for one key since the last report, as estimated by a sketch. */
+export type KeyLoad = {
+	key: string;
+	shard: number;
+	requests: number;
+};
+
+/** Load of one service as one daemon saw it. */
+export type LoadReport = {
+	daemon: string;
+	/** Length of the reported interval in milliseconds. */
+	intervalMs: number;
+	shards: ShardLoad[];
+	keys: KeyLoad[];
+};
+
+/** State of a daemon for operators. */
+export type DaemonStatus = {
+	daemon: string;
+	zone: string;
+	ready: boolean;
+	configurationVersion: number;
+	assignments: Array<{
+		service: string;
+		version: number;
+		term: number;
+		leader: string;
+		moves: number;
+		leaseRemainingMs: number;
+		lost: string[];
+	}>;
+	storeReachable: boolean;
+	holding: boolean;
+};
+
+/**
+ * Calls to other daemons. Every method rejects with `PeerUnavailableError` or `DeadlineExpiredError`.
+ */
+export type PeerNetwork = {
+	confirm(daemon: string, deadline: Deadline): Promise<PeerConfirmation>;
+	fetchDocuments(daemon: string, known: KnownVersions, deadline: Deadline): Promise<DocumentUpdate>;
+	publish(daemon: string, assignment: Stored<Assignment>, deadline: Deadline): Promise<Acknowledgement>;
+	probeServer(daemon: string, server: string, deadline: Deadline): Promise<ServerEvidence>;
+	/** Reports the load of a service since the last call. */
+	loadReport(daemon: string, service: string, deadline: Deadline): Promise<LoadReport>;
+	/** Ids of the other daemons that may exist, from the VM list and settings. */
+	members(): string[];
+};
--- /dev/null
+++ b/src/peers/trpc-peers.ts
@@ -0,0 +1,99 @@
+/**
+ * Calls to other daemons by trpc over HTTP.
+ */
+import {
+	createTRPCClient, httpLink, TRPCClientError, type TRPCClient,
+} from '@trpc/client';
+import {Agent, fetch as undiciFetch} from 'undici';
+import type {Assignment, Stored} from '../model/assignment.js';
+import type {Deadline} from '../model/deadline.js';
+import {PeerUnavailableError} from '../model/errors.js';
+import type {
+	Acknowledgement, DocumentUpdate, KnownVersions, LoadReport, PeerConfirmation, PeerNetwork, ServerEvidence,
+} from '../model/peer.js';
+import type {ControlRouter} from './control-router.js';
+
+type Client = TRPCClient<ControlRouter>;
+
+/** Gives the control addresses of the other daemons. */
+export type AddressBook = () => Array<{id: string; address: string}>;
+
+/** Creates a client for the control interface at an address. */
+export function createControlClient(address: string, credential: string, agent: Agent): Client {
+	return createTRPCClient<ControlRouter>({
+		links: [httpLink({
+			url: `http://${address}`,
+			headers: {authorization: `Bearer ${credential}`},
+			fetch: async (input, init) => undiciFetch(input as string, {...init as Record<string, unknown>, dispatcher: agent}) as unknown as Promise<Response>,
+		})],
+	});
+}
+
+/** Network of daemons, with kept-open connections to each. */
+export class TrpcPeers implements PeerNetwork {
+	private readonly agent = new Agent({connections: 4, keepAliveTimeout: 30_000, connectTimeout: 1000});
+	private readonly clients = new Map<string, Client>();
+
+	constructor(private readonly addresses: AddressBook, private readonly secret: string) {}
+
+	members(): string[] {
+		return this.addresses().map(({id}) => id);
+	}
+
+	async confirm(daemon: string, deadline: Deadline): Promise<PeerConfirmation> {
+		return this.call(daemon, deadline, async (client, signal) => client.confirmDocuments.query(undefined, {signal}));
+	}
+
+	async fetchDocuments(daemon: string, known: KnownVersions, deadline: Deadline): Promise<DocumentUpdate> {
+		return this.call(daemon, deadline, async (client, signal) => client.fetchDocuments.query(known, {signal}) as Promise<DocumentUpdate>);
+	}
+
+	async publish(daemon: string, assignment: Stored<Assignment>, deadline: Deadline): Promise<Acknowledgement> {
+		return this.call(daemon, deadline, async (client, signal) => client.publish.mutate(assignment, {signal}));
+	}
+
+	async probeServer(daemon: string, server: string, deadline: Deadline): Promise<ServerEvidence> {
+		return this.call(daemon, deadline, async (client, signal) => client.probeServer.query({server}, {signal}));
+	}
+
+	async loadReport(daemon: string, service: string, deadline: Deadline): Promise<LoadReport> {
+		return this.call(daemon, deadline, async (client, signal) => client.loadReport.mutate({service}, {signal}));
+	}
+
+	async close(): Promise<void> {
+		await this.agent.destroy();
+	}
+
+	private async call<Result>(daemon: string, deadline: Deadline, operation: (client: Client, signal: AbortSignal) => Promise<Result>): Promise<Result> {
+		const client = this.clientOf(daemon);
+		try {
+			return await deadline.run(async signal => operation(client, signal));
+		} catch (error) {
+			if (error instanceof TRPCClientError) {
+				throw new PeerUnavailableError(daemon, causeOf(error));
+			}
+
+			throw error;
+		}
+	}
+
+	private clientOf(daemon: string): Client {
+		const address = this.addresses().find(candidate => candidate.id === daemon)?.address;
+		if (address === undefined) {
+			throw new PeerUnavailableError(daemon, 'the VM list does not show it');
+		}
+
+		let client = this.clients.get(address);
+		if (!client) {
+			client = createControlClient(address, this.secret, this.agent);
+			this.clients.set(address, client);
+		}
+
+		return client;
+	}
+}
+
+function causeOf(error: Error): string {
+	const cause = error.cause as {message?: string; cause?: {code?: string}} | undefined;
+	return cause?.cause?.code ?? cause?.message ?? error.message;
+}
--- /dev/null
+++ b/src/platform/http-vm-list.ts
@@ -0,0 +1,39 @@
+/**
+ * The platform's VM list, read as JSON over HTTP.
+ */
+import {Agent, request} from 'undici';
+import {z} from 'zod';
+import type {Deadline} from '../model/deadline.js';
+import {RouterError, ErrorCode} from '../model/errors.js';
+import {
+	VmRole, VmState, type Vm, type VmList,
+} from '../model/vm-list.js';
+
+const vmListSchema = z.object({
+	vms: z.array(z.object({
+		id: z.string(), role: z.enum(VmRole), address: z.string(), zone: z.string(), state: z.enum(VmState),
+	})),
+});
+
+/** Reads the list from one URL. */
+export class HttpVmList implements VmList {
+	private readonly agent = new Agent({connections: 1});
+
+	constructor(private readonly url: string) {}
+
+	async read(deadline: Deadline): Promise<Vm[]> {
+		return deadline.run(async signal => {
+			const answer = await request(this.url, {dispatcher: this.agent, signal});
+			if (answer.statusCode !== 200) {
+				await answer.body.dump();
+				throw new RouterError(ErrorCode.StoreUnavailable, `The VM list answered with status ${answer.statusCode}.`);
+			}
+
+			return vmListSchema.parse(await answer.body.json()).vms;
+		});
+	}
+
+	async close(): Promise<void> {
+		await this.agent.destroy();
+	}
+}
--- /dev/null
+++ b/src/services/control-service.ts
@@ -0,0 +1,100 @@
+/**
+ * Service "control": the control interface for peers and operators, by trpc over HTTP.
+ */
+import {createServer, type IncomingMessage, type Server} from 'node:http';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import type {Service, ServiceBroker, ServiceSchema} from 'moleculer';
+import type {Assignment, Stored} from '../model/assignment.js';
+import type {BurnSample} from '../model/burn.js';
+import type {
+	Acknowledgement, DaemonStatus, DocumentUpdate, KnownVersions, LoadReport, PeerConfirmation, ServerEvidence,
+} from '../model/peer.js';
+import type {Plan} from '../model/plan.js';
+import {controlRouter, type OperatorHandlers, type PeerHandlers} from '../peers/control-router.js';
+
+/** Settings of the control interface. */
+export type ControlOptions = {
+	host: string;
+	port: number;
+	/** Secret that daemons share. */
+	peerSecret: string;
+};
+
+/** Largest body of a control call in bytes: an assignment is below one megabyte. */
+const maxBodyBytes = 2_097_152;
+
+/** Creates the service. */
+export function createControlService(options: ControlOptions): ServiceSchema {
+	let server: Server | undefined;
+	return {
+		name: 'control',
+		dependencies: ['distribution', 'operator'],
+		async started(this: Service) {
+			const peers = new LocalPeerHandlers(this.broker);
+			const operators = createOperatorHandlers(this.broker);
+			const handler = createHTTPHandler({
+				router: controlRouter,
+				maxBodySize: maxBodyBytes,
+				createContext({req}: {req: IncomingMessage}) {
+					const credential = (req.headers.authorization ?? '').replace(/^Bearer /, '');
+					return {
+						credential, isPeer: credential === options.peerSecret, peers, operators,
+					};
+				},
+			});
+			server = createServer(handler);
+			server.keepAliveTimeout = 60_000;
+			await new Promise<void>((resolve, reject) => {
+				server!.once('error', reject);
+				server!.listen(options.port, options.host, resolve);
+			});
+		},
+		async stopped() {
+			server?.closeAllConnections();
+			await new Promise(resolve => {
+				server?.close(resolve);
+			});
+		},
+	};
+}
+
+/** Answers peers through the service "distribution". */
+class LocalPeerHandlers implements PeerHandlers {
+	constructor(private readonly broker: ServiceBroker) {}
+
+	async onConfirm() {
+		return this.broker.call<PeerConfirmation>('distribution.confirm');
+	}
+
+	async onFetchDocuments(known: KnownVersions) {
+		return this.broker.call<DocumentUpdate, KnownVersions>('distribution.fetchDocuments', known);
+	}
+
+	async onPublish(stored: Stored<Assignment>) {
+		return this.broker.call<Acknowledgement, Stored<Assignment>>('distribution.publish', stored);
+	}
+
+	async onProbeServer(server: string) {
+		return this.broker.call<ServerEvidence, {server: string}>('distribution.probeServer', {server});
+	}
+
+	async onLoadReport(service: string) {
+		return this.broker.call<LoadReport, {service: string}>('distribution.loadReport', {service});
+	}
+}
+
+function createOperatorHandlers(broker: ServiceBroker): OperatorHandlers {
+	return {
+		submit: async (intent, credential) => broker.call<Plan, Record<string, unknown>>('operator.submit', {intent, credential}),
+		confirm: async (planId, credential) => broker.call<Plan, Record<string, unknown>>('operator.confirm', {planId, credential}),
+		reject: async (planId, credential) => broker.call<Plan, Record<string, unknown>>('operator.reject', {planId, credential}),
+		showPlan: async planId => broker.call<Plan, Record<string, unknown>>('operator.showPlan', {planId}),
+		listPlans: async () => broker.call<Plan[]>('operator.listPlans'),
+		history: async service => broker.call<unknown[], Record<string, unknown>>('operator.history', {service}),
+		assignment: async service => broker.call<Assignment | undefined, Record<string, unknown>>('operator.assignment', {service}),
+		status: async () => broker.call<DaemonStatus>('operator.status'),
+		peerAddresses: async () => broker.call<Array<{daemon: string; address: string}>>('operator.peerAddresses'),
+		burn: async () => broker.call<BurnSample[]>('operator.burn'),
+		requireOperator: async credential => broker.call<void, Record<string, unknown>>('operator.requireOperator', {credential}),
+	};
+}
--- /dev/null
+++ b/src/services/dispatcher-service.ts
@@ -0,0 +1,51 @@
+/**
+ * Service "dispatcher": matches requests and runs them; drives the core's clock.
+ */
+import type {Context, Service, ServiceSchema} from 'moleculer';
+import type {BurnRecorder} from '../decisions/burn-recorder.js';
+import type {Outcome} from '../decisions/outcome.js';
+import {matchRequest, type Match, type RequestHead} from '../decisions/request-matcher.js';
+import {tickMs, type RouterCore} from '../decisions/router-core.js';
+import type {RoutedRequest} from '../model/request.js';
+import {requestFinished, type RequestFinished} from './metrics-service.js';
+
+/** Creates the service. */
+export function createDispatcherService(core: RouterCore, burn: BurnRecorder): ServiceSchema {
+	let timer: NodeJS.Timeout | undefined;
+	return {
+		name: 'dispatcher',
+		actions: {
+			match(context: Context<RequestHead>): Match {
+				return matchRequest(context.params, core.replica.configuration.value);
+			},
+			async dispatch(this: Service, context: Context<RoutedRequest>): Promise<Outcome> {
+				const request = context.params;
+				const outcome = await core.dispatcher.dispatch(request);
+				const durationMs = performance.now() - request.receivedAt;
+				burn.record(request.service, request.requestClass, outcome, durationMs);
+				const finished: RequestFinished = {
+					service: request.service.name, requestClass: request.requestClass.name, outcome: outcome.kind, durationMs,
+				};
+				this.broker.emit(requestFinished, finished);
+				return outcome;
+			},
+			beginShutdown() {
+				core.dispatcher.beginShutdown();
+			},
+			load(): number {
+				return core.dispatcher.load;
+			},
+			isReady(): boolean {
+				return core.isReady();
+			},
+		},
+		async started() {
+			timer = setInterval(() => {
+				core.tick();
+			}, tickMs);
+		},
+		async stopped() {
+			clearInterval(timer);
+		},
+	};
+}
--- /dev/null
+++ b/src/services/gateway-service.ts
@@ -0,0 +1,177 @@
+/**
+ * Service "gateway": takes requests from callers over HTTP.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Service, ServiceBroker, ServiceSchema} from 'moleculer';
+import ApiService from 'moleculer-web';
+import {OutcomeKind, type Outcome} from '../decisions/outcome.js';
+import type {Match, RequestHead} from '../decisions/request-matcher.js';
+import {
+	BadRequestError, DuplicateInstructionError, NotRunError, RouterError,
+} from '../model/errors.js';
+import {
+	ContractHeader, forwardedHeaders, notRunOutcome, unknownOutcome,
+} from '../model/headers.js';
+import type {RoutedRequest} from '../model/request.js';
+import {openBody} from './request-body.js';
+
+/** Settings of the gateway. */
+export type GatewayOptions = {
+	host: string;
+	port: number;
+};
+
+/** Paths for the platform's balancer. */
+const livePath = '/-/live';
+const readyPath = '/-/ready';
+
+/** Time limit for the headers and for the whole of a caller's request, in milliseconds. */
+const headersLimitMs = 10_000;
+const requestLimitMs = 60_000;
+
+/** Milliseconds in a second. */
+const secondMs = 1000;
+
+type ApiRequest = IncomingMessage & {originalUrl?: string};
+
+/** Creates the service. */
+export function createGatewayService(options: GatewayOptions): ServiceSchema {
+	let isDraining = false;
+	return {
+		name: 'gateway',
+		mixins: [ApiService],
+		dependencies: ['dispatcher'],
+		settings: {
+			ip: options.host,
+			port: options.port,
+			logRequest: undefined,
+			logResponse: undefined,
+			routes: [{
+				path: '/',
+				bodyParsers: false,
+				mappingPolicy: 'restrict',
+				mergeParams: false,
+				logging: false,
+				use: [
+					async function (this: Service, request: ApiRequest, response: ServerResponse) {
+						await handle(this.broker, request, response, isDraining);
+					},
+				],
+			}],
+		},
+		actions: {
+			/** Tells the balancer that this daemon takes no more requests. */
+			drain() {
+				isDraining = true;
+			},
+			/** Stops listening; requests in flight go on. */
+			closeListener(this: Service) {
+				const {server} = this as unknown as {server: {close: () => void; closeIdleConnections: () => void}};
+				server.close();
+				server.closeIdleConnections();
+			},
+		},
+		created(this: Service) {
+			const {server} = this as unknown as {server: {headersTimeout: number; requestTimeout: number; keepAliveTimeout: number}};
+			server.headersTimeout = headersLimitMs;
+			server.requestTimeout = requestLimitMs;
+			server.keepAliveTimeout = requestLimitMs;
+		},
+	};
+}
+
+async function handle(broker: ServiceBroker, request: ApiRequest, response: ServerResponse, isDraining: boolean): Promise<void> {
+	const path = request.originalUrl ?? request.url ?? '/';
+	if (path === livePath) {
+		answer(response, 200, {live: true});
+		return;
+	}
+
+	if (path === readyPath) {
+		const isReady = !isDraining && await broker.call<boolean>('dispatcher.isReady');
+		answer(response, isReady ? 200 : 503, {ready: isReady});
+		return;
+	}
+
+	if (isDraining) {
+		response.setHeader('connection', 'close');
+	}
+
+	try {
+		await forward(broker, request, response, path);
+	} catch (error) {
+		fail(response, error instanceof RouterError ? error : new BadRequestError(String(error)));
+	}
+}
+
+async function forward(broker: ServiceBroker, request: ApiRequest, response: ServerResponse, path: string): Promise<void> {
+	const head: RequestHead = {
+		method: request.method ?? 'GET', path, host: request.headers.host ?? '', headers: request.headers,
+	};
+	const receivedAt = performance.now();
+	const match = await broker.call<Match, RequestHead>('dispatcher.match', head);
+	const controller = new AbortController();
+	response.once('close', () => {
+		if (!response.writableFinished) {
+			controller.abort();
+		}
+	});
+	const routed: RoutedRequest = {
+		...match,
+		method: head.method,
+		path,
+		headers: forwardedHeaders(request.headers),
+		body: await openBody(request, match.service.maxBodyBytes),
+		receivedAt,
+		deadlineAt: receivedAt + match.requestClass.deadlineMs,
+		signal: controller.signal,
+		responder: {
+			start(status, headers) {
+				response.writeHead(status, headers);
+				return response;
+			},
+			abort() {
+				response.destroy();
+			},
+		},
+	};
+	finish(response, await broker.call<Outcome, RoutedRequest>('dispatcher.dispatch', routed));
+}
+
+function finish(response: ServerResponse, outcome: Outcome): void {
+	if (outcome.kind === OutcomeKind.Answered || outcome.truncated || !outcome.error) {
+		return;
+	}
+
+	fail(response, outcome.error);
+}
+
+function fail(response: ServerResponse, error: RouterError): void {
+	if (response.headersSent) {
+		response.destroy();
+		return;
+	}
+
+	const body = {error: error.code, message: error.message, nextStep: error.nextStep};
+	if (error instanceof BadRequestError) {
+		// The rest of a refused body is not read.
+		response.setHeader('connection', 'close');
+		answer(response, error.status, body);
+		return;
+	}
+
+	if (error instanceof NotRunError) {
+		response.setHeader(ContractHeader.Outcome, notRunOutcome);
+		response.setHeader('retry-after', String(Math.max(1, Math.ceil(error.retryAfterMs / secondMs))));
+		answer(response, 503, {...body, reason: error.reason, retryAfterMs: Math.round(error.retryAfterMs)});
+		return;
+	}
+
+	response.setHeader(ContractHeader.Outcome, unknownOutcome);
+	answer(response, error instanceof DuplicateInstructionError ? 409 : 504, body);
+}
+
+function answer(response: ServerResponse, status: number, body: Record<string, unknown>): void {
+	response.writeHead(status, {'content-type': 'application/json'});
+	response.end(`${JSON.stringify(body)}\n`);
+}
--- /dev/null
+++ b/src/services/kernel.ts
@@ -0,0 +1,43 @@
+/**
+ * The micro-kernel of a daemon: services that find each other by name in the process.
+ */
+import {ServiceBroker} from 'moleculer';
+import type {RouterCore} from '../decisions/router-core.js';
+import type {Metrics} from '../model/metrics.js';
+import {BurnRecorder} from '../decisions/burn-recorder.js';
+import {createControlService} from './control-service.js';
+import {createDispatcherService} from './dispatcher-service.js';
+import {createDistributionService} from './distribution-service.js';
+import {createGatewayService} from './gateway-service.js';
+import {createLeaderService} from './leader-service.js';
+import {createMetricsService} from './metrics-service.js';
+import {createOperatorService} from './operator-service.js';
+
+/** Settings of the kernel. */
+export type KernelOptions = {
+	daemon: string;
+	core: RouterCore;
+	metrics: Metrics;
+	gateway: {host: string; port: number};
+	control: {host: string; port: number; peerSecret: string};
+};
+
+/** Creates the broker with all services; it uses no transporter, discovery or balancing. */
+export function createKernel(options: KernelOptions): ServiceBroker {
+	const broker = new ServiceBroker({
+		nodeID: options.daemon,
+		transporter: null,
+		logger: false,
+		internalServices: false,
+		skipProcessEventRegistration: true,
+	});
+	const burn = new BurnRecorder();
+	broker.createService(createMetricsService(options.metrics));
+	broker.createService(createDispatcherService(options.core, burn));
+	broker.createService(createDistributionService(options.core));
+	broker.createService(createLeaderService(options.core));
+	broker.createService(createOperatorService(options.core, burn));
+	broker.createService(createControlService(options.control));
+	broker.createService(createGatewayService(options.gateway));
+	return broker;
+}
--- /dev/null
+++ b/src/services/operator-service.ts
@@ -0,0 +1,54 @@
+/**
+ * Service "operator": intents, plans and the state of the daemon.
+ */
+import type {Context, ServiceSchema} from 'moleculer';
+import type {BurnRecorder} from '../decisions/burn-recorder.js';
+import type {RouterCore} from '../decisions/router-core.js';
+import type {Assignment} from '../model/assignment.js';
+import type {BurnSample} from '../model/burn.js';
+import type {DaemonStatus} from '../model/peer.js';
+import type {Intent, Plan} from '../model/plan.js';
+
+type PlanCall = {planId: string; credential: string};
+
+/** Creates the service. */
+export function createOperatorService(core: RouterCore, burn: BurnRecorder): ServiceSchema {
+	return {
+		name: 'operator',
+		actions: {
+			async submit(context: Context<{intent: Intent; credential: string}>): Promise<Plan> {
+				return core.planDesk.submit(context.params.intent, context.params.credential);
+			},
+			async confirm(context: Context<PlanCall>): Promise<Plan> {
+				return core.planDesk.confirm(context.params.planId, context.params.credential);
+			},
+			async reject(context: Context<PlanCall>): Promise<Plan> {
+				return core.planDesk.reject(context.params.planId, context.params.credential);
+			},
+			async showPlan(context: Context<{planId: string}>): Promise<Plan> {
+				return core.planDesk.show(context.params.planId);
+			},
+			async listPlans(): Promise<Plan[]> {
+				return core.planDesk.list();
+			},
+			async history(context: Context<{service: string}>): Promise<unknown[]> {
+				return core.planDesk.history(context.params.service);
+			},
+			assignment(context: Context<{service: string}>): Assignment | undefined {
+				return core.replica.assignment(context.params.service)?.value;
+			},
+			status(): DaemonStatus {
+				return core.status();
+			},
+			peerAddresses(): Array<{daemon: string; address: string}> {
+				return core.directory.peers().map(vm => ({daemon: vm.id, address: vm.address}));
+			},
+			burn(): BurnSample[] {
+				return burn.all();
+			},
+			requireOperator(context: Context<{credential: string}>): void {
+				core.planDesk.requireOperator(context.params.credential);
+			},
+		},
+	};
+}
--- /dev/null
+++ b/src/targets/http-target-control.ts
@@ -0,0 +1,71 @@
+/**
+ * Control calls to servers over HTTP, after docs/targets.md.
+ */
+import {Agent, request} from 'undici';
+import {z} from 'zod';
+import type {Server} from '../model/configuration.js';
+import type {Deadline} from '../model/deadline.js';
+import {TargetUnavailableError} from '../model/errors.js';
+import {contractPaths} from '../model/headers.js';
+import type {
+	GrantOrder, GrantReceipt, ServerHealth, TargetControl,
+} from '../model/target.js';
+
+const healthSchema = z.object({
+	leaving: z.boolean().default(false),
+	load: z.number().default(0),
+	incarnation: z.string().default(''),
+});
+const receiptSchema = z.object({executing: z.number().int().nonnegative().default(0)});
+
+/** Codes that show that no process listens at the server's address. */
+const refusedCodes = new Set(['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET']);
+
+/** Sends control calls on connections of their own, so that a full data path does not delay them. */
+export class HttpTargetControl implements TargetControl {
+	private readonly agent = new Agent({connections: 2, connectTimeout: 1000});
+
+	async probe(server: Server, deadline: Deadline): Promise<ServerHealth> {
+		return healthSchema.parse(await this.call(server, 'GET', contractPaths.health, {deadline}));
+	}
+
+	async grant(server: Server, order: GrantOrder, deadline: Deadline): Promise<GrantReceipt> {
+		return receiptSchema.parse(await this.call(server, 'PUT', contractPaths.grants, {deadline, body: order}));
+	}
+
+	async warm(server: Server, service: string, shards: number[], deadline: Deadline): Promise<void> {
+		await this.call(server, 'PUT', contractPaths.warm, {deadline, body: {service, shards}});
+	}
+
+	async close(): Promise<void> {
+		await this.agent.destroy();
+	}
+
+	private async call(server: Server, method: 'GET' | 'PUT', path: string, options: {deadline: Deadline; body?: unknown}): Promise<unknown> {
+		const {deadline, body} = options;
+		try {
+			return await deadline.run(async signal => {
+				const answer = await request(`http://${server.address}${path}`, {
+					method,
+					headers: {'content-type': 'application/json'},
+					body: body === undefined ? undefined : JSON.stringify(body),
+					dispatcher: this.agent,
+					signal,
+				});
+				if (answer.statusCode !== 200) {
+					await answer.body.dump();
+					throw new TargetUnavailableError(server.id, `status ${answer.statusCode}`);
+				}
+
+				return answer.body.json();
+			});
+		} catch (error) {
+			if (error instanceof TargetUnavailableError) {
+				throw error;
+			}
+
+			const code = (error as {code?: string}).code ?? String(error);
+			throw new TargetUnavailableError(server.id, code, refusedCodes.has(code));
+		}
+	}
+}
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,48 @@
+/** Layers and the layers below them that they may import. */
+const allowedImports = {
+	model: [],
+	platform: ['model'],
+	targets: ['model'],
+	peers: ['model'],
+	decisions: ['model'],
+	services: ['decisions', 'platform', 'targets', 'peers', 'model'],
+	daemon: ['services', 'decisions', 'platform', 'targets', 'peers', 'model'],
+	cli: ['decisions', 'peers', 'model'],
+};
+
+const outsideFolders = ['standins', 'bench', 'tests'];
+
+const boundaries = Object.entries(allowedImports).map(([layer, allowed]) => {
+	const forbidden = [...Object.keys(allowedImports), ...outsideFolders].filter(name => name !== layer && !allowed.includes(name));
+	return {
+		files: [`src/${layer}/**/*.ts`],
+		rules: {
+			'no-restricted-imports': ['error', {
+				patterns: forbidden.map(name => ({group: [`**/${name}/**`], message: `${layer} may not import ${name}.`})),
+			}],
+		},
+	};
+});
+
+const sockets = {
+	files: ['src/decisions/**/*.ts', 'src/model/**/*.ts'],
+	rules: {
+		'no-restricted-modules': ['error', 'node:http', 'node:net', 'undici', 'moleculer'],
+	},
+};
+
+const config = [
+	{ignores: ['dist/**', 'docs/**']},
+	{
+		rules: {
+			// Documents in the store and answers of the stand-ins were written by this program.
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+			// These two rules undo each other's fixes on nested object literals.
+			'@stylistic/curly-newline': 'off',
+		},
+	},
+	...boundaries,
+	sockets,
+];
+
+export default config;
