--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -30,7 +30,7 @@
 const instructions = new Map<string, string>();
 const broken: string[] = [];
 const lastAnswerAt = new Map<string, number>();
-let isRunning = true;
+const load = {isRunning: true};
 let sequence = 0;
 
 function say(text: string): void {
@@ -46,7 +46,7 @@
 
 async function callOnce(worker: number): Promise<void> {
 	sequence += 1;
-	const key = `applicant-${(worker * 7 + sequence) % 40}`;
+	const key = `applicant-${((worker * 7) + sequence) % 40}`;
 	const isInstruction = sequence % 4 === 0;
 	const instructionId = `instruction-${sequence}`;
 	const daemon = sequence % 3;
@@ -102,7 +102,7 @@
 }
 
 async function work(worker: number): Promise<void> {
-	while (isRunning) {
+	while (load.isRunning) {
 		// eslint-disable-next-line no-await-in-loop -- each worker sends one request at a time.
 		await callOnce(worker);
 		// eslint-disable-next-line no-await-in-loop -- a pause keeps the load small.
@@ -171,17 +171,19 @@
 		await deployment.settled(3);
 		await pause(300);
 	});
-	const before = (await executionsOf(1)).length;
+	const before = await executionsOf(1);
 	await pause(300);
-	check((await executionsOf(1)).length === before, 'a drained server gets no new work');
-	isRunning = false;
+	const after = await executionsOf(1);
+	check(after.length === before.length, 'a drained server gets no new work');
+	load.isRunning = false;
 	await Promise.all(running);
 	say(`callers saw: ${tally.answered} answered, ${tally.notRun} refused as not run, ${tally.unknown} unknown, ${tally.other} other, ${tally.lost} without an answer`);
 	await checkPromises(lossGapMs);
 }
 
 async function checkPromises(lossGapMs: number): Promise<void> {
-	const executions = (await Promise.all([0, 1, 2, 3].map(async index => executionsOf(index)))).flat();
+	const lists = await Promise.all([0, 1, 2, 3].map(async index => executionsOf(index)));
+	const executions = lists.flat();
 	const runs = new Map<string, number>();
 	for (const {instructionId} of executions) {
 		if (instructionId !== undefined && instructionId !== null) {
@@ -203,7 +205,7 @@
 		say(`left running; try: curl ${deployment.gatewayUrl(0)}/registry/applicant-1`);
 		say(`  curl -X POST -H 'idempotency-key: mine-1' -d '{}' ${deployment.gatewayUrl(1)}/registry/applicant-1`);
 		say(`  EELGRASSWHEEL_TOKEN=${credentials.operator} npx eelgrasswheel status --daemon ${deployment.entries[0].address}`);
-		await new Promise(() => undefined);
+		await eventually(async () => false, Infinity, 'the end');
 	}
 } catch (error) {
 	broken.push(String(error));
@@ -213,4 +215,4 @@
 	await deployment.close();
 }
 
-process.exit(broken.length === 0 ? 0 : 1);
+process.exitCode = broken.length === 0 ? 0 : 1;
--- /dev/null
+++ b/bench/matrix/faults.ts
@@ -0,0 +1,200 @@
+/**
+ * Faults of the matrix: how each begins and ends.
+ */
+import type {FakeDeployment} from '../../standins/fake-deployment.js';
+import {ProcessState} from '../../standins/fake-network.js';
+import {storeProcess} from '../../standins/fake-store.js';
+
+/** Faults. */
+export enum Fault {
+	LeaderLost = 'leader lost',
+	DaemonLost = 'daemon lost',
+	LeaderPaused = 'leader paused past its lease',
+	DaemonPaused = 'daemon paused past its lease',
+	CutLeaderStore = 'cut: leader and store',
+	CutDaemonStoreOneWay = 'cut one way: store to daemon',
+	CutDaemons = 'cut: leader and daemon',
+	CutDaemonServer = 'cut: daemon and server',
+	CutServerReplies = 'cut one way: server to daemons',
+	CutZone = 'cut: availability zone',
+	StoreDown = 'store down',
+	StoreSlow = 'store slow',
+	ReplyLost = 'reply lost after the write',
+	ServerLost = 'server lost',
+	ServerSilent = 'server lost with its VM',
+	ServerFrozen = 'server frozen and returned',
+	LeaderAndServer = 'leader and server lost together',
+	VmListLagging = 'daemon lost, VM list lagging',
+	HealthMisleading = 'health report misleading',
+	MessagesDelayed = 'messages delayed and reordered',
+	MessagesDoubled = 'messages doubled',
+	CompetingIntent = 'competing intent',
+}
+
+export const allFaults: readonly Fault[] = Object.values(Fault);
+
+/** Who a fault strikes. */
+export type Victims = {
+	leader: string;
+	/** A daemon that does not lead. */
+	daemon: string;
+	server: string;
+};
+
+/** What a fault needs. */
+export type FaultContext = {
+	deployment: FakeDeployment;
+	victims: Victims;
+	/** Notes that a server may end work late. */
+	disturb: (server: string) => void;
+	/** Notes that a daemon is lost with the requests it holds. */
+	lose: (daemon: string) => void;
+	/** Submits and confirms a conflicting intent. */
+	compete: () => void;
+};
+
+/** Begins a fault and returns the function that ends it. */
+export type FaultAction = (context: FaultContext) => () => void;
+
+const nothing = () => undefined;
+
+function loseDaemon({deployment, lose}: FaultContext, daemon: string, state: ProcessState): () => void {
+	lose(daemon);
+	deployment.stopDaemon(daemon, state);
+	return () => {
+		deployment.startDaemon(daemon);
+	};
+}
+
+function pause({deployment}: FaultContext, process: string): () => void {
+	deployment.network.setState(process, ProcessState.Paused);
+	return () => {
+		deployment.network.setState(process, ProcessState.Running);
+	};
+}
+
+function cutBoth({deployment}: FaultContext, pairs: Array<[string, string]>): () => void {
+	for (const [a, b] of pairs) {
+		deployment.network.cut(a, b);
+		deployment.network.cut(b, a);
+	}
+
+	return () => {
+		deployment.network.heal();
+	};
+}
+
+function loseServer(context: FaultContext, state: ProcessState): () => void {
+	const {deployment, victims, disturb} = context;
+	disturb(victims.server);
+	deployment.network.setState(victims.server, state);
+	return () => {
+		deployment.models.get(victims.server)!.restart();
+		deployment.network.setState(victims.server, ProcessState.Running);
+	};
+}
+
+/** All fault actions. */
+export const faultActions: Record<Fault, FaultAction> = {
+	[Fault.LeaderLost]: context => loseDaemon(context, context.victims.leader, ProcessState.Dead),
+	[Fault.DaemonLost]: context => loseDaemon(context, context.victims.daemon, ProcessState.Silent),
+	[Fault.LeaderPaused]: context => pause(context, context.victims.leader),
+	[Fault.DaemonPaused]: context => pause(context, context.victims.daemon),
+	[Fault.CutLeaderStore]: context => cutBoth(context, [[context.victims.leader, storeProcess]]),
+	[Fault.CutDaemonStoreOneWay](context) {
+		context.deployment.network.cut(storeProcess, context.victims.daemon);
+		return () => {
+			context.deployment.network.heal();
+		};
+	},
+	[Fault.CutDaemons]: context => cutBoth(context, [[context.victims.leader, context.victims.daemon]]),
+	[Fault.CutDaemonServer](context) {
+		context.disturb(context.victims.server);
+		return cutBoth(context, [[context.victims.daemon, context.victims.server]]);
+	},
+	[Fault.CutServerReplies](context) {
+		const {deployment, victims, disturb} = context;
+		disturb(victims.server);
+		for (const daemon of deployment.daemons) {
+			deployment.network.cut(victims.server, daemon);
+		}
+
+		return () => {
+			deployment.network.heal();
+		};
+	},
+	[Fault.CutZone](context) {
+		const {deployment, victims, disturb} = context;
+		disturb(victims.server);
+		const inside = [victims.daemon, victims.server];
+		const outside = [...deployment.daemons, ...deployment.models.keys(), storeProcess].filter(process => !inside.includes(process));
+		return cutBoth(context, inside.flatMap(process => outside.map(other => [process, other] as [string, string])));
+	},
+	[Fault.StoreDown]({deployment}) {
+		deployment.storeFaults.isDown = true;
+		return () => {
+			deployment.storeFaults.isDown = false;
+		};
+	},
+	[Fault.StoreSlow]({deployment}) {
+		deployment.storeFaults.delayMs = 80;
+		return () => {
+			deployment.storeFaults.delayMs = 0;
+		};
+	},
+	[Fault.ReplyLost]({deployment}) {
+		deployment.storeFaults.repliesToLose = 3;
+		return nothing;
+	},
+	[Fault.ServerLost]: context => loseServer(context, ProcessState.Dead),
+	[Fault.ServerSilent]: context => loseServer(context, ProcessState.Silent),
+	[Fault.ServerFrozen](context) {
+		context.disturb(context.victims.server);
+		return pause(context, context.victims.server);
+	},
+	[Fault.LeaderAndServer](context) {
+		const endServer = loseServer(context, ProcessState.Silent);
+		const endLeader = loseDaemon(context, context.victims.leader, ProcessState.Silent);
+		return () => {
+			endServer();
+			endLeader();
+		};
+	},
+	[Fault.VmListLagging](context) {
+		const {deployment, victims} = context;
+		const end = loseDaemon(context, victims.daemon, ProcessState.Silent);
+		const {vms} = deployment;
+		setTimeout(() => {
+			deployment.vms = vms.filter(vm => vm.id !== victims.daemon);
+		}, 800);
+		return () => {
+			deployment.vms = vms;
+			end();
+		};
+	},
+	[Fault.HealthMisleading]({deployment, victims}) {
+		// The server refuses everything as leaving on the data path, while it is in fact well and staying.
+		const model = deployment.models.get(victims.server)!;
+		model.isLeaving = true;
+		setTimeout(() => {
+			model.isLeaving = false;
+		}, 300);
+		return nothing;
+	},
+	[Fault.MessagesDelayed]({deployment}) {
+		deployment.network.jitterMs = 30;
+		return () => {
+			deployment.network.jitterMs = 0;
+		};
+	},
+	[Fault.MessagesDoubled]({deployment}) {
+		deployment.network.isDoubling = true;
+		return () => {
+			deployment.network.isDoubling = false;
+		};
+	},
+	[Fault.CompetingIntent](context) {
+		context.compete();
+		return nothing;
+	},
+};
--- a/bench/processes.ts
+++ b/bench/processes.ts
@@ -75,7 +75,7 @@
 	/** Waits until a process has ended and returns its exit code. */
 	async ended(name: string): Promise<number | undefined> {
 		const child = this.children.get(name);
-		if (!child || child.exitCode !== null || child.signalCode !== null) {
+		if (child?.exitCode !== null || child.signalCode !== null) {
 			return child?.exitCode ?? undefined;
 		}
 
--- a/src/cli/command-failure.ts
+++ b/src/cli/command-failure.ts
@@ -19,20 +19,6 @@
 export class CommandFailure extends RouterError {
 	override name = 'CommandFailure';
 
-	/** Turns any error into a failure with an exit code. */
-	static of(error: unknown): CommandFailure {
-		if (error instanceof CommandFailure) {
-			return error;
-		}
-
-		if (error instanceof TRPCClientError) {
-			return fromControl(error as TRPCClientError<never>);
-		}
-
-		const code = error instanceof RouterError ? error.code : ErrorCode.BadRequest;
-		return new CommandFailure(code, error instanceof Error ? error.message : String(error), 'Run with --help.', ExitCode.Failed);
-	}
-
 	constructor(code: ErrorCode, message: string, nextStep: string, readonly exitCode: ExitCode) {
 		super(code, message, nextStep);
 	}
@@ -41,11 +27,25 @@
 		return `${this.message}\n${this.nextStep}`;
 	}
 
-	toJSON(): Record<string, unknown> {
+	asObject(): Record<string, unknown> {
 		return {error: this.code, message: this.message, nextStep: this.nextStep};
 	}
 }
 
+/** Turns any error into a failure with an exit code. */
+export function failureOf(error: unknown): CommandFailure {
+	if (error instanceof CommandFailure) {
+		return error;
+	}
+
+	if (error instanceof TRPCClientError) {
+		return fromControl(error as TRPCClientError<never>);
+	}
+
+	const code = error instanceof RouterError ? error.code : ErrorCode.BadRequest;
+	return new CommandFailure(code, error instanceof Error ? error.message : String(error), 'Run with --help.', ExitCode.Failed);
+}
+
 function fromControl(error: TRPCClientError<never>): CommandFailure {
 	const {failure} = (error.data as unknown as {failure?: {code: ErrorCode; message: string; nextStep: string}} | undefined) ?? {};
 	if (!failure) {
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -53,6 +53,7 @@
 	for (const length of [2, 1]) {
 		const command = commands[words.slice(0, length).join(' ')];
 		if (command && words.length >= length) {
+			// eslint-disable-next-line no-await-in-loop -- the loop ends here.
 			await command(words.slice(length), context);
 			return;
 		}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,7 +5,7 @@
 import process from 'node:process';
 import meow from 'meow';
 import {runCommand} from './commands.js';
-import {CommandFailure, ExitCode} from './command-failure.js';
+import {ExitCode, failureOf} from './command-failure.js';
 import {ControlConnection} from './control-connection.js';
 import {Output} from './output.js';
 
@@ -52,7 +52,7 @@
 try {
 	await runCommand(cli.input, {connection, output: new Output(cli.flags.json), flags: cli.flags});
 } catch (error) {
-	const failure = CommandFailure.of(error);
+	const failure = failureOf(error);
 	console.error(cli.flags.json ? JSON.stringify(failure.asObject()) : failure.describe());
 	process.exitCode = failure.exitCode;
 	if (failure.exitCode === ExitCode.Usage && cli.input.length === 0) {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -41,7 +41,7 @@
 			store: this.store,
 			vmList: this.vmList,
 			peers: directory => {
-				this.peers = new TrpcPeers(() => directory.peers(), settings.peerSecret);
+				this.peers = new TrpcPeers(() => directory.peers(), settings.peerSecret, id);
 				return this.peers;
 			},
 			targets: this.targets,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -17,8 +17,8 @@
 };
 
 const port = z.coerce.number().int().min(1).max(65_535);
-const name = z.string().regex(/^[a-z\d][a-z\d.-]{0,62}$/v);
-const url = z.string().regex(/^https?:\/\/[\d.]+:\d+(\/\S*)?$|^https?:\/\/\[[\da-f:]+]:\d+(\/\S*)?$/v);
+const name = z.string().regex(/^[a-z\d][a-z\d.\-]{0,62}$/v);
+const url = z.string().regex(/^https?:\/\/[\d.]+:\d+(\/\S*)?$|^https?:\/\/\[[\da-f:]+\]:\d+(\/\S*)?$/v);
 const duration = z.coerce.number().int().min(1).max(60_000);
 const vetoTokens = z.string().transform((text, context) => {
 	const pairs = text.split(',').map(pair => pair.split('='));
@@ -33,55 +33,116 @@
 /** All settings of the daemon. */
 export const settingSpecs: SettingSpec[] = [
 	{
-		flag: 'id', variable: 'EELGRASSWHEEL_ID', expected: 'name of this daemon, as in the VM list', schema: name,
+		flag: 'id',
+		variable: 'EELGRASSWHEEL_ID',
+		expected: 'name of this daemon, as in the VM list',
+		schema: name,
 	},
 	{
-		flag: 'zone', variable: 'EELGRASSWHEEL_ZONE', expected: 'name of the availability zone', schema: name,
+		flag: 'zone',
+		variable: 'EELGRASSWHEEL_ZONE',
+		expected: 'name of the availability zone',
+		schema: name,
 	},
 	{
-		flag: 'host', variable: 'EELGRASSWHEEL_HOST', expected: 'IP to listen on', fallback: '127.0.0.1', schema: z.union([z.ipv4(), z.ipv6()]),
+		flag: 'host',
+		variable: 'EELGRASSWHEEL_HOST',
+		expected: 'IP to listen on',
+		fallback: '127.0.0.1',
+		schema: z.union([z.ipv4(), z.ipv6()]),
 	},
 	{
-		flag: 'port', variable: 'EELGRASSWHEEL_PORT', expected: 'port for callers, 1 to 65535', fallback: '8080', schema: port,
+		flag: 'port',
+		variable: 'EELGRASSWHEEL_PORT',
+		expected: 'port for callers, 1 to 65535',
+		fallback: '8080',
+		schema: port,
 	},
 	{
-		flag: 'controlPort', variable: 'EELGRASSWHEEL_CONTROL_PORT', expected: 'port for daemons and operators, 1 to 65535', fallback: '8081', schema: port,
+		flag: 'controlPort',
+		variable: 'EELGRASSWHEEL_CONTROL_PORT',
+		expected: 'port for daemons and operators, 1 to 65535',
+		fallback: '8081',
+		schema: port,
 	},
 	{
-		flag: 'store', variable: 'EELGRASSWHEEL_STORE', expected: 'comma-separated http://IP:PORT of the key-value service', schema: z.string().transform(text => text.split(',')).pipe(z.array(url).min(1)),
+		flag: 'store',
+		variable: 'EELGRASSWHEEL_STORE',
+		expected: 'comma-separated http://IP:PORT of the key-value service',
+		schema: z.string().transform(text => text.split(',')).pipe(z.array(url).min(1)),
 	},
 	{
-		flag: 'vmList', variable: 'EELGRASSWHEEL_VM_LIST', expected: 'http://IP:PORT/PATH of the VM list', schema: url,
+		flag: 'vmList',
+		variable: 'EELGRASSWHEEL_VM_LIST',
+		expected: 'http://IP:PORT/PATH of the VM list',
+		schema: url,
 	},
 	{
-		flag: 'peerSecret', variable: 'EELGRASSWHEEL_PEER_SECRET', expected: 'secret that daemons share, at least 8 characters', schema: z.string().min(8),
+		flag: 'peerSecret',
+		variable: 'EELGRASSWHEEL_PEER_SECRET',
+		expected: 'secret that daemons share, at least 8 characters',
+		schema: z.string().min(8),
 	},
 	{
-		flag: 'operatorToken', variable: 'EELGRASSWHEEL_OPERATOR_TOKEN', expected: 'credential of operators, at least 8 characters', schema: z.string().min(8),
+		flag: 'operatorToken',
+		variable: 'EELGRASSWHEEL_OPERATOR_TOKEN',
+		expected: 'credential of operators, at least 8 characters',
+		schema: z.string().min(8),
 	},
 	{
-		flag: 'vetoTokens', variable: 'EELGRASSWHEEL_VETO_TOKENS', expected: 'comma-separated CUSTOMER=CREDENTIAL of the veto holders', schema: vetoTokens,
+		flag: 'vetoTokens',
+		variable: 'EELGRASSWHEEL_VETO_TOKENS',
+		expected: 'comma-separated CUSTOMER=CREDENTIAL of the veto holders',
+		schema: vetoTokens,
 	},
 	{
-		flag: 'statsdHost', variable: 'EELGRASSWHEEL_STATSD_HOST', expected: 'IP of the metrics receiver', fallback: '127.0.0.1', schema: z.union([z.ipv4(), z.ipv6()]),
+		flag: 'statsdHost',
+		variable: 'EELGRASSWHEEL_STATSD_HOST',
+		expected: 'IP of the metrics receiver',
+		fallback: '127.0.0.1',
+		schema: z.union([z.ipv4(), z.ipv6()]),
 	},
 	{
-		flag: 'statsdPort', variable: 'EELGRASSWHEEL_STATSD_PORT', expected: 'port of the metrics receiver, 1 to 65535', fallback: '8125', schema: port,
+		flag: 'statsdPort',
+		variable: 'EELGRASSWHEEL_STATSD_PORT',
+		expected: 'port of the metrics receiver, 1 to 65535',
+		fallback: '8125',
+		schema: port,
 	},
 	{
-		flag: 'routeLeaseMs', variable: 'EELGRASSWHEEL_ROUTE_LEASE_MS', expected: 'route lease in milliseconds, 1 to 60000', fallback: String(defaultTiming.routeLeaseMs), schema: duration,
+		flag: 'routeLeaseMs',
+		variable: 'EELGRASSWHEEL_ROUTE_LEASE_MS',
+		expected: 'route lease in milliseconds, 1 to 60000',
+		fallback: String(defaultTiming.routeLeaseMs),
+		schema: duration,
 	},
 	{
-		flag: 'confirmPeriodMs', variable: 'EELGRASSWHEEL_CONFIRM_PERIOD_MS', expected: 'interval of confirmations in milliseconds, at most a third of the route lease', fallback: String(defaultTiming.confirmPeriodMs), schema: duration,
+		flag: 'confirmPeriodMs',
+		variable: 'EELGRASSWHEEL_CONFIRM_PERIOD_MS',
+		expected: 'interval of confirmations in milliseconds, at most a third of the route lease',
+		fallback: String(defaultTiming.confirmPeriodMs),
+		schema: duration,
 	},
 	{
-		flag: 'startByMs', variable: 'EELGRASSWHEEL_START_BY_MS', expected: 'longest time between sending a request and its start, in milliseconds', fallback: String(defaultTiming.startByMs), schema: duration,
+		flag: 'startByMs',
+		variable: 'EELGRASSWHEEL_START_BY_MS',
+		expected: 'longest time between sending a request and its start, in milliseconds',
+		fallback: String(defaultTiming.startByMs),
+		schema: duration,
 	},
 	{
-		flag: 'clockSkewMs', variable: 'EELGRASSWHEEL_CLOCK_SKEW_MS', expected: 'bound on the difference of two wall clocks in milliseconds', fallback: String(defaultTiming.clockSkewMs), schema: duration,
+		flag: 'clockSkewMs',
+		variable: 'EELGRASSWHEEL_CLOCK_SKEW_MS',
+		expected: 'bound on the difference of two wall clocks in milliseconds',
+		fallback: String(defaultTiming.clockSkewMs),
+		schema: duration,
 	},
 	{
-		flag: 'seed', variable: 'EELGRASSWHEEL_SEED', expected: 'seed of random choices, a whole number', fallback: '1', schema: z.coerce.number().int(),
+		flag: 'seed',
+		variable: 'EELGRASSWHEEL_SEED',
+		expected: 'seed of random choices, a whole number',
+		fallback: '1',
+		schema: z.coerce.number().int(),
 	},
 ];
 
--- a/src/decisions/acknowledgements.ts
+++ b/src/decisions/acknowledgements.ts
@@ -41,7 +41,7 @@
 
 	observe(acknowledgement: Acknowledgement, now = performance.now()): void {
 		const record = this.records.get(acknowledgement.daemon) ?? {
-			version: 0, acknowledgedAt: new Map(), inFlight: 0, startByAt: 0,
+			version: 0, acknowledgedAt: new Map(), inFlight: 0, startByAt: -Infinity,
 		};
 		if (acknowledgement.version < record.version) {
 			return;
--- a/src/decisions/confirmation.ts
+++ b/src/decisions/confirmation.ts
@@ -43,16 +43,17 @@
 			proofAgeMs: this.hasProof(now) ? ageMs : undefined,
 			canAttest: this.canAttest,
 			known: this.parts.replica.known(),
+			reachesStore: this.storeReachable,
 			heard: this.heardDaemons(now),
 		};
 	}
 
-	/** Daemons that answered within the last route lease. */
+	/** Daemons that reach the store and answered within the last route lease. */
 	heardDaemons(now = performance.now()): string[] {
 		return [...this.heardAt].filter(([, at]) => now - at < this.parts.timing.routeLeaseMs).map(([daemon]) => daemon);
 	}
 
-	/** Notes that a daemon answered. */
+	/** Notes that a daemon answered and reaches the store. */
 	noteHeard(daemon: string): void {
 		this.heardAt.set(daemon, performance.now());
 	}
@@ -149,7 +150,10 @@
 		const {peers, timing} = this.parts;
 		const asked = peers.members().map(async daemon => {
 			const confirmation = await peers.confirm(daemon, Deadline.after(timing.peerCallMs, `confirmation by ${daemon}`));
-			this.noteHeard(daemon);
+			if (confirmation.reachesStore) {
+				this.noteHeard(daemon);
+			}
+
 			return confirmation;
 		});
 		const settled = await Promise.allSettled(asked);
--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -5,7 +5,7 @@
 	MovePhase, ownerOf, type Assignment,
 } from '../model/assignment.js';
 import {
-	AtMostOnceProof, type Server, type Service,
+	AtMostOnceProof, Fencing, type Server, type Service,
 } from '../model/configuration.js';
 import {
 	DuplicateInstructionError, NotRunError, NotRunReason, OutcomeUnknownError, RouterError,
@@ -57,6 +57,13 @@
 	takenAt: number;
 };
 
+/** What earlier attempts of a request left behind. */
+type Progress = {
+	claim: Claim | undefined;
+	/** True if an attempt ended without telling whether the server ran the request. */
+	mayHaveRun: boolean;
+};
+
 /** A request that waits for its shard to be served again. */
 type PausedWaiter = Waiter & {
 	isRoutable: () => boolean;
@@ -125,11 +132,11 @@
 		}
 
 		this.budgetOf(request.service.name).deposit();
-		const progress: {claim: Claim | undefined} = {claim: undefined};
+		const progress: Progress = {claim: undefined, mayHaveRun: false};
 		try {
 			return await this.attemptUntilEnd(request, progress);
 		} catch (error) {
-			return this.failure(error, progress.claim);
+			return this.failure(error, progress);
 		}
 	}
 
@@ -170,16 +177,26 @@
 		return report;
 	}
 
-	private async attemptUntilEnd(request: RoutedRequest, progress: {claim: Claim | undefined}): Promise<Outcome> {
+	/** Applies connection shares after a change of members or servers. */
+	updateLimits(): void {
+		for (const [id, gate] of this.gates) {
+			const server = this.servers.get(id);
+			if (server) {
+				gate.setLimits(this.limitsOf(server));
+			}
+		}
+	}
+
+	private async attemptUntilEnd(request: RoutedRequest, progress: Progress): Promise<Outcome> {
 		for (let attempt = 0; ; attempt++) {
 			// eslint-disable-next-line no-await-in-loop -- attempts follow one another.
 			const place = await this.enter(request);
 			// eslint-disable-next-line no-await-in-loop -- the claim belongs to this attempt.
 			const result = await this.runAttempt(request, place, progress);
+			progress.mayHaveRun ||= result.end === AttemptEnd.Ambiguous;
 			const outcome = this.outcomeOf(request, place, result);
 			if (outcome) {
-				this.settleClaim(progress.claim, outcome);
-				return outcome;
+				return this.settle(outcome, progress);
 			}
 
 			if (result.reason === NotRunReason.Fenced) {
@@ -189,7 +206,7 @@
 		}
 	}
 
-	private async runAttempt(request: RoutedRequest, place: Place, progress: {claim: Claim | undefined}): Promise<AttemptResult> {
+	private async runAttempt(request: RoutedRequest, place: Place, progress: Progress): Promise<AttemptResult> {
 		const {service, requestClass, instructionId} = request;
 		const needsClaim = !requestClass.idempotent && service.atMostOnce === AtMostOnceProof.StoreClaim;
 		try {
@@ -299,9 +316,9 @@
 
 	private async wait(request: RoutedRequest, enter: (waiter: Waiter) => () => void): Promise<void> {
 		await new Promise<void>((resolve, reject) => {
-			let leave: (() => void) | undefined;
+			let leave: () => void = () => undefined;
 			const onAbort = () => {
-				leave?.();
+				leave();
 				reject(new NotRunError(NotRunReason.Cancelled));
 			};
 
@@ -322,6 +339,7 @@
 					})();
 				},
 			};
+			// A waiter may be admitted at once, which takes the listener off again.
 			request.signal.addEventListener('abort', onAbort);
 			leave = enter(waiter);
 		});
@@ -365,6 +383,7 @@
 			idempotent: requestClass.idempotent,
 			startedAt: now,
 			startByAt: now + startInMs,
+			mayRunUntil: service.fencing === Fencing.None ? request.deadlineAt : -Infinity,
 			cancel() {
 				controller.abort();
 			},
@@ -450,25 +469,26 @@
 		return isOwnDoing || this.budgetOf(request.service.name).withdraw();
 	}
 
-	private settleClaim(claim: Claim | undefined, outcome: Outcome): void {
-		if (!claim) {
-			return;
+	/** Settles the claim; a request that may have run in an earlier attempt is not reported as "not run". */
+	private settle(outcome: Outcome, {claim, mayHaveRun}: Progress): Outcome {
+		if (outcome.kind === OutcomeKind.NotRun && mayHaveRun) {
+			return {...outcome, kind: OutcomeKind.Unknown, error: new OutcomeUnknownError('An earlier attempt was not answered.')};
 		}
 
-		if (outcome.kind === OutcomeKind.NotRun) {
+		if (claim && outcome.kind === OutcomeKind.NotRun) {
 			void this.parts.claims.release(claim);
 		}
 
-		if (outcome.kind === OutcomeKind.Answered) {
+		if (claim && outcome.kind === OutcomeKind.Answered) {
 			void this.parts.claims.complete(claim, outcome.status ?? 0);
 		}
+
+		return outcome;
 	}
 
-	private failure(error: unknown, claim: Claim | undefined): Outcome {
+	private failure(error: unknown, progress: Progress): Outcome {
 		if (error instanceof NotRunError) {
-			const outcome = refusal(error);
-			this.settleClaim(claim, outcome);
-			return outcome;
+			return this.settle(refusal(error), progress);
 		}
 
 		if (error instanceof DuplicateInstructionError) {
@@ -518,16 +538,6 @@
 		this.updateLimits();
 	}
 
-	/** Applies connection shares after a change of members or servers. */
-	updateLimits(): void {
-		for (const [id, gate] of this.gates) {
-			const server = this.servers.get(id);
-			if (server) {
-				gate.setLimits(this.limitsOf(server));
-			}
-		}
-	}
-
 	private limitsOf(server: Server): GateLimits {
 		const daemons = Math.max(1, this.parts.directory.members().length);
 		const concurrency = Math.max(1, Math.floor(server.connections / daemons));
--- a/src/decisions/in-flight.ts
+++ b/src/decisions/in-flight.ts
@@ -13,6 +13,11 @@
 	startedAt: number;
 	/** Monotonic time in milliseconds after which the server does not start the request. */
 	startByAt: number;
+	/**
+	 * Monotonic time in milliseconds until which the server may run the request although the router has given it up.
+	 * Servers that check epochs tell the leader themselves what they still run.
+	 */
+	mayRunUntil: number;
 	/** Cancels the request at the server. */
 	cancel: () => void;
 };
@@ -22,6 +27,8 @@
  */
 export class InFlight {
 	private readonly entries = new Set<FlightEntry>();
+	/** Ends of work that was given up and whose server does not tell whether it still runs. */
+	private readonly abandonedUntil = new Map<string, number>();
 	/** Start-by deadlines of cancelled work, which may still lie in a frozen server's socket buffer. */
 	private readonly cancelledStartBy = new Map<string, number>();
 
@@ -42,6 +49,7 @@
 
 		const name = shardName(entry.service, entry.shard);
 		this.cancelledStartBy.set(name, Math.max(entry.startByAt, this.cancelledStartBy.get(name) ?? 0));
+		this.abandonedUntil.set(name, Math.max(entry.mayRunUntil, this.abandonedUntil.get(name) ?? 0));
 	}
 
 	/** Cancels what must not go on under the moves of an assignment; called when one is accepted and once a tick. */
@@ -57,7 +65,7 @@
 				continue;
 			}
 
-			const isStraggler = entry.idempotent && now - entry.startedAt > drainGraceMs;
+			const isStraggler = entry.idempotent && entry.mayRunUntil <= now && now - entry.startedAt > drainGraceMs;
 			// A lost server answers nothing; an instruction on a living one is never cancelled.
 			if (move.kind === MoveKind.Takeover || isStraggler) {
 				entry.cancel();
@@ -78,6 +86,7 @@
 		}
 
 		for (const shard of paused) {
+			inFlight += (this.abandonedUntil.get(shardName(assignment.service, shard)) ?? 0) > now ? 1 : 0;
 			startByAt = Math.max(startByAt, this.cancelledStartBy.get(shardName(assignment.service, shard)) ?? 0);
 		}
 
@@ -86,11 +95,12 @@
 		};
 	}
 
-	/** Forgets start-by deadlines that have passed. */
+	/** Forgets what has passed. */
 	expire(now = performance.now()): void {
 		for (const [name, startByAt] of this.cancelledStartBy) {
-			if (startByAt < now) {
+			if (startByAt < now && (this.abandonedUntil.get(name) ?? 0) < now) {
 				this.cancelledStartBy.delete(name);
+				this.abandonedUntil.delete(name);
 			}
 		}
 	}
--- a/src/decisions/router-core.ts
+++ b/src/decisions/router-core.ts
@@ -122,8 +122,11 @@
 		return this.confirmation.answer().canAttest;
 	}
 
-	/** Gives up every leadership. */
+	/** Gives up every leadership and tells the other daemons that this one is leaving. */
 	async resign(): Promise<void> {
+		const {daemon, timing} = this.parts;
+		this.directory.noteDaemonLeaving(daemon);
+		await Promise.allSettled(this.peers.members().map(async member => this.peers.announceLeaving(member, Deadline.after(timing.peerCallMs, `telling ${member}`))));
 		await Promise.all([...this.leaders.values()].map(async leader => leader.resign()));
 	}
 
@@ -163,6 +166,10 @@
 		}
 	}
 
+	onAnnounceLeaving(daemon: string): void {
+		this.directory.noteDaemonLeaving(daemon);
+	}
+
 	onLoadReport(service: string): LoadReport {
 		return this.dispatcher.report(service);
 	}
--- a/src/decisions/server-supervisor.ts
+++ b/src/decisions/server-supervisor.ts
@@ -1,6 +1,7 @@
 /**
  * Effects of a leader on the servers of its service: probes, warming, grants and revocations.
  */
+import {groupBy} from 'es-toolkit';
 import {
 	MoveKind, MovePhase, ownerOf, type Assignment, type Move,
 } from '../model/assignment.js';
@@ -56,7 +57,7 @@
 	/** Starts the effects that the moves of an assignment need now. */
 	pursue(assignment: Assignment, service: Service, servers: Map<string, Server>): void {
 		this.forgetEnded(assignment);
-		for (const [server, moves] of groupBy(assignment.moves.filter(move => move.phase === MovePhase.Recorded), move => move.to)) {
+		for (const [server, moves] of Object.entries(groupBy(assignment.moves.filter(move => move.phase === MovePhase.Recorded), move => move.to))) {
 			this.warm(assignment, servers.get(server), moves);
 		}
 
@@ -73,12 +74,12 @@
 
 	private pursueOrders(assignment: Assignment, servers: Map<string, Server>): void {
 		const isRevocable = (move: Move) => move.phase === MovePhase.Paused && move.kind === MoveKind.Planned && !this.revoked.has(move.shard);
-		for (const [server, moves] of groupBy(assignment.moves.filter(move => isRevocable(move)), move => move.from ?? '')) {
+		for (const [server, moves] of Object.entries(groupBy(assignment.moves.filter(move => isRevocable(move)), move => move.from ?? ''))) {
 			this.revoke(assignment, servers.get(server), moves);
 		}
 
 		const isGrantable = (move: Move) => move.phase === MovePhase.OwnerWritten && !this.granted.has(move.shard);
-		for (const [server, moves] of groupBy(assignment.moves.filter(move => isGrantable(move)), move => move.to)) {
+		for (const [server, moves] of Object.entries(groupBy(assignment.moves.filter(move => isGrantable(move)), move => move.to))) {
 			this.grant(assignment, servers.get(server), moves.map(move => move.shard));
 		}
 
@@ -226,13 +227,3 @@
 		void run();
 	}
 }
-
-function groupBy(moves: Move[], nameOf: (move: Move) => string): Map<string, Move[]> {
-	const groups = new Map<string, Move[]>();
-	for (const move of moves) {
-		const name = nameOf(move);
-		groups.set(name, [...groups.get(name) ?? [], move]);
-	}
-
-	return groups;
-}
--- a/src/decisions/service-leader.ts
+++ b/src/decisions/service-leader.ts
@@ -63,11 +63,13 @@
 	private readonly publishing = new Set<string>();
 	private readonly publishedAt = new Map<string, number>();
 	private readonly witnesses = new Map<string, {answers: boolean[]; asked: number}>();
+	private readonly verdicts = new Map<string, EjectionVerdict>();
 	private isRunning = false;
 	private isWoken = false;
 	private isStopping = false;
 	private ledTerm = 0;
 	private probedAt = -Infinity;
+	private serversProbedAt = -Infinity;
 	private leaderSilentProbes = 0;
 	private leaderRefused = false;
 	private suspectedAt: number | undefined;
@@ -127,7 +129,8 @@
 		try {
 			await this.write(stored, {event: LogEvent.LeadershipLost, next: resignLeadership(stored.value), reason: 'shutdown of the leader'});
 		} catch {
-			// A standby takes over once it misses this leader.
+			// The daemon leads on until it ends; a standby takes over once it misses it.
+			this.isStopping = false;
 		}
 	}
 
@@ -145,6 +148,7 @@
 
 		if (stored.value.leader !== this.parts.daemon) {
 			this.ledTerm = 0;
+			this.watchServers(stored.value.leader);
 			await this.watchLeader(stored);
 			return;
 		}
@@ -200,7 +204,13 @@
 
 		this.probedAt = now;
 		try {
-			await peers.confirm(leader, Deadline.after(timing.peerCallMs, `probe of ${leader}`));
+			const answer = await peers.confirm(leader, Deadline.after(timing.peerCallMs, `probe of ${leader}`));
+			if (!answer.reachesStore && confirmation.storeReachable) {
+				// A leader that is cut off from the store cannot finish its moves.
+				this.leaderSilentProbes += 1;
+				return;
+			}
+
 			confirmation.noteHeard(leader);
 			this.leaderSilentProbes = 0;
 			this.leaderRefused = false;
@@ -214,8 +224,12 @@
 	private async isHeardByOthers(leader: string): Promise<boolean> {
 		const {peers, daemon, timing} = this.parts;
 		const others = peers.members().filter(member => member !== leader && member !== daemon);
-		const answers = await Promise.allSettled(others.map(async other => peers.confirm(other, Deadline.after(timing.peerCallMs, `asking ${other}`))));
-		return answers.some(answer => answer.status === 'fulfilled' && answer.value.heard.includes(leader));
+		const asked = others.map(async other => peers.confirm(other, Deadline.after(timing.peerCallMs, `asking ${other}`)));
+		let isHeard = false;
+		await settleSome(asked, witnessCount, confirmation => {
+			isHeard ||= confirmation.heard.includes(leader);
+		});
+		return isHeard;
 	}
 
 	private leaderEvidence(leader: string) {
@@ -251,19 +265,27 @@
 		this.publish(stored);
 		this.supervisor.pursue(stored.value, service, new Map(servers.map(server => [server.id, server])));
 		const step = nextStep(stored.value, this.situation(stored.value, service, servers), this.parts.placement);
-		if (step) {
+		if (step && this.parts.confirmation.storeReachable) {
 			await this.write(stored, step);
 			this.isWoken = true;
 		}
 	}
 
+	/** The next leader watches the servers too, so that it can act at once when leader and server are lost together. */
+	private watchServers(leader: string): void {
+		const next = this.ranking().find(member => member !== leader);
+		if (next === this.parts.daemon) {
+			this.probeServers(this.configuredServers());
+		}
+	}
+
 	private probeServers(servers: Server[]): void {
 		const now = performance.now();
-		if (now - this.probedAt < this.parts.timing.probePeriodMs) {
+		if (now - this.serversProbedAt < this.parts.timing.probePeriodMs) {
 			return;
 		}
 
-		this.probedAt = now;
+		this.serversProbedAt = now;
 		const probe = async () => {
 			await this.supervisor.probe(servers);
 			await this.askWitnesses(servers);
@@ -309,12 +331,11 @@
 	}
 
 	private async publishTo(member: string, stored: Stored<Assignment>): Promise<void> {
-		const {peers, confirmation, timing} = this.parts;
+		const {peers, timing} = this.parts;
 		this.publishing.add(member);
 		this.publishedAt.set(member, performance.now());
 		try {
 			const acknowledgement = await peers.publish(member, stored, Deadline.after(timing.peerCallMs, `publishing to ${member}`));
-			confirmation.noteHeard(member);
 			this.acknowledgements.observe(acknowledgement);
 			this.wake();
 		} catch {
@@ -352,7 +373,7 @@
 	}
 
 	private ejectable(assignment: Assignment, service: Service, servers: Server[]): string[] {
-		const {replica, directory, detector, log} = this.parts;
+		const {replica, directory, detector} = this.parts;
 		const {policy} = replica.configuration.value.body;
 		const ejectable: string[] = [];
 		for (const server of servers) {
@@ -372,14 +393,24 @@
 				ejectable.push(server.id);
 			}
 
-			if (verdict === EjectionVerdict.Forbidden || verdict === EjectionVerdict.Unproven) {
-				log.record(LogEvent.EjectionRefused, {service: this.service, server: server.id, verdict});
-			}
+			this.noteVerdict(server.id, verdict);
 		}
 
 		return ejectable;
 	}
 
+	/** Logs a refused ejection once, until the verdict changes. */
+	private noteVerdict(server: string, verdict: EjectionVerdict): void {
+		if (this.verdicts.get(server) === verdict) {
+			return;
+		}
+
+		this.verdicts.set(server, verdict);
+		if (verdict === EjectionVerdict.Forbidden || verdict === EjectionVerdict.Unproven) {
+			this.parts.log.record(LogEvent.EjectionRefused, {service: this.service, server, verdict});
+		}
+	}
+
 	/** Writes the next version; the condition on the revision fences a leader whose term has ended. */
 	private async write(stored: Stored<Assignment>, step: AssignmentStep): Promise<void> {
 		const {daemon, replica, log} = this.parts;
--- a/src/decisions/vm-directory.ts
+++ b/src/decisions/vm-directory.ts
@@ -20,6 +20,7 @@
 	private vms = new Map<string, Vm>();
 	private everSeen = new Set<string>();
 	private firstReadAt: number | undefined;
+	private readonly leavingDaemons = new Set<string>();
 	private readonly leavingByOwnWord = new Set<string>();
 
 	constructor(private readonly daemon: string, private readonly list: VmList) {}
@@ -65,9 +66,25 @@
 		return this.everSeen.has(daemon) || performance.now() - this.firstReadAt > listLagMs;
 	}
 
+	/** Notes a daemon's own word that it is shutting down. */
+	noteDaemonLeaving(daemon: string): void {
+		this.leavingDaemons.add(daemon);
+	}
+
+	/** Notes that a daemon has started again. */
+	noteDaemonStarted(daemon: string): void {
+		this.leavingDaemons.delete(daemon);
+	}
+
 	/** Daemons that are not leaving. */
 	stableMembers(): string[] {
-		const leaving = new Set(this.peers().filter(vm => vm.state === VmState.Leaving).map(vm => vm.id));
+		const leaving = new Set(this.leavingDaemons);
+		for (const vm of this.peers()) {
+			if (vm.state === VmState.Leaving) {
+				leaving.add(vm.id);
+			}
+		}
+
 		const own = this.vms.get(this.daemon);
 		if (own?.state === VmState.Leaving) {
 			leaving.add(this.daemon);
--- a/src/decisions/voters.ts
+++ b/src/decisions/voters.ts
@@ -24,12 +24,12 @@
 		return undefined;
 	}
 
-	const gone = voters.find(voter => !members.includes(voter));
+	const gone = voters.find(voter => !members.includes(voter)) ?? voters.find(voter => !stableMembers.includes(voter));
 	if (gone !== undefined && voters.length > 1) {
 		return voters.filter(voter => voter !== gone);
 	}
 
-	if (gone !== undefined) {
+	if (gone !== undefined && gone !== assignment.leader) {
 		return [assignment.leader];
 	}
 
--- a/src/model/configuration.ts
+++ b/src/model/configuration.ts
@@ -30,7 +30,7 @@
 	Poll = 'poll',
 }
 
-const identifier = z.string().regex(/^[a-z\d][a-z\d.-]{0,62}$/v, 'expected lower-case letters, digits, dots and hyphens');
+const identifier = z.string().regex(/^[a-z\d][a-z\d.\-]{0,62}$/v, 'expected lower-case letters, digits, dots and hyphens');
 
 /** A class of requests: how it is recognised and served. */
 export const requestClassSchema = z.object({
@@ -68,7 +68,7 @@
 	service: identifier,
 	/** Id of the target VM in the VM list; the server id if absent. */
 	vm: identifier.optional(),
-	address: z.string().regex(/^[\d.]+:\d+$|^\[[\da-f:]+]:\d+$/v, 'expected IP:PORT'),
+	address: z.string().regex(/^[\d.]+:\d+$|^\[[\da-f:]+\]:\d+$/v, 'expected IP:PORT'),
 	zone: identifier,
 	weight: z.number().positive().default(1),
 	slots: z.number().int().positive().default(3),
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -20,7 +20,9 @@
 	/** False after a restart until the store was read or a lapse was waited out. */
 	canAttest: boolean;
 	known: KnownVersions;
-	/** Daemons that answered this daemon within the last route lease. */
+	/** True if the daemon itself reached the store in its last round. */
+	reachesStore: boolean;
+	/** Daemons that reach the store and answered this daemon within the last route lease. */
 	heard: string[];
 };
 
@@ -96,6 +98,8 @@
 	fetchDocuments(daemon: string, known: KnownVersions, deadline: Deadline): Promise<DocumentUpdate>;
 	publish(daemon: string, assignment: Stored<Assignment>, deadline: Deadline): Promise<Acknowledgement>;
 	probeServer(daemon: string, server: string, deadline: Deadline): Promise<ServerEvidence>;
+	/** Tells a daemon that this one is shutting down. */
+	announceLeaving(daemon: string, deadline: Deadline): Promise<void>;
 	/** Reports the load of a service since the last call. */
 	loadReport(daemon: string, service: string, deadline: Deadline): Promise<LoadReport>;
 	/** Ids of the other daemons that may exist, from the VM list and settings. */
--- a/src/peers/control-router.ts
+++ b/src/peers/control-router.ts
@@ -18,6 +18,7 @@
 	onFetchDocuments(known: KnownVersions): Promise<DocumentUpdate>;
 	onPublish(stored: Stored<Assignment>): Promise<Acknowledgement>;
 	onProbeServer(server: string): Promise<ServerEvidence>;
+	onAnnounceLeaving(daemon: string): Promise<void>;
 	onLoadReport(service: string): Promise<LoadReport>;
 };
 
@@ -83,6 +84,7 @@
 	fetchDocuments: peerProcedure.input(knownVersionsSchema).query(async ({ctx, input}) => ctx.peers.onFetchDocuments(input)),
 	publish: peerProcedure.input(storedAssignmentSchema).mutation(async ({ctx, input}) => ctx.peers.onPublish(input)),
 	probeServer: peerProcedure.input(z.object({server: z.string()})).query(async ({ctx, input}) => ctx.peers.onProbeServer(input.server)),
+	announceLeaving: peerProcedure.input(z.object({daemon: z.string()})).mutation(async ({ctx, input}) => ctx.peers.onAnnounceLeaving(input.daemon)),
 	loadReport: peerProcedure.input(serviceName).mutation(async ({ctx, input}) => ctx.peers.onLoadReport(input.service)),
 	submitIntent: trpc.procedure.input(intentSchema).mutation(async ({ctx, input}) => ctx.operators.submit(input, ctx.credential)),
 	confirmPlan: trpc.procedure.input(planId).mutation(async ({ctx, input}) => ctx.operators.confirm(input.planId, ctx.credential)),
--- a/src/peers/trpc-peers.ts
+++ b/src/peers/trpc-peers.ts
@@ -34,7 +34,7 @@
 	private readonly agent = new Agent({connections: 4, keepAliveTimeout: 30_000, connectTimeout: 1000});
 	private readonly clients = new Map<string, Client>();
 
-	constructor(private readonly addresses: AddressBook, private readonly secret: string) {}
+	constructor(private readonly addresses: AddressBook, private readonly secret: string, private readonly self: string) {}
 
 	members(): string[] {
 		return this.addresses().map(({id}) => id);
@@ -56,6 +56,10 @@
 		return this.call(daemon, deadline, async (client, signal) => client.probeServer.query({server}, {signal}));
 	}
 
+	async announceLeaving(daemon: string, deadline: Deadline): Promise<void> {
+		await this.call(daemon, deadline, async (client, signal) => client.announceLeaving.mutate({daemon: this.self}, {signal}));
+	}
+
 	async loadReport(daemon: string, service: string, deadline: Deadline): Promise<LoadReport> {
 		return this.call(daemon, deadline, async (client, signal) => client.loadReport.mutate({service}, {signal}));
 	}
--- a/src/services/control-service.ts
+++ b/src/services/control-service.ts
@@ -36,7 +36,7 @@
 				router: controlRouter,
 				maxBodySize: maxBodyBytes,
 				createContext({req}: {req: IncomingMessage}) {
-					const credential = (req.headers.authorization ?? '').replace(/^Bearer /, '');
+					const credential = (req.headers.authorization ?? '').replace(/^Bearer /v, '');
 					return {
 						credential, isPeer: credential === options.peerSecret, peers, operators,
 					};
@@ -78,6 +78,10 @@
 		return this.broker.call<ServerEvidence, {server: string}>('distribution.probeServer', {server});
 	}
 
+	async onAnnounceLeaving(daemon: string) {
+		return this.broker.call<void, {daemon: string}>('distribution.announceLeaving', {daemon});
+	}
+
 	async onLoadReport(service: string) {
 		return this.broker.call<LoadReport, {service: string}>('distribution.loadReport', {service});
 	}
--- a/src/services/dispatcher-service.ts
+++ b/src/services/dispatcher-service.ts
@@ -26,7 +26,7 @@
 				const finished: RequestFinished = {
 					service: request.service.name, requestClass: request.requestClass.name, outcome: outcome.kind, durationMs,
 				};
-				this.broker.emit(requestFinished, finished);
+				void this.broker.emit(requestFinished, finished);
 				return outcome;
 			},
 			beginShutdown() {
--- a/src/services/distribution-service.ts
+++ b/src/services/distribution-service.ts
@@ -25,6 +25,9 @@
 			async probeServer(context: Context<{server: string}>): Promise<ServerEvidence> {
 				return core.onProbeServer(context.params.server);
 			},
+			announceLeaving(context: Context<{daemon: string}>): void {
+				core.onAnnounceLeaving(context.params.daemon);
+			},
 			loadReport(context: Context<{service: string}>): LoadReport {
 				return core.onLoadReport(context.params.service);
 			},
--- a/src/services/gateway-service.ts
+++ b/src/services/gateway-service.ts
@@ -139,7 +139,7 @@
 }
 
 function finish(response: ServerResponse, outcome: Outcome): void {
-	if (outcome.kind === OutcomeKind.Answered || outcome.truncated || !outcome.error) {
+	if (outcome.kind === OutcomeKind.Answered || outcome.truncated === true || !outcome.error) {
 		return;
 	}
 
--- a/src/services/kernel.ts
+++ b/src/services/kernel.ts
@@ -25,6 +25,7 @@
 /** Creates the broker with all services; it uses no transporter, discovery or balancing. */
 export function createKernel(options: KernelOptions): ServiceBroker {
 	const broker = new ServiceBroker({
+		// eslint-disable-next-line @typescript-eslint/naming-convention -- name of the library.
 		nodeID: options.daemon,
 		transporter: null,
 		logger: false,
--- a/src/services/request-body.ts
+++ b/src/services/request-body.ts
@@ -44,7 +44,7 @@
 		super();
 	}
 
-	override _transform(chunk: Uint8Array, _encoding: string, callback: (error?: Error, chunk?: Uint8Array) => void): void {
+	override _transform(chunk: Uint8Array, _encoding: string, callback: TransformCallback): void {
 		this.passed += chunk.length;
 		if (this.passed > this.maxBytes) {
 			callback(tooLarge(this.maxBytes));
--- a/src/targets/exchange.ts
+++ b/src/targets/exchange.ts
@@ -39,13 +39,15 @@
 	private sink: Writable | undefined;
 	private requestBody: PassThrough | undefined;
 	private timer: NodeJS.Timeout | undefined;
-	private resolve: (result: AttemptResult) => void = () => undefined;
+	private resolve: ((result: AttemptResult) => void) | undefined;
 
-	private readonly onAbort = () => {
-		this.cancel('the request was cancelled');
-	};
+	private readonly onAbort: () => void;
 
-	constructor(private readonly request: RoutedRequest, private readonly attempt: Attempt) {}
+	constructor(private readonly request: RoutedRequest, private readonly attempt: Attempt) {
+		this.onAbort = () => {
+			this.cancel('the request was cancelled');
+		};
+	}
 
 	/** Runs the exchange; never rejects. */
 	async run(pool: Pool): Promise<AttemptResult> {
@@ -142,35 +144,29 @@
 	}
 
 	private fail(detail: string, refused: boolean): void {
-		switch (this.state) {
-			case ExchangeState.Waiting: {
-				const reason = this.refusal?.reason ?? (this.attempt.signal.aborted ? NotRunReason.Cancelled : NotRunReason.Connect);
-				this.finish({
-					end: AttemptEnd.NotRun, reason, retryAfterMs: this.refusal?.retryAfterMs, refused, detail,
-				});
-				return;
-			}
+		if (this.state === ExchangeState.Ended) {
+			// A late answer meets a closed exchange and is dropped.
+			return;
+		}
 
-			case ExchangeState.Refused: {
-				this.finish({end: AttemptEnd.NotRun, ...this.refusal, detail});
-				return;
-			}
+		if (this.state === ExchangeState.Answering) {
+			this.request.responder.abort();
+		}
 
-			case ExchangeState.Written: {
-				this.finish({end: AttemptEnd.Ambiguous, refused, detail});
-				return;
-			}
+		this.finish({...this.failure(), refused, detail});
+	}
 
-			case ExchangeState.Answering: {
-				this.request.responder.abort();
-				this.finish({end: AttemptEnd.Truncated, status: this.status, detail});
-			}
+	private failure(): Pick<AttemptResult, 'end' | 'reason' | 'retryAfterMs' | 'status'> {
+		if (this.state === ExchangeState.Answering) {
+			return {end: AttemptEnd.Truncated, status: this.status};
+		}
 
-			case ExchangeState.Ended: {
-				// A late answer meets a closed exchange and is dropped.
-				break;
-			}
+		if (this.state === ExchangeState.Written) {
+			return {end: AttemptEnd.Ambiguous};
 		}
+
+		const reason = this.attempt.signal.aborted ? NotRunReason.Cancelled : NotRunReason.Connect;
+		return {end: AttemptEnd.NotRun, reason, ...this.refusal};
 	}
 
 	private finish(result: Omit<AttemptResult, 'bodyUsed'>): void {
@@ -182,7 +178,7 @@
 		this.state = ExchangeState.Ended;
 		clearTimeout(this.timer);
 		this.attempt.signal.removeEventListener('abort', this.onAbort);
-		this.resolve({...result, bodyUsed});
+		this.resolve?.({...result, bodyUsed});
 	}
 
 	private requestHeaders(): Record<string, string | string[]> {
--- a/standins/memory-store.ts
+++ b/standins/memory-store.ts
@@ -17,6 +17,8 @@
 /** Linearizable store; every call takes effect at once. */
 export class MemoryStore {
 	readonly calls: CallCounts = {reads: 0, writes: 0, leases: 0};
+	/** Called with the keys of each write that took effect. */
+	onWrite: ((keys: string[]) => void) | undefined;
 	private revision = 0;
 	private readonly records = new Map<string, StoredRecord>();
 	private readonly leases = new Map<string, number>();
@@ -35,7 +37,7 @@
 		return [...this.records]
 			.filter(([key]) => key.startsWith(prefix))
 			.map(([key, {value, modRevision}]) => ({key, value, modRevision}))
-			.sort((a, b) => (a.key < b.key ? -1 : 1));
+			.toSorted((a, b) => (a.key < b.key ? -1 : 1));
 	}
 
 	readVersions(prefix: string): StoreVersion[] {
@@ -59,6 +61,7 @@
 			this.records.delete(key);
 		}
 
+		this.onWrite?.(puts.map(({key}) => key));
 		return {succeeded, revision: this.revision};
 	}
 
--- a/standins/target-server.ts
+++ b/standins/target-server.ts
@@ -28,7 +28,7 @@
 
 	async listen(port: number): Promise<void> {
 		this.server = await listenJson(port, async (request, response, body) => {
-			switch (request.url) {
+			switch (request.url ?? '') {
 				case contractPaths.health: {
 					sendJson(response, 200, {leaving: this.model.isLeaving, load: this.model.load, incarnation: this.incarnation});
 					return;
--- /dev/null
+++ b/tests/decisions/evidence.test.ts
@@ -0,0 +1,163 @@
+import test from 'ava';
+import {Acknowledgements, type MoveContext} from '../../src/decisions/acknowledgements.js';
+import {EjectionVerdict, judgeSuspicion, type Suspicion} from '../../src/decisions/ejection.js';
+import {shouldTakeLeadership, type LeaderEvidence} from '../../src/decisions/leadership.js';
+import {Contact, ServerDetector, ServerOpinion} from '../../src/decisions/server-detector.js';
+import {
+	emptyAssignment, MoveKind, MovePhase, type Move,
+} from '../../src/model/assignment.js';
+import {
+	Fencing, serverSchema, serviceSchema, standingPolicySchema,
+} from '../../src/model/configuration.js';
+import {defaultTiming} from '../../src/model/timing.js';
+
+const service = serviceSchema.parse({
+	name: 'registry', customer: 'c', pathPrefix: '/r', divided: true, key: {source: 'path', name: '1'}, classes: [{
+		name: 'read', methods: ['GET'], priority: 'read', deadlineMs: 1000, idempotent: true,
+	}],
+});
+const servers = Array.from({length: 4}, (_, index) => serverSchema.parse({
+	id: `s${index}`, service: 'registry', address: '127.0.0.1:1', zone: 'z',
+}));
+const policy = standingPolicySchema.parse({maxLostServers: 1});
+const silent: Suspicion = {
+	server: 's0', opinion: ServerOpinion.Silent, witnesses: [false], asked: 2, vmGone: false,
+};
+
+const ejectionCases: Array<{title: string; suspicion: Suspicion; fencing?: Fencing; lostCount?: number; expected: EjectionVerdict}> = [
+	{title: 'eject a silent server that a witness misses too', suspicion: silent, expected: EjectionVerdict.Eject},
+	{title: 'wait when a witness hears the server', suspicion: {...silent, witnesses: [false, true]}, expected: EjectionVerdict.Wait},
+	{title: 'wait without an answer of a witness', suspicion: {...silent, witnesses: []}, expected: EjectionVerdict.Wait},
+	{title: 'decide alone when there is no other daemon', suspicion: {...silent, witnesses: [], asked: 0}, expected: EjectionVerdict.Eject},
+	{
+		title: 'not eject more than the policy allows', suspicion: silent, lostCount: 1, expected: EjectionVerdict.Forbidden,
+	},
+	{
+		title: 'not take silence for death when epochs are not checked', suspicion: silent, fencing: Fencing.None, expected: EjectionVerdict.Unproven,
+	},
+	{
+		title: 'eject an unchecked server whose process is gone', suspicion: {...silent, opinion: ServerOpinion.Gone}, fencing: Fencing.None, expected: EjectionVerdict.Eject,
+	},
+	{
+		title: 'eject an unchecked server whose VM is gone', suspicion: {...silent, vmGone: true}, fencing: Fencing.None, expected: EjectionVerdict.Eject,
+	},
+];
+
+for (const {title, suspicion, fencing = Fencing.Epoch, lostCount = 0, expected} of ejectionCases) {
+	test(`should ${title}`, t => {
+		t.is(judgeSuspicion(suspicion, {...service, fencing}, servers, {policy, lostCount}), expected);
+	});
+}
+
+const detectorCases: Array<{title: string; contacts: Contact[]; expected: ServerOpinion}> = [
+	{title: 'trust a server after two silent probes', contacts: [Contact.Silent, Contact.Silent], expected: ServerOpinion.Healthy},
+	{title: 'suspect a server after three silent probes', contacts: [Contact.Silent, Contact.Silent, Contact.Silent], expected: ServerOpinion.Silent},
+	{title: 'take two refused connections for a lost process', contacts: [Contact.Refused, Contact.Refused], expected: ServerOpinion.Gone},
+	{title: 'trust a server that answers in between', contacts: [Contact.Silent, Contact.Silent, Contact.Answered, Contact.Silent], expected: ServerOpinion.Healthy},
+];
+
+for (const {title, contacts, expected} of detectorCases) {
+	test(`should ${title}`, t => {
+		const detector = new ServerDetector(defaultTiming);
+		for (const [index, contact] of contacts.entries()) {
+			detector.observe('s', contact, index * 100);
+		}
+
+		t.is(detector.opinion('s'), expected);
+	});
+}
+
+const leaderEvidence: LeaderEvidence = {
+	daemon: 'b', leader: 'a', members: ['a', 'b', 'c'], silentProbes: 3, refused: false, heardByOthers: false, suspectedForMs: 0, hasProof: true,
+};
+const leadershipCases: Array<{title: string; changes: Partial<LeaderEvidence>; expected: boolean}> = [
+	{title: 'take over from a silent leader', changes: {}, expected: true},
+	{title: 'leave a leader that answers', changes: {silentProbes: 1}, expected: false},
+	{title: 'leave a leader that others hear', changes: {heardByOthers: true}, expected: false},
+	{title: 'not lead without a proof from the store', changes: {hasProof: false}, expected: false},
+	{title: 'take a vacant leadership', changes: {daemon: 'a', leader: '', silentProbes: 0}, expected: true},
+	{title: 'let a better ranked daemon go first', changes: {daemon: 'c'}, expected: false},
+	{title: 'take over when the better ranked daemon does not', changes: {daemon: 'c', suspectedForMs: 200}, expected: true},
+];
+
+for (const {title, changes, expected} of leadershipCases) {
+	test(`should ${title}`, t => {
+		t.is(shouldTakeLeadership({...leaderEvidence, ...changes}, ['a', 'b', 'c'], defaultTiming), expected);
+	});
+}
+
+const {routeLeaseMs, clockSkewMs} = defaultTiming;
+const move: Move = {
+	shard: 0, kind: MoveKind.Takeover, phase: MovePhase.Paused, from: 's0', to: 's1', sinceVersion: 5,
+};
+const assignment = {...emptyAssignment('registry', 1), version: 5, voters: ['a', 'b', 'c']};
+const context: MoveContext = {
+	fencing: Fencing.Epoch, members: ['a', 'b', 'c'], longestDeadlineMs: 1000, revoked: false,
+};
+
+type AcknowledgementCase = {
+	title: string;
+	acknowledgements: Array<{daemon: string; version?: number; inFlight?: number; startByRemainingMs?: number}>;
+	move?: Partial<Move>;
+	context?: Partial<MoveContext>;
+	now: number;
+	expected: boolean;
+};
+
+const acknowledgementCases: AcknowledgementCase[] = [
+	{
+		title: 'go on at once when all acknowledged', acknowledgements: [{daemon: 'a'}, {daemon: 'b'}, {daemon: 'c'}], now: 1, expected: true,
+	},
+	{
+		title: 'wait without a majority, however long', acknowledgements: [{daemon: 'a'}], now: 1e9, expected: false,
+	},
+	{
+		title: 'wait for the lapse of a daemon that did not acknowledge', acknowledgements: [{daemon: 'a'}, {daemon: 'b'}], now: routeLeaseMs + clockSkewMs - 1, expected: false,
+	},
+	{
+		title: 'go on after that lapse', acknowledgements: [{daemon: 'a'}, {daemon: 'b'}], now: routeLeaseMs + clockSkewMs, expected: true,
+	},
+	{
+		title: 'not count an acknowledgement of an older version', acknowledgements: [{daemon: 'a'}, {daemon: 'b', version: 4}], now: 1e9, expected: false,
+	},
+	{
+		title: 'wait for start-by deadlines after a loss', acknowledgements: [{daemon: 'a', startByRemainingMs: 200}, {daemon: 'b'}, {daemon: 'c'}], now: 200, expected: false,
+	},
+	{
+		title: 'go on after start-by deadlines', acknowledgements: [{daemon: 'a', startByRemainingMs: 200}, {daemon: 'b'}, {daemon: 'c'}], now: 200 + clockSkewMs, expected: true,
+	},
+	{
+		title: 'not wait for a daemon whose VM is gone', acknowledgements: [{daemon: 'a'}, {daemon: 'b'}], context: {members: ['a', 'b']}, now: 1, expected: true,
+	},
+	{
+		title: 'wait for work in flight in a planned move',
+		acknowledgements: [{daemon: 'a', inFlight: 1}, {daemon: 'b'}, {daemon: 'c'}],
+		move: {kind: MoveKind.Planned},
+		context: {revoked: true},
+		now: 1e9,
+		expected: false,
+	},
+	{
+		title: 'wait for the revocation in a planned move', acknowledgements: [{daemon: 'a'}, {daemon: 'b'}, {daemon: 'c'}], move: {kind: MoveKind.Planned}, now: 1, expected: false,
+	},
+	{
+		title: 'wait longer for unseen work at servers that check nothing',
+		acknowledgements: [{daemon: 'a'}, {daemon: 'b'}],
+		context: {fencing: Fencing.None},
+		now: routeLeaseMs + clockSkewMs + 999,
+		expected: false,
+	},
+];
+
+for (const {title, acknowledgements, move: moveChanges = {}, context: contextChanges = {}, now, expected} of acknowledgementCases) {
+	test(`should ${title}`, t => {
+		const collected = new Acknowledgements(defaultTiming);
+		for (const {daemon, version = 5, inFlight = 0, startByRemainingMs = 0} of acknowledgements) {
+			collected.observe({
+				daemon, version, inFlight, startByRemainingMs,
+			}, 0);
+		}
+
+		t.is(collected.isOldOwnerOut({...move, ...moveChanges}, assignment, {...context, ...contextChanges}, now), expected);
+	});
+}
--- /dev/null
+++ b/tests/decisions/queueing.test.ts
@@ -0,0 +1,93 @@
+import test from 'ava';
+import {ServerGate, type Waiter} from '../../src/decisions/server-gate.js';
+import {FifoOrder, PriorityOrder, type WaitOrder} from '../../src/decisions/wait-order.js';
+import {Priority} from '../../src/model/configuration.js';
+import {type NotRunError, NotRunReason} from '../../src/model/errors.js';
+
+type Arrival = {
+	name: string;
+	priority?: Priority;
+	long?: boolean;
+	expiresAt?: number;
+};
+
+class Queue {
+	readonly admitted: string[] = [];
+	readonly refused: Array<[string, NotRunReason]> = [];
+	readonly gate: ServerGate;
+
+	constructor(concurrency: number, longConcurrency: number, waiting = 10, order: WaitOrder<Waiter> = new PriorityOrder<Waiter>()) {
+		this.gate = new ServerGate('s', {concurrency, longConcurrency, waiting}, order);
+	}
+
+	arrive({name, priority = Priority.Read, long = false, expiresAt = Infinity}: Arrival): void {
+		this.gate.enter({
+			priority,
+			long,
+			arrivedAt: 0,
+			expiresAt,
+			admit: () => {
+				this.admitted.push(name);
+			},
+			refuse: (error: NotRunError) => {
+				this.refused.push([name, error.reason]);
+			},
+		}, 0);
+	}
+}
+
+test('should serve instructions before reads, extracts and polls', t => {
+	const queue = new Queue(1, 1);
+	for (const [name, priority] of [['first', Priority.Poll], ['poll', Priority.Poll], ['extract', Priority.Extract], ['read', Priority.Read], ['instruction', Priority.Instruction]] as const) {
+		queue.arrive({name, priority});
+	}
+
+	for (let served = 0; served < 4; served++) {
+		queue.gate.release(false, 1);
+	}
+
+	t.deepEqual(queue.admitted, ['first', 'instruction', 'read', 'extract', 'poll']);
+});
+
+test('should let short work pass long work that holds its share', t => {
+	const queue = new Queue(2, 1);
+	queue.arrive({name: 'long 1', long: true});
+	queue.arrive({name: 'long 2', long: true});
+	queue.arrive({name: 'short'});
+	t.deepEqual(queue.admitted, ['long 1', 'short']);
+});
+
+test('should keep the order of arrival in the baseline', t => {
+	const queue = new Queue(1, 1, 10, new FifoOrder<Waiter>());
+	queue.arrive({name: 'a', priority: Priority.Poll});
+	queue.arrive({name: 'b', priority: Priority.Poll});
+	queue.arrive({name: 'c', priority: Priority.Instruction});
+	queue.gate.release(false, 1);
+	queue.gate.release(false, 1);
+	t.deepEqual(queue.admitted, ['a', 'b', 'c']);
+});
+
+test('should shed the lowest priority when the queue is full', t => {
+	const queue = new Queue(1, 1, 2);
+	queue.arrive({name: 'running'});
+	queue.arrive({name: 'poll', priority: Priority.Poll});
+	queue.arrive({name: 'read'});
+	queue.arrive({name: 'instruction', priority: Priority.Instruction});
+	queue.arrive({name: 'late poll', priority: Priority.Poll});
+	t.deepEqual(queue.refused, [['poll', NotRunReason.Shed], ['late poll', NotRunReason.QueueFull]]);
+});
+
+test('should refuse early what would miss its deadline in the queue', t => {
+	const queue = new Queue(1, 1);
+	queue.arrive({name: 'running'});
+	queue.arrive({name: 'hopeless', expiresAt: 1});
+	t.deepEqual(queue.refused, [['hopeless', NotRunReason.QueueTimeout]]);
+});
+
+test('should refuse what waited past its deadline', t => {
+	const queue = new Queue(1, 1);
+	queue.arrive({name: 'running'});
+	queue.arrive({name: 'waiting', expiresAt: 100});
+	queue.gate.expire(100);
+	t.deepEqual(queue.refused, [['waiting', NotRunReason.QueueTimeout]]);
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -37,6 +37,8 @@
 		rules: {
 			// Documents in the store and answers of the stand-ins were written by this program.
 			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+			// Tests are compiled first and run from dist.
+			'ava/no-ignored-test-files': 'off',
 			// These two rules undo each other's fixes on nested object literals.
 			'@stylistic/curly-newline': 'off',
 		},
