--- a/bench/demo-deployment.ts
+++ b/bench/demo-deployment.ts
@@ -53,7 +53,7 @@
 	private readonly registryServers: Server[];
 
 	constructor(readonly processes: Processes, options: {daemons: number; servers: number}) {
-		this.entries = entryVms(options.daemons, basePort + 100);
+		this.entries = entryVms(options.daemons, basePort + 100, basePort + 200);
 		this.registryServers = Array.from({length: options.servers}, (_, index) => this.server('registry', index));
 	}
 
@@ -121,6 +121,35 @@
 		}, 15_000, `version ${configurationVersion} in force`);
 	}
 
+	/** Number of calls that the store has had. */
+	async storeCalls(): Promise<{reads: number; writes: number}> {
+		const answer = await fetch(`http://127.0.0.1:${this.storePort}/standin/faults`, {method: 'POST', body: '{}'});
+		return await answer.json() as {reads: number; writes: number};
+	}
+
+	/** Waits until a configuration is in force on every daemon and returns the time at which it was. */
+	async inForceEverywhere(version: number): Promise<number> {
+		await eventually(async () => {
+			const states = await Promise.all([...this.entries.keys()].map(async index => this.control(index).status.query()));
+			return states.every(state => state.configurationVersion >= version);
+		}, 15_000, `configuration ${version} in force`);
+		return performance.now();
+	}
+
+	/** Waits until just the given servers are lost and no move is under way. */
+	async lostAndSettled(lost: string[]): Promise<void> {
+		await eventually(async () => {
+			const state = await this.control(0).status.query();
+			return state.assignments.every(assignment => assignment.moves === 0 && assignment.lost.join(',') === lost.join(','));
+		}, 20_000, `lost servers: ${lost.join(',') || 'none'}`);
+	}
+
+	/** Starts a server anew after it was ended. */
+	restartServer(index: number, workMs: number): void {
+		const server = this.registryServers[index];
+		this.processes.startTarget(server.id, Number(server.address.split(':')[1]), workMs);
+	}
+
 	async close(): Promise<void> {
 		await this.agent.destroy();
 		await this.processes.stopAll();
--- a/bench/experiments/datapath.ts
+++ b/bench/experiments/datapath.ts
@@ -65,7 +65,7 @@
 		rows.push({
 			variant,
 			figures: {
-				'requests/s': full.requestsPerSecond, 'half load requests/s': rate, 'p50 ms at half load': open.p50Ms, 'p99 ms at half load': open.p99Ms, failed: full.failed + open.failed,
+				requestsPerSecond: full.requestsPerSecond, 'half load requests/s': rate, 'p50 ms at half load': open.p50Ms, 'p99 ms at half load': open.p99Ms, failed: full.failed + open.failed,
 			},
 		});
 	}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,9 +8,15 @@
 import {
 	DeploymentName, type Experiment, type ExperimentResult, type ResultRow,
 } from './experiment.js';
+import {control} from './experiments/control.js';
 import {datapath} from './experiments/datapath.js';
+import {churn, imbalance} from './experiments/ownership.js';
+import {blocking, crest} from './experiments/queueing.js';
+import {unavailable} from './experiments/unavailable.js';
 
-const experiments: Experiment[] = [datapath];
+const experiments: Experiment[] = [
+	imbalance, churn, unavailable, crest, blocking, control, datapath,
+];
 
 const cli = meow(`
   Usage
--- a/bench/matrix/scenario.ts
+++ b/bench/matrix/scenario.ts
@@ -392,6 +392,7 @@
 			path: `/registry/${key}`,
 			headers: [requestIdHeader, id, workHeader, String(workMs)],
 			body: undefined,
+			isForwarded: false,
 			receivedAt: now,
 			deadlineAt: now + deadlineMs,
 			cancellation: new Cancellation(),
--- a/bench/processes.ts
+++ b/bench/processes.ts
@@ -113,11 +113,12 @@
 }
 
 /** Returns the entry VMs of a deployment, spread over availability zones. */
-export function entryVms(count: number, firstControlPort: number): Vm[] {
+export function entryVms(count: number, firstControlPort: number, firstGatewayPort: number): Vm[] {
 	return Array.from({length: count}, (_, index) => ({
 		id: `entry-${index + 1}`,
 		role: VmRole.Entry,
 		address: `127.0.0.1:${firstControlPort + index}`,
+		gateway: `127.0.0.1:${firstGatewayPort + index}`,
 		zone: `zone-${(index % 4) + 1}`,
 		state: VmState.Live,
 	}));
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -50,12 +50,13 @@
 			timing,
 			log: this.log,
 			seed: settings.seed,
+			peerSecret: settings.peerSecret,
 		});
 		this.kernel = createKernel({
 			daemon: id,
 			core,
 			metrics: new StatsdMetrics(settings.statsdHost, settings.statsdPort, id),
-			gateway: {host: settings.host, port: settings.port},
+			gateway: {host: settings.host, port: settings.port, peerSecret: settings.peerSecret},
 			control: {host: settings.host, port: settings.controlPort, peerSecret: settings.peerSecret},
 		});
 	}
--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -10,6 +10,7 @@
 import {
 	DuplicateInstructionError, NotRunError, NotRunReason, OutcomeUnknownError, RouterError,
 } from '../model/errors.js';
+import {ContractHeader} from '../model/headers.js';
 import {Cancellation} from '../model/cancellation.js';
 import type {LoadReport} from '../model/peer.js';
 import {
@@ -41,6 +42,8 @@
 	choice: ServerChoice;
 	slowStart: SlowStart;
 	transport: RequestTransport;
+	/** Secret that daemons share, sent with forwarded work. */
+	peerSecret: string;
 	timing: Timing;
 };
 
@@ -70,6 +73,9 @@
 	isRoutable: () => boolean;
 };
 
+/** Connections of one daemon to another for forwarded work. */
+const forwardConnections = 32;
+
 /** Requests that one daemon lets wait for one server. */
 const maxWaiting = 256;
 
@@ -190,12 +196,18 @@
 
 	private async attemptUntilEnd(request: RoutedRequest, progress: Progress): Promise<Outcome> {
 		for (let attempt = 0; ; attempt++) {
+			// eslint-disable-next-line no-await-in-loop -- attempts follow one another.
+			const forwarded = attempt === 0 ? await this.forwardLongWork(request, progress) : undefined;
+			if (forwarded) {
+				return forwarded;
+			}
+
 			// eslint-disable-next-line no-await-in-loop -- attempts follow one another.
 			const place = await this.enter(request);
 			// eslint-disable-next-line no-await-in-loop -- the claim belongs to this attempt.
 			const result = await this.runAttempt(request, place, progress);
 			progress.mayHaveRun ||= result.end === AttemptEnd.Ambiguous;
-			const outcome = this.outcomeOf(request, place, result);
+			const outcome = this.outcomeOf(request, place.route.server.id, result);
 			if (outcome) {
 				return this.settle(outcome, progress);
 			}
@@ -207,6 +219,42 @@
 		}
 	}
 
+	/**
+	 * Sends long work through the home daemon of its server, which alone can keep it from taking every slot. Returns
+	 * undefined if this daemon shall serve the request itself.
+	 */
+	private async forwardLongWork(request: RoutedRequest, progress: Progress): Promise<Outcome | undefined> {
+		if (!request.requestClass.long || request.isForwarded || !request.service.divided) {
+			return undefined;
+		}
+
+		const route = this.route(request);
+		const home = route ? this.parts.directory.homeOf(route.server.id) : undefined;
+		if (home?.gateway === undefined || home.id === this.parts.daemon) {
+			return undefined;
+		}
+
+		const now = performance.now();
+		const result = await this.parts.transport.send(request, {
+			server: {id: home.id, address: home.gateway},
+			headers: [ContractHeader.Forwarded, this.parts.peerSecret],
+			shard: undefined,
+			epoch: undefined,
+			startByMs: Date.now() + request.deadlineAt - now,
+			connectionLimit: forwardConnections,
+			timeoutMs: Math.max(1, request.deadlineAt - now),
+			guard: () => request.cancellation.isCancelled ? NotRunReason.Cancelled : undefined,
+			cancellation: request.cancellation,
+		});
+		const isUnserved = result.end === AttemptEnd.NotRun && result.reason === NotRunReason.Connect;
+		if (isUnserved && !result.bodyUsed) {
+			return undefined;
+		}
+
+		progress.mayHaveRun ||= result.end === AttemptEnd.Ambiguous;
+		return this.outcomeOf(request, home.id, result);
+	}
+
 	private async runAttempt(request: RoutedRequest, place: Place, progress: Progress): Promise<AttemptResult> {
 		const {service, requestClass, instructionId} = request;
 		const needsClaim = !requestClass.idempotent && service.atMostOnce === AtMostOnceProof.StoreClaim;
@@ -404,8 +452,9 @@
 		try {
 			result = await this.parts.transport.send(request, {
 				...route,
+				headers: [],
 				startByMs: Date.now() + startInMs,
-				connectionLimit: this.limitsOf(route.server).concurrency,
+				connectionLimit: gate.concurrency,
 				timeoutMs: Math.max(1, request.deadlineAt - now),
 				guard: () => this.guard(request, route),
 				cancellation,
@@ -438,8 +487,7 @@
 	}
 
 	/** Returns the outcome of an attempt, or undefined if the request may be sent again. */
-	private outcomeOf(request: RoutedRequest, {route}: Place, result: AttemptResult): Outcome | undefined {
-		const server = route.server.id;
+	private outcomeOf(request: RoutedRequest, server: string, result: AttemptResult): Outcome | undefined {
 		switch (result.end) {
 			case AttemptEnd.Completed: {
 				return {kind: OutcomeKind.Answered, status: result.status, server};
@@ -552,7 +600,13 @@
 	private limitsOf(server: Server): GateLimits {
 		const daemons = Math.max(1, this.parts.directory.members().length);
 		const concurrency = Math.max(1, Math.floor(server.connections / daemons));
-		return {concurrency, longConcurrency: Math.max(1, Math.floor(concurrency / 2)), waiting: maxWaiting};
+		return {concurrency, longConcurrency: this.longShare(server), waiting: maxWaiting};
+	}
+
+	/** Long work may use all slots but one, which is kept for short work; daemons other than the home stand in for it with one. */
+	private longShare(server: Server): number {
+		const home = this.parts.directory.homeOf(server.id);
+		return home === undefined || home.id === this.parts.daemon ? Math.max(1, server.slots - 1) : 1;
 	}
 
 	private gateOf(server: Server): ServerGate {
--- a/src/decisions/plan-desk.ts
+++ b/src/decisions/plan-desk.ts
@@ -36,6 +36,9 @@
 /** Ids of confirmed intents that the configuration keeps. */
 const appliedIntentsKept = 1000;
 
+/** Number of times a confirmation is tried against other writers. */
+const confirmAttempts = 5;
+
 /** Time limit of one store call of an operator's request, in milliseconds. */
 const operatorCallMs = 1000;
 
@@ -87,26 +90,17 @@
 	 * @throws {OperatorRefusalError} for a wrong credential, a closed plan or a stale base
 	 */
 	async confirm(planId: string, credential: string): Promise<Plan> {
-		const {plan, modRevision} = await this.requirePlan(planId);
-		const customers = this.customersOf(credential);
-		if (plan.customers.length > 0 && !plan.customers.some(customer => customers.includes(customer))) {
-			throw this.refuse(ErrorCode.NotAuthorized, `The credential is not that of a veto holder of ${plan.customers.join(', ')}.`, 'Use the credential of the customer\'s veto holder.');
-		}
-
-		this.requireOpen(plan);
-		const base = await this.readBase();
-		if (this.isStale(plan, base)) {
-			throw this.refuse(ErrorCode.StalePlan, `Plan ${planId} was computed from an older version.`, 'Submit the intent again and read the new plan.');
+		for (let attempt = 1; ; attempt++) {
+			try {
+				// eslint-disable-next-line no-await-in-loop -- each attempt reads the base anew.
+				return await this.confirmOnce(planId, credential);
+			} catch (error) {
+				// A leader's write that changes no owner may come between reading and writing; a stale plan shows when read anew.
+				if (!(error instanceof ConflictError) || attempt === confirmAttempts) {
+					throw error;
+				}
+			}
 		}
-
-		const approvals = [...new Set([...plan.approvals, ...plan.customers.filter(customer => customers.includes(customer))])];
-		const isComplete = plan.customers.every(customer => approvals.includes(customer));
-		const next: Plan = {
-			...plan, approvals, state: isComplete ? PlanState.Confirmed : PlanState.Open, token: randomUUID(),
-		};
-		await this.commit(next, modRevision, isComplete ? base : undefined);
-		this.parts.log.record(LogEvent.PlanConfirmed, {plan: planId, complete: isComplete, customers: customers.join(',')});
-		return next;
 	}
 
 	/** Rejects a plan; operators may withdraw it and veto holders refuse it. */
@@ -146,6 +140,36 @@
 		}
 	}
 
+	private async confirmOnce(planId: string, credential: string): Promise<Plan> {
+		const {plan, modRevision} = await this.requirePlan(planId);
+		const customers = this.customersOf(credential);
+		this.requireVeto(plan, customers);
+		this.requireOpen(plan);
+		const base = await this.readBase();
+		if (this.isStale(plan, base)) {
+			throw this.refuse(ErrorCode.StalePlan, `Plan ${planId} was computed from an older version.`, 'Submit the intent again and read the new plan.');
+		}
+
+		const approvals = [...new Set([...plan.approvals, ...plan.customers.filter(customer => customers.includes(customer))])];
+		const isComplete = plan.customers.every(customer => approvals.includes(customer));
+		const next: Plan = {
+			...plan, approvals, state: isComplete ? PlanState.Confirmed : PlanState.Open, token: randomUUID(),
+		};
+		await this.commit(next, modRevision, isComplete ? base : undefined);
+		this.parts.log.record(LogEvent.PlanConfirmed, {plan: planId, complete: isComplete, customers: customers.join(',')});
+		return next;
+	}
+
+	private requireVeto(plan: Plan, customers: string[]): void {
+		if (plan.customers.length > 0 && !plan.customers.some(customer => customers.includes(customer))) {
+			throw this.refuse(
+				ErrorCode.NotAuthorized,
+				`The credential is not that of a veto holder of ${plan.customers.join(', ')}.`,
+				'Use the credential of the customer\'s veto holder.',
+			);
+		}
+	}
+
 	private async commit(plan: Plan, planRevision: number, base: ReadBase | undefined): Promise<void> {
 		const key = storeKeys.plan(plan.id);
 		const compare = [{key, modRevision: planRevision}, ...base?.versions ?? []];
@@ -160,15 +184,7 @@
 			puts.push({key: storeKeys.configuration, value: JSON.stringify(configuration)});
 		}
 
-		try {
-			await this.writer.write({key, token: plan.token, transaction: {compare, puts}});
-		} catch (error) {
-			if (error instanceof ConflictError) {
-				throw this.refuse(ErrorCode.StalePlan, `Another change came before plan ${plan.id}.`, 'Submit the intent again and read the new plan.');
-			}
-
-			throw error;
-		}
+		await this.writer.write({key, token: plan.token, transaction: {compare, puts}});
 	}
 
 	private isStale(plan: Plan, base: PlanBase): boolean {
--- a/src/decisions/router-core.ts
+++ b/src/decisions/router-core.ts
@@ -47,6 +47,8 @@
 	credentials: Credentials;
 	timing: Timing;
 	log: EventLog;
+	/** Secret that daemons share. */
+	peerSecret: string;
 	/** Seed of random choices. */
 	seed: number;
 	placement?: Placement;
@@ -90,6 +92,7 @@
 			choice: new TwoChoices(parts.seed),
 			slowStart: new SlowStart(),
 			transport: parts.transport,
+			peerSecret: parts.peerSecret,
 			timing,
 		});
 		this.planDesk = new PlanDesk({
@@ -191,6 +194,7 @@
 			})),
 			storeReachable: this.confirmation.storeReachable,
 			holding: this.confirmation.holding,
+			controlBytes: 0,
 		};
 	}
 
--- a/src/decisions/server-gate.ts
+++ b/src/decisions/server-gate.ts
@@ -39,6 +39,11 @@
 		return this.inFlight + this.order.size;
 	}
 
+	/** Largest number of requests in flight. */
+	get concurrency(): number {
+		return this.limits.concurrency;
+	}
+
 	get waiting(): number {
 		return this.order.size;
 	}
--- a/src/decisions/vm-directory.ts
+++ b/src/decisions/vm-directory.ts
@@ -6,6 +6,8 @@
 import {
 	VmRole, VmState, type Vm, type VmList,
 } from '../model/vm-list.js';
+import {hash} from './shard-hash.js';
+import {leaderRanking} from './leadership.js';
 
 /** Time limit of one read of the list in milliseconds. */
 const readLimitMs = 500;
@@ -57,6 +59,12 @@
 		return [this.daemon, ...this.peers().map(vm => vm.id)].toSorted();
 	}
 
+	/** Returns the entry VM that long work for a server goes through: one of those that stay, by rendezvous hashing. */
+	homeOf(server: string): Vm | undefined {
+		const home = leaderRanking(server, this.stableMembers(), hash)[0];
+		return home === undefined ? undefined : this.vms.get(home);
+	}
+
 	/** True if a daemon's VM is gone, which is safe to believe. */
 	isDaemonGone(daemon: string): boolean {
 		if (daemon === this.daemon || this.vms.has(daemon) || this.firstReadAt === undefined) {
--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -24,7 +24,6 @@
 	InvalidIntent = 'invalid_intent',
 	NotAuthorized = 'not_authorized',
 	BadSettings = 'bad_settings',
-	LostLeadership = 'lost_leadership',
 }
 
 /** Base class of every failure of the router. */
@@ -154,15 +153,6 @@
 	}
 }
 
-/** Another daemon holds a higher leader term. */
-export class LostLeadershipError extends RouterError {
-	override name = 'LostLeadershipError';
-
-	constructor(service: string, term: number) {
-		super(ErrorCode.LostLeadership, `Term ${term} of service ${service} has ended.`);
-	}
-}
-
 /** A refusal to an operator or veto holder; nothing was changed. */
 export class OperatorRefusalError extends RouterError {
 	override name = 'OperatorRefusalError';
--- a/src/model/headers.ts
+++ b/src/model/headers.ts
@@ -10,6 +10,8 @@
 	StartBy = 'eelgrasswheel-start-by',
 	Outcome = 'eelgrasswheel-outcome',
 	Reason = 'eelgrasswheel-reason',
+	/** Between daemons: the request was forwarded, with the secret that daemons share. */
+	Forwarded = 'eelgrasswheel-forwarded',
 	InstructionId = 'idempotency-key',
 }
 
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -88,6 +88,8 @@
 	}>;
 	storeReachable: boolean;
 	holding: boolean;
+	/** Bytes received and sent by the control listener since the start. */
+	controlBytes: number;
 };
 
 /**
--- a/src/model/request.ts
+++ b/src/model/request.ts
@@ -29,6 +29,8 @@
 	/** A buffer can be sent again; a stream cannot. */
 	body: Uint8Array | Readable | undefined;
 	responder: Responder;
+	/** True if another daemon forwarded the request to this one. */
+	isForwarded: boolean;
 	/** Monotonic time in milliseconds at which the request arrived. */
 	receivedAt: number;
 	/** Monotonic time in milliseconds at which the caller must have an answer. */
@@ -39,7 +41,9 @@
 
 /** One attempt to have a server run a request. */
 export type Attempt = {
-	server: Server;
+	server: Pick<Server, 'id' | 'address'>;
+	/** Names and values in turn, added to the request's headers. */
+	headers: string[];
 	shard: number | undefined;
 	epoch: number | undefined;
 	/** Unix time in milliseconds after which the server must not start the request. */
--- a/src/model/vm-list.ts
+++ b/src/model/vm-list.ts
@@ -21,6 +21,8 @@
 	role: VmRole;
 	/** IP:PORT of the control listener on entry VMs; IP on target VMs. */
 	address: string;
+	/** IP:PORT of the callers' listener on entry VMs; without it no work is forwarded to the daemon. */
+	gateway?: string | undefined;
 	zone: string;
 	state: VmState;
 };
--- a/src/platform/http-vm-list.ts
+++ b/src/platform/http-vm-list.ts
@@ -11,7 +11,7 @@
 
 const vmListSchema = z.object({
 	vms: z.array(z.object({
-		id: z.string(), role: z.enum(VmRole), address: z.string(), zone: z.string(), state: z.enum(VmState),
+		id: z.string(), role: z.enum(VmRole), address: z.string(), gateway: z.string().optional(), zone: z.string(), state: z.enum(VmState),
 	})),
 });
 
--- a/src/services/control-service.ts
+++ b/src/services/control-service.ts
@@ -2,6 +2,7 @@
  * Service "control": the control interface for peers and operators, by trpc over HTTP.
  */
 import {createServer, type IncomingMessage, type Server} from 'node:http';
+import type {Socket} from 'node:net';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import type {Service, ServiceBroker, ServiceSchema} from 'moleculer';
 import type {Assignment, Stored} from '../model/assignment.js';
@@ -26,12 +27,13 @@
 /** Creates the service. */
 export function createControlService(options: ControlOptions): ServiceSchema {
 	let server: Server | undefined;
+	const traffic = new Traffic();
 	return {
 		name: 'control',
 		dependencies: ['distribution', 'operator'],
 		async started(this: Service) {
 			const peers = new LocalPeerHandlers(this.broker);
-			const operators = createOperatorHandlers(this.broker);
+			const operators = createOperatorHandlers(this.broker, traffic);
 			const handler = createHTTPHandler({
 				router: controlRouter,
 				maxBodySize: maxBodyBytes,
@@ -43,6 +45,9 @@
 				},
 			});
 			server = createServer(handler);
+			server.on('connection', socket => {
+				traffic.follow(socket);
+			});
 			server.keepAliveTimeout = 60_000;
 			await new Promise<void>((resolve, reject) => {
 				server!.once('error', reject);
@@ -87,7 +92,30 @@
 	}
 }
 
-function createOperatorHandlers(broker: ServiceBroker): OperatorHandlers {
+/** Counts the bytes of all connections. */
+class Traffic {
+	private closedBytes = 0;
+	private readonly open = new Set<Socket>();
+
+	get bytes(): number {
+		let bytes = this.closedBytes;
+		for (const socket of this.open) {
+			bytes += socket.bytesRead + socket.bytesWritten;
+		}
+
+		return bytes;
+	}
+
+	follow(socket: Socket): void {
+		this.open.add(socket);
+		socket.once('close', () => {
+			this.open.delete(socket);
+			this.closedBytes += socket.bytesRead + socket.bytesWritten;
+		});
+	}
+}
+
+function createOperatorHandlers(broker: ServiceBroker, traffic: Traffic): OperatorHandlers {
 	return {
 		submit: async (intent, credential) => broker.call<Plan, Record<string, unknown>>('operator.submit', {intent, credential}),
 		confirm: async (planId, credential) => broker.call<Plan, Record<string, unknown>>('operator.confirm', {planId, credential}),
@@ -96,7 +124,10 @@
 		listPlans: async () => broker.call<Plan[]>('operator.listPlans'),
 		history: async service => broker.call<unknown[], Record<string, unknown>>('operator.history', {service}),
 		assignment: async service => broker.call<Assignment | undefined, Record<string, unknown>>('operator.assignment', {service}),
-		status: async () => broker.call<DaemonStatus>('operator.status'),
+		async status() {
+			const status = await broker.call<DaemonStatus>('operator.status');
+			return {...status, controlBytes: traffic.bytes};
+		},
 		peerAddresses: async () => broker.call<Array<{daemon: string; address: string}>>('operator.peerAddresses'),
 		burn: async () => broker.call<BurnSample[]>('operator.burn'),
 		requireOperator: async credential => broker.call<void, Record<string, unknown>>('operator.requireOperator', {credential}),
--- a/src/services/gateway-service.ts
+++ b/src/services/gateway-service.ts
@@ -20,6 +20,8 @@
 export type GatewayOptions = {
 	host: string;
 	port: number;
+	/** Secret that daemons share; marks requests that another daemon forwarded. */
+	peerSecret: string;
 };
 
 /** Paths for the platform's balancer. */
@@ -55,7 +57,7 @@
 				logging: false,
 				use: [
 					async function (this: Service, request: ApiRequest, response: ServerResponse) {
-						await handle(this.broker, request, response, isDraining);
+						await handle(this.broker, request, response, {isDraining, peerSecret: options.peerSecret});
 					},
 				],
 			}],
@@ -81,7 +83,7 @@
 	};
 }
 
-async function handle(broker: ServiceBroker, request: ApiRequest, response: ServerResponse, isDraining: boolean): Promise<void> {
+async function handle(broker: ServiceBroker, request: ApiRequest, response: ServerResponse, {isDraining, peerSecret}: {isDraining: boolean; peerSecret: string}): Promise<void> {
 	const path = request.originalUrl ?? request.url ?? '/';
 	if (path === livePath) {
 		answer(response, 200, {live: true});
@@ -99,13 +101,13 @@
 	}
 
 	try {
-		await forward(broker, request, response, path);
+		await forward(broker, request, response, {path, peerSecret});
 	} catch (error) {
 		fail(response, error instanceof RouterError ? error : new BadRequestError(String(error)));
 	}
 }
 
-async function forward(broker: ServiceBroker, request: ApiRequest, response: ServerResponse, path: string): Promise<void> {
+async function forward(broker: ServiceBroker, request: ApiRequest, response: ServerResponse, {path, peerSecret}: {path: string; peerSecret: string}): Promise<void> {
 	const head: RequestHead = {
 		method: request.method ?? 'GET', path, host: request.headers.host ?? '', headers: request.headers,
 	};
@@ -123,6 +125,7 @@
 		path,
 		headers: forwardedHeaderList(request.headers),
 		body: await openBody(request, match.service.maxBodyBytes),
+		isForwarded: request.headers[ContractHeader.Forwarded] === peerSecret,
 		receivedAt,
 		deadlineAt: receivedAt + match.requestClass.deadlineMs,
 		cancellation,
--- a/src/services/kernel.ts
+++ b/src/services/kernel.ts
@@ -18,7 +18,7 @@
 	daemon: string;
 	core: RouterCore;
 	metrics: Metrics;
-	gateway: {host: string; port: number};
+	gateway: {host: string; port: number; peerSecret: string};
 	control: {host: string; port: number; peerSecret: string};
 };
 
--- a/src/targets/exchange.ts
+++ b/src/targets/exchange.ts
@@ -4,7 +4,9 @@
 import {PassThrough, Readable, type Writable} from 'node:stream';
 import type {Dispatcher, Pool} from 'undici';
 import {NotRunError, NotRunReason} from '../model/errors.js';
-import {ContractHeader, forwardedHeaders, notRunOutcome} from '../model/headers.js';
+import {
+	ContractHeader, forwardedHeaders, notRunOutcome, unknownOutcome,
+} from '../model/headers.js';
 import {
 	AttemptEnd, type Attempt, type AttemptResult, type RoutedRequest,
 } from '../model/request.js';
@@ -106,6 +108,11 @@
 			return;
 		}
 
+		if (headers[ContractHeader.Outcome] === unknownOutcome) {
+			// Another daemon could not tell; the state stays such that the end of its answer is ambiguous.
+			return;
+		}
+
 		this.state = ExchangeState.Answering;
 		this.sink = this.request.responder.start(status, forwardedHeaders(headers));
 		this.sink.on('drain', () => {
@@ -125,6 +132,11 @@
 			return;
 		}
 
+		if (this.state === ExchangeState.Written) {
+			this.finish({end: AttemptEnd.Ambiguous, detail: 'the outcome is unknown to the daemon that was asked'});
+			return;
+		}
+
 		this.sink?.end();
 		this.finish({end: AttemptEnd.Completed, status: this.status});
 	}
@@ -183,7 +195,7 @@
 
 	private requestHeaders(): string[] {
 		const {request, attempt} = this;
-		const headers = [...request.headers, ContractHeader.Service, request.service.name, ContractHeader.StartBy, String(Math.floor(attempt.startByMs))];
+		const headers = [...request.headers, ...attempt.headers, ContractHeader.Service, request.service.name, ContractHeader.StartBy, String(Math.floor(attempt.startByMs))];
 		if (attempt.shard !== undefined) {
 			headers.push(ContractHeader.Shard, String(attempt.shard), ContractHeader.Epoch, String(attempt.epoch));
 		}
--- a/standins/fake-deployment.ts
+++ b/standins/fake-deployment.ts
@@ -85,6 +85,7 @@
 			timing: options.timing ?? defaultTiming,
 			log: new ObservedLog(id, options.observer),
 			seed: options.seed,
+			peerSecret: 'secret',
 		});
 		this.cores.set(id, core);
 		clearInterval(this.timers.get(id));
--- a/standins/fake-targets.ts
+++ b/standins/fake-targets.ts
@@ -134,7 +134,7 @@
 		return undefined;
 	}
 
-	private async call<Result>(server: Server, deadline: Deadline, operation: (model: TargetModel) => Result | Promise<Result>, mayRepeat = false): Promise<Result> {
+	private async call<Result>(server: Pick<Server, 'id'>, deadline: Deadline, operation: (model: TargetModel) => Result | Promise<Result>, mayRepeat = false): Promise<Result> {
 		const model = this.models.get(server.id)!;
 		return this.network.call({
 			from: this.daemon,
