fix(leader): forget evidence against a leader when the term changes

Cause: with 24 daemons starting at once on six cores the term rose to 81 in four seconds: each standby held the silent probes of the former leader against the next one. Change: probes and suspicion begin anew with every term.

--- a/src/decisions/service-leader.ts
+++ b/src/decisions/service-leader.ts
@@ -68,6 +68,7 @@
 	private isWoken = false;
 	private isStopping = false;
 	private ledTerm = 0;
+	private watchedTerm = 0;
 	private probedAt = -Infinity;
 	private serversProbedAt = -Infinity;
 	private leaderSilentProbes = 0;
@@ -180,6 +181,7 @@
 	}
 
 	private async watchLeader({value, modRevision}: Stored<Assignment>): Promise<void> {
+		this.noteTerm(value.term);
 		await this.probeLeader(value.leader);
 		const evidence = this.leaderEvidence(value.leader);
 		if (!shouldTakeLeadership(evidence, this.ranking(), this.parts.timing)) {
@@ -195,6 +197,18 @@
 		this.suspectedAt = undefined;
 	}
 
+	/** Evidence against one leader says nothing about the next. */
+	private noteTerm(term: number): void {
+		if (this.watchedTerm === term) {
+			return;
+		}
+
+		this.watchedTerm = term;
+		this.leaderSilentProbes = 0;
+		this.leaderRefused = false;
+		this.suspectedAt = undefined;
+	}
+
 	private async probeLeader(leader: string): Promise<void> {
 		const {peers, confirmation, timing} = this.parts;
 		const now = performance.now();
