refactor(dispatcher): split routes and load accounting from dispatching

Cause: the dispatcher had grown to 676 lines, and every standby probed its leader at the full rate, so that control cost grew with the number of daemons.

--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -2,35 +2,29 @@
  * Dispatch of requests to servers: routing, waiting, claims, retries and outcomes.
  */
 import {
-	MovePhase, ownerOf, type Assignment,
-} from '../model/assignment.js';
-import {
-	AtMostOnceProof, Fencing, type Server, type Service,
+	AtMostOnceProof, Fencing,
 } from '../model/configuration.js';
 import {
 	DuplicateInstructionError, NotRunError, NotRunReason, OutcomeUnknownError, RouterError,
 } from '../model/errors.js';
 import {ContractHeader} from '../model/headers.js';
 import {Cancellation} from '../model/cancellation.js';
-import type {LoadReport} from '../model/peer.js';
 import {
 	AttemptEnd, type AttemptResult, type RequestTransport, type RoutedRequest,
 } from '../model/request.js';
 import type {Timing} from '../model/timing.js';
-import {CircuitBreaker} from './circuit-breaker.js';
-import {KeySketch} from './hot-spots.js';
 import {InFlight, type FlightEntry} from './in-flight.js';
 import type {Claim, InstructionClaims} from './instruction-claims.js';
 import {OutcomeKind, type Outcome} from './outcome.js';
 import type {Replica} from './replica.js';
 import {RetryBudget} from './retry-budget.js';
-import {ServerGate, type GateLimits, type Waiter} from './server-gate.js';
+import {LoadMeter} from './load-meter.js';
+import {RouteTable, type Route} from './route-table.js';
+import type {ServerGate, Waiter} from './server-gate.js';
 import type {ServerChoice} from './server-choice.js';
 import {Contact, type ServerDetector} from './server-detector.js';
-import {shardOfKey} from './shard-hash.js';
 import type {SlowStart} from './slow-start.js';
 import type {VmDirectory} from './vm-directory.js';
-import {PriorityOrder} from './wait-order.js';
 
 /** What a dispatcher needs. */
 export type DispatcherParts = {
@@ -47,13 +41,6 @@
 	timing: Timing;
 };
 
-/** Where a request goes. */
-type Route = {
-	server: Server;
-	shard: number | undefined;
-	epoch: number | undefined;
-};
-
 /** A place at a server, held from admission to the end of the attempt. */
 type Place = {
 	route: Route;
@@ -76,21 +63,12 @@
 /** Connections of one daemon to another for forwarded work. */
 const forwardConnections = 32;
 
-/** Requests that one daemon lets wait for one server. */
-const maxWaiting = 256;
-
 /** Requests for paused shards that one daemon lets wait. */
 const maxPaused = 4096;
 
 /** Delay before a server that refused an epoch is asked again, in milliseconds. */
 const fencedRetryMs = 10;
 
-/** Keys that the hot-key sketch follows per service. */
-const sketchCapacity = 512;
-
-/** Keys that a load report names. */
-const reportedKeys = 16;
-
 /** Longest delay of a request for a paused or unowned shard before it is refused, in milliseconds. */
 const maxPauseWaitMs = 2000;
 
@@ -99,19 +77,15 @@
  */
 export class Dispatcher {
 	readonly inFlight = new InFlight();
-	private readonly gates = new Map<string, ServerGate>();
-	private readonly breakers = new Map<string, CircuitBreaker>();
+	readonly loadMeter: LoadMeter;
+	private readonly routes: RouteTable;
 	private readonly paused = new Set<PausedWaiter>();
 	private readonly retryBudgets = new Map<string, RetryBudget>();
-	private readonly sketches = new Map<string, KeySketch>();
-	private readonly shardCounts = new Map<string, Map<number, number>>();
-	private readonly reportedAt = new Map<string, number>();
-	private servers = new Map<string, Server>();
-	private serversOfService = new Map<string, Server[]>();
-	private configurationVersion = -1;
 	private isShuttingDown = false;
 
 	constructor(private readonly parts: DispatcherParts) {
+		this.loadMeter = new LoadMeter(parts.daemon);
+		this.routes = new RouteTable(parts);
 		parts.replica.subscribe(() => {
 			this.onReplicaChange();
 		});
@@ -119,12 +93,7 @@
 
 	/** Number of requests in flight or waiting. */
 	get load(): number {
-		let load = this.paused.size;
-		for (const gate of this.gates.values()) {
-			load += gate.load;
-		}
-
-		return load;
+		return this.paused.size + this.routes.load;
 	}
 
 	/** Refuses new requests; those accepted before go on to their end. */
@@ -149,10 +118,8 @@
 
 	/** Gives up waiting that took too long and cancels stragglers; called once a tick. */
 	tick(now = performance.now()): void {
-		this.refreshServers();
-		for (const gate of this.gates.values()) {
-			gate.expire(now);
-		}
+		this.routes.refresh();
+		this.routes.expire(now);
 
 		for (const waiter of this.paused) {
 			if (now >= waiter.expiresAt) {
@@ -169,29 +136,9 @@
 		this.releasePaused();
 	}
 
-	/** Returns the load of a service since the last report. */
-	report(service: string, now = performance.now()): LoadReport {
-		const counts = this.shardCounts.get(service) ?? new Map<number, number>();
-		const report: LoadReport = {
-			daemon: this.parts.daemon,
-			intervalMs: now - (this.reportedAt.get(service) ?? now),
-			shards: [...counts].map(([shard, requests]) => ({shard, requests})),
-			keys: this.sketches.get(service)?.top(reportedKeys) ?? [],
-		};
-		counts.clear();
-		this.sketches.get(service)?.clear();
-		this.reportedAt.set(service, now);
-		return report;
-	}
-
-	/** Applies connection shares after a change of members or servers. */
+	/** Applies connection shares after a change of members. */
 	updateLimits(): void {
-		for (const [id, gate] of this.gates) {
-			const server = this.servers.get(id);
-			if (server) {
-				gate.setLimits(this.limitsOf(server));
-			}
-		}
+		this.routes.updateLimits();
 	}
 
 	private async attemptUntilEnd(request: RoutedRequest, progress: Progress): Promise<Outcome> {
@@ -228,7 +175,7 @@
 			return undefined;
 		}
 
-		const route = this.route(request);
+		const route = this.routes.route(request);
 		const home = route ? this.parts.directory.homeOf(route.server.id) : undefined;
 		if (home?.gateway === undefined || home.id === this.parts.daemon) {
 			return undefined;
@@ -276,7 +223,7 @@
 				throw new NotRunError(NotRunReason.Cancelled);
 			}
 
-			const route = this.route(request);
+			const route = this.routes.route(request);
 			if (!route) {
 				// eslint-disable-next-line no-await-in-loop -- the route is chosen anew after each wait.
 				await this.waitForRoute(request);
@@ -291,46 +238,6 @@
 		}
 	}
 
-	/** Returns the route of a request; undefined while its shard is paused or has no owner. */
-	private route(request: RoutedRequest): Route | undefined {
-		this.refreshServers();
-		const {service, key} = request;
-		if (!service.divided) {
-			return this.routeToAny(service);
-		}
-
-		const stored = this.parts.replica.assignment(service.name);
-		if (!stored || this.parts.replica.leaseRemainingMs(service.name) <= 0) {
-			return undefined;
-		}
-
-		const shard = shardOfKey(key ?? '', stored.value);
-		const owner = ownerOf(stored.value, shard);
-		const server = owner === undefined ? undefined : this.servers.get(owner);
-		if (!server || isPaused(stored.value, shard)) {
-			return undefined;
-		}
-
-		return {server, shard, epoch: stored.value.epochs[shard]};
-	}
-
-	private routeToAny(service: Service): Route | undefined {
-		const servers = this.serversOfService.get(service.name) ?? [];
-		const willing = servers.filter(server => !this.parts.directory.resolve(server).leaving);
-		const sound = willing.filter(server => this.breakerOf(server.id).allows());
-		const candidates = (sound.length > 0 ? sound : willing).map(server => ({
-			server,
-			load: (this.gateOf(server).load + 1) / (server.weight * this.parts.slowStart.share(server.id)),
-		}));
-		const server = this.parts.choice.choose(candidates);
-		if (!server) {
-			throw new NotRunError(NotRunReason.NoOwner);
-		}
-
-		this.breakerOf(server.id).onStart();
-		return {server, shard: undefined, epoch: undefined};
-	}
-
 	private async waitForRoute(request: RoutedRequest): Promise<void> {
 		if (this.paused.size >= maxPaused) {
 			throw new NotRunError(NotRunReason.Paused, 500);
@@ -338,7 +245,7 @@
 
 		await this.wait(request, waiter => {
 			const expiresAt = Math.min(waiter.expiresAt, waiter.arrivedAt + maxPauseWaitMs);
-			const entry: PausedWaiter = {...waiter, expiresAt, isRoutable: () => this.route(request) !== undefined};
+			const entry: PausedWaiter = {...waiter, expiresAt, isRoutable: () => this.routes.route(request) !== undefined};
 			this.paused.add(entry);
 			return () => {
 				this.paused.delete(entry);
@@ -347,7 +254,7 @@
 	}
 
 	private async waitAtGate(request: RoutedRequest, route: Route): Promise<Place | undefined> {
-		const gate = this.gateOf(route.server);
+		const gate = this.routes.gateOf(route.server);
 		await this.wait(request, waiter => {
 			gate.enter(waiter);
 			return () => {
@@ -395,28 +302,7 @@
 	}
 
 	private isStillValid(request: RoutedRequest, route: Route): boolean {
-		return !request.service.divided || this.guard(request, route) === undefined;
-	}
-
-	/** Checks ownership and the route lease; called immediately before the write to the socket. */
-	private guard(request: RoutedRequest, route: Route): NotRunReason | undefined {
-		if (request.cancellation.isCancelled) {
-			return NotRunReason.Cancelled;
-		}
-
-		if (route.shard === undefined) {
-			return undefined;
-		}
-
-		const {replica} = this.parts;
-		const assignment = replica.assignment(request.service.name)?.value;
-		if (!assignment || replica.leaseRemainingMs(request.service.name) <= 0) {
-			return NotRunReason.NoRouteLease;
-		}
-
-		const isOwner = ownerOf(assignment, route.shard) === route.server.id && assignment.epochs[route.shard] === route.epoch;
-		const isSameShard = shardOfKey(request.key ?? '', assignment) === route.shard;
-		return isOwner && isSameShard && !isPaused(assignment, route.shard) ? undefined : NotRunReason.Paused;
+		return !request.service.divided || this.routes.guard(request, route) === undefined;
 	}
 
 	private async send(request: RoutedRequest, {route, gate}: Place): Promise<AttemptResult> {
@@ -446,7 +332,10 @@
 				cancellation.cancel();
 			},
 		};
-		this.countLoad(request, route);
+		if (route.shard !== undefined && request.key !== undefined) {
+			this.loadMeter.count(service.name, request.key, route.shard);
+		}
+
 		this.inFlight.add(entry);
 		let result: AttemptResult | undefined;
 		try {
@@ -456,7 +345,7 @@
 				startByMs: Date.now() + startInMs,
 				connectionLimit: gate.concurrency,
 				timeoutMs: Math.max(1, request.deadlineAt - now),
-				guard: () => this.guard(request, route),
+				guard: () => this.routes.guard(request, route),
 				cancellation,
 			});
 			return result;
@@ -469,7 +358,7 @@
 	}
 
 	private observe(server: string, result: AttemptResult | undefined): void {
-		const breaker = this.breakerOf(server);
+		const breaker = this.routes.breakerOf(server);
 		const isAnswered = result?.end === AttemptEnd.Completed || result?.reason === NotRunReason.Shed || result?.reason === NotRunReason.Fenced;
 		if (isAnswered) {
 			breaker.onSuccess();
@@ -576,59 +465,6 @@
 		}
 	}
 
-	private refreshServers(): void {
-		const {value} = this.parts.replica.configuration;
-		if (value.version === this.configurationVersion) {
-			return;
-		}
-
-		this.configurationVersion = value.version;
-		this.servers = new Map(value.body.servers.map(server => [server.id, server]));
-		this.serversOfService = new Map(value.body.services.map(service => [
-			service.name,
-			value.body.servers.filter(server => server.service === service.name),
-		]));
-		for (const server of value.body.servers) {
-			if (!this.gates.has(server.id)) {
-				this.parts.slowStart.begin(server.id);
-			}
-		}
-
-		this.updateLimits();
-	}
-
-	private limitsOf(server: Server): GateLimits {
-		const daemons = Math.max(1, this.parts.directory.members().length);
-		const concurrency = Math.max(1, Math.floor(server.connections / daemons));
-		return {concurrency, longConcurrency: this.longShare(server), waiting: maxWaiting};
-	}
-
-	/** Long work may use all slots but one, which is kept for short work; daemons other than the home stand in for it with one. */
-	private longShare(server: Server): number {
-		const home = this.parts.directory.homeOf(server.id);
-		return home === undefined || home.id === this.parts.daemon ? Math.max(1, server.slots - 1) : 1;
-	}
-
-	private gateOf(server: Server): ServerGate {
-		let gate = this.gates.get(server.id);
-		if (!gate) {
-			gate = new ServerGate(server.id, this.limitsOf(server), new PriorityOrder<Waiter>());
-			this.gates.set(server.id, gate);
-		}
-
-		return gate;
-	}
-
-	private breakerOf(server: string): CircuitBreaker {
-		let breaker = this.breakers.get(server);
-		if (!breaker) {
-			breaker = new CircuitBreaker();
-			this.breakers.set(server, breaker);
-		}
-
-		return breaker;
-	}
-
 	private budgetOf(service: string): RetryBudget {
 		let budget = this.retryBudgets.get(service);
 		if (!budget) {
@@ -638,30 +474,6 @@
 
 		return budget;
 	}
-
-	private countLoad(request: RoutedRequest, route: Route): void {
-		if (route.shard === undefined || request.key === undefined) {
-			return;
-		}
-
-		const {name} = request.service;
-		let counts = this.shardCounts.get(name);
-		let sketch = this.sketches.get(name);
-		if (!counts || !sketch) {
-			counts = new Map();
-			sketch = new KeySketch(sketchCapacity);
-			this.shardCounts.set(name, counts);
-			this.sketches.set(name, sketch);
-		}
-
-		counts.set(route.shard, (counts.get(route.shard) ?? 0) + 1);
-		sketch.observe(request.key, route.shard);
-	}
-}
-
-/** True if requests for a shard must wait. */
-function isPaused(assignment: Assignment, shard: number): boolean {
-	return assignment.moves.some(move => move.shard === shard && move.phase !== MovePhase.Recorded);
 }
 
 function refusal(error: NotRunError, server?: string): Outcome {
--- a/src/decisions/router-core.ts
+++ b/src/decisions/router-core.ts
@@ -174,7 +174,7 @@
 	}
 
 	onLoadReport(service: string): LoadReport {
-		return this.dispatcher.report(service);
+		return this.dispatcher.loadMeter.report(service);
 	}
 
 	status(): DaemonStatus {
@@ -234,7 +234,7 @@
 			// eslint-disable-next-line no-await-in-loop -- services are few and their reports need not come at once.
 			const settled = await Promise.allSettled(asked);
 			const reports = settled.filter(result => result.status === 'fulfilled').map(result => result.value);
-			this.hotSpots.get(service)?.accept([this.dispatcher.report(service), ...reports]);
+			this.hotSpots.get(service)?.accept([this.dispatcher.loadMeter.report(service), ...reports]);
 		}
 	}
 
--- a/src/decisions/service-leader.ts
+++ b/src/decisions/service-leader.ts
@@ -50,6 +50,12 @@
 /** Interval between two questions whether a daemon has drained, in milliseconds. */
 const drainPollMs = 10;
 
+/** Number of standbys that probe a leader at the full rate. */
+const closeStandbys = 3;
+
+/** Interval in which the other standbys probe a leader, in milliseconds. */
+const distantProbeMs = 2000;
+
 /** Number of peers that are asked about a suspected server. */
 const witnessCount = 2;
 
@@ -212,7 +218,7 @@
 	private async probeLeader(leader: string): Promise<void> {
 		const {peers, confirmation, timing} = this.parts;
 		const now = performance.now();
-		if (leader === '' || now - this.probedAt < timing.probePeriodMs) {
+		if (leader === '' || now - this.probedAt < this.leaderProbePeriodMs(leader)) {
 			return;
 		}
 
@@ -235,6 +241,14 @@
 		}
 	}
 
+	/** Only the first standbys watch a leader closely, so that its cost does not grow with the number of daemons. */
+	private leaderProbePeriodMs(leader: string): number {
+		const rank = this.ranking().filter(member => member !== leader).indexOf(this.parts.daemon);
+		const isClose = rank !== -1 && rank < closeStandbys;
+		// A standby that has begun to doubt the leader does not wait for its next turn.
+		return isClose || this.leaderSilentProbes > 0 ? this.parts.timing.probePeriodMs : distantProbeMs;
+	}
+
 	private async isHeardByOthers(leader: string): Promise<boolean> {
 		const {peers, daemon, timing} = this.parts;
 		const others = peers.members().filter(member => member !== leader && member !== daemon);
