refactor(leader): split the watch over the leader and the judgement of losses

Cause: service-leader.ts had grown to 500 lines with three jobs; the evidence of others was a field that no code set. Contexts of the broker are counted and a free place is taken without a promise.

--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -230,6 +230,11 @@
 				continue;
 			}
 
+			const gate = this.routes.gateOf(route.server);
+			if (gate.tryEnter(request.requestClass.long)) {
+				return {route, gate, takenAt: performance.now()};
+			}
+
 			// eslint-disable-next-line no-await-in-loop -- the route is checked anew after each wait.
 			const place = await this.waitAtGate(request, route);
 			if (place) {
--- a/src/decisions/leadership.ts
+++ b/src/decisions/leadership.ts
@@ -13,8 +13,6 @@
 	silentProbes: number;
 	/** True if the leader's VM refuses connections. */
 	refused: boolean;
-	/** True if another daemon heard the leader within the last route lease. */
-	heardByOthers: boolean;
 	/** Milliseconds since the leader was first suspected. */
 	suspectedForMs: number;
 	/** True if this daemon has a fresh proof from the store. */
@@ -48,5 +46,5 @@
 	}
 
 	const isSuspected = evidence.refused || evidence.silentProbes >= timing.silentProbes;
-	return isSuspected && !evidence.heardByOthers && evidence.suspectedForMs >= staggerMs;
+	return isSuspected && evidence.suspectedForMs >= staggerMs;
 }
--- a/src/decisions/server-gate.ts
+++ b/src/decisions/server-gate.ts
@@ -62,10 +62,20 @@
 		return (this.order.ahead(waiter.priority) + 1) * this.averageMs / this.limits.concurrency;
 	}
 
+	/** Admits a request without a wait if there is room and nobody waits. */
+	tryEnter(long: boolean): boolean {
+		if (this.order.size > 0 || !this.hasRoom(long)) {
+			return false;
+		}
+
+		this.take(long);
+		return true;
+	}
+
 	/** Admits a request at once, lets it wait, or refuses it. */
 	enter(waiter: Waiter, now = performance.now()): void {
-		if (this.order.size === 0 && this.hasRoom(waiter.long)) {
-			this.start(waiter);
+		if (this.tryEnter(waiter.long)) {
+			waiter.admit();
 			return;
 		}
 
@@ -139,11 +149,15 @@
 	}
 
 	private start(waiter: Waiter): void {
-		this.inFlight += 1;
-		this.longInFlight += waiter.long ? 1 : 0;
+		this.take(waiter.long);
 		waiter.admit();
 	}
 
+	private take(long: boolean): void {
+		this.inFlight += 1;
+		this.longInFlight += long ? 1 : 0;
+	}
+
 	private hasRoom(long: boolean): boolean {
 		return this.inFlight < this.limits.concurrency && (!long || this.longInFlight < this.limits.longConcurrency);
 	}
--- a/src/decisions/service-leader.ts
+++ b/src/decisions/service-leader.ts
@@ -5,7 +5,6 @@
 import {emptyAssignment, type Assignment, type Stored} from '../model/assignment.js';
 import type {Server, Service} from '../model/configuration.js';
 import {Deadline} from '../model/deadline.js';
-import {PeerUnavailableError} from '../model/errors.js';
 import {LogEvent, type EventLog} from '../model/events.js';
 import {storeKeys, type KeyValueStore} from '../model/key-value-store.js';
 import type {Acknowledgement, PeerNetwork} from '../model/peer.js';
@@ -15,15 +14,14 @@
 import {changeVoters, resignLeadership, takeLeadership} from './assignment-edit.js';
 import type {Confirmation} from './confirmation.js';
 import {DocumentWriter} from './document-writer.js';
-import {EjectionVerdict, judgeSuspicion} from './ejection.js';
+import {LeaderWatch} from './leader-watch.js';
+import {LossJudge} from './loss-judge.js';
 import type {HotSpots} from './hot-spots.js';
-import {leaderRanking, shouldTakeLeadership} from './leadership.js';
 import {nextStep, type AssignmentStep, type Situation} from './move-step.js';
 import type {Placement} from './placement.js';
 import type {Replica} from './replica.js';
-import {ServerOpinion, type ServerDetector} from './server-detector.js';
+import type {ServerDetector} from './server-detector.js';
 import {ServerSupervisor} from './server-supervisor.js';
-import {hash} from './shard-hash.js';
 import type {VmDirectory} from './vm-directory.js';
 
 /** What a leader needs. */
@@ -50,15 +48,6 @@
 /** Interval between two questions whether a daemon has drained, in milliseconds. */
 const drainPollMs = 10;
 
-/** Number of standbys that probe a leader at the full rate. */
-const closeStandbys = 3;
-
-/** Interval in which the other standbys probe a leader, in milliseconds. */
-const distantProbeMs = 2000;
-
-/** Number of peers that are asked about a suspected server. */
-const witnessCount = 2;
-
 /**
  * Drives the assignment of one service while this daemon leads it, and watches the leader otherwise.
  */
@@ -68,21 +57,18 @@
 	private readonly writer: DocumentWriter;
 	private readonly publishing = new Set<string>();
 	private readonly publishedAt = new Map<string, number>();
-	private readonly witnesses = new Map<string, {answers: boolean[]; asked: number}>();
-	private readonly verdicts = new Map<string, EjectionVerdict>();
+	private readonly watch: LeaderWatch;
+	private readonly judge: LossJudge;
 	private isRunning = false;
 	private isWoken = false;
 	private isStopping = false;
 	private ledTerm = 0;
-	private watchedTerm = 0;
-	private probedAt = -Infinity;
 	private serversProbedAt = -Infinity;
-	private leaderSilentProbes = 0;
-	private leaderRefused = false;
-	private suspectedAt: number | undefined;
 
 	constructor(readonly service: string, private readonly parts: LeaderParts) {
 		this.acknowledgements = new Acknowledgements(parts.timing);
+		this.watch = new LeaderWatch(service, parts);
+		this.judge = new LossJudge(parts);
 		this.writer = new DocumentWriter(parts.store, parts.timing.storeCallMs);
 		this.supervisor = new ServerSupervisor({
 			targets: parts.targets,
@@ -176,8 +162,7 @@
 
 	private async considerCreation(service: Service): Promise<void> {
 		const empty = emptyAssignment(service.name, service.shardCount);
-		const evidence = this.leaderEvidence('');
-		if (!shouldTakeLeadership(evidence, this.ranking(), this.parts.timing)) {
+		if (!await this.watch.shouldTakeOver('', 0)) {
 			return;
 		}
 
@@ -187,98 +172,12 @@
 	}
 
 	private async watchLeader({value, modRevision}: Stored<Assignment>): Promise<void> {
-		this.noteTerm(value.term);
-		await this.probeLeader(value.leader);
-		const evidence = this.leaderEvidence(value.leader);
-		if (!shouldTakeLeadership(evidence, this.ranking(), this.parts.timing)) {
-			return;
-		}
-
-		if (value.leader !== '' && await this.isHeardByOthers(value.leader)) {
+		if (!await this.watch.shouldTakeOver(value.leader, value.term)) {
 			return;
 		}
 
 		const next = takeLeadership(value, this.parts.daemon);
 		await this.write({value, modRevision}, {event: LogEvent.LeadershipTaken, next, reason: `leader ${value.leader || 'none'} is missing`});
-		this.suspectedAt = undefined;
-	}
-
-	/** Evidence against one leader says nothing about the next. */
-	private noteTerm(term: number): void {
-		if (this.watchedTerm === term) {
-			return;
-		}
-
-		this.watchedTerm = term;
-		this.leaderSilentProbes = 0;
-		this.leaderRefused = false;
-		this.suspectedAt = undefined;
-	}
-
-	private async probeLeader(leader: string): Promise<void> {
-		const {peers, confirmation, timing} = this.parts;
-		const now = performance.now();
-		if (leader === '' || now - this.probedAt < this.leaderProbePeriodMs(leader)) {
-			return;
-		}
-
-		this.probedAt = now;
-		try {
-			const answer = await peers.confirm(leader, Deadline.after(timing.peerCallMs, `probe of ${leader}`));
-			if (!answer.reachesStore && confirmation.storeReachable) {
-				// A leader that is cut off from the store cannot finish its moves.
-				this.leaderSilentProbes += 1;
-				return;
-			}
-
-			confirmation.noteHeard(leader);
-			this.leaderSilentProbes = 0;
-			this.leaderRefused = false;
-			this.suspectedAt = undefined;
-		} catch (error) {
-			this.leaderSilentProbes += 1;
-			this.leaderRefused = error instanceof PeerUnavailableError && this.leaderSilentProbes > 1;
-		}
-	}
-
-	/** Only the first standbys watch a leader closely, so that its cost does not grow with the number of daemons. */
-	private leaderProbePeriodMs(leader: string): number {
-		const rank = this.ranking().filter(member => member !== leader).indexOf(this.parts.daemon);
-		const isClose = rank !== -1 && rank < closeStandbys;
-		// A standby that has begun to doubt the leader does not wait for its next turn.
-		return isClose || this.leaderSilentProbes > 0 ? this.parts.timing.probePeriodMs : distantProbeMs;
-	}
-
-	private async isHeardByOthers(leader: string): Promise<boolean> {
-		const {peers, daemon, timing} = this.parts;
-		const others = peers.members().filter(member => member !== leader && member !== daemon);
-		const asked = others.map(async other => peers.confirm(other, Deadline.after(timing.peerCallMs, `asking ${other}`)));
-		let isHeard = false;
-		await settleSome(asked, witnessCount, confirmation => {
-			isHeard ||= confirmation.heard.includes(leader);
-		});
-		return isHeard;
-	}
-
-	private leaderEvidence(leader: string) {
-		const {daemon, confirmation, directory, timing} = this.parts;
-		const isVacant = leader === '' || directory.isDaemonGone(leader);
-		const isSuspected = isVacant || this.leaderRefused || this.leaderSilentProbes >= timing.silentProbes;
-		this.suspectedAt = isSuspected ? this.suspectedAt ?? performance.now() : undefined;
-		return {
-			daemon,
-			leader: isVacant ? '' : leader,
-			members: [...directory.members(), leader],
-			silentProbes: this.leaderSilentProbes,
-			refused: this.leaderRefused,
-			heardByOthers: false,
-			suspectedForMs: this.suspectedAt === undefined ? 0 : performance.now() - this.suspectedAt,
-			hasProof: confirmation.hasProof(),
-		};
-	}
-
-	private ranking(): string[] {
-		return leaderRanking(this.service, this.parts.directory.stableMembers(), hash);
 	}
 
 	private async lead(stored: Stored<Assignment>, service: Service): Promise<void> {
@@ -301,8 +200,7 @@
 
 	/** The next leader watches the servers too, so that it can act at once when leader and server are lost together. */
 	private watchServers(leader: string): void {
-		const next = this.ranking().find(member => member !== leader);
-		if (next === this.parts.daemon) {
+		if (this.watch.isNext(leader)) {
 			this.probeServers(this.configuredServers());
 		}
 	}
@@ -316,28 +214,13 @@
 		this.serversProbedAt = now;
 		const probe = async () => {
 			await this.supervisor.probe(servers);
-			await this.askWitnesses(servers);
+			await this.judge.askWitnesses(servers);
 			this.wake();
 		};
 
 		void probe();
 	}
 
-	private async askWitnesses(servers: Server[]): Promise<void> {
-		const {peers, daemon, detector, timing, directory} = this.parts;
-		const suspects = servers.filter(server => detector.isDoubtful(server.id) || directory.isGone(server));
-		this.witnesses.clear();
-		const others = peers.members().filter(member => member !== daemon);
-		await Promise.all(suspects.map(async server => {
-			const asked = others.map(async other => peers.probeServer(other, server.id, Deadline.after(timing.peerCallMs, `evidence of ${other}`)));
-			const answers: boolean[] = [];
-			await settleSome(asked, witnessCount, evidence => {
-				answers.push(evidence.reachable);
-			});
-			this.witnesses.set(server.id, {answers, asked: asked.length});
-		}));
-	}
-
 	/** Publishes the newest version to every daemon that has not acknowledged it and its drain. */
 	private publish(stored: Stored<Assignment>): void {
 		const {daemon, publishLocally} = this.parts;
@@ -387,7 +270,7 @@
 			servers,
 			policy,
 			configurationVersion: replica.configuration.value.version,
-			ejectable: this.ejectable(assignment, service, servers),
+			ejectable: this.judge.ejectable(assignment, service, servers, policy),
 			recovered: assignment.lost.filter(server => detector.healthyForMs(server) >= timing.recoveryMs),
 			warmed: this.supervisor.warmed,
 			revoked: this.supervisor.revoked,
@@ -400,45 +283,6 @@
 		};
 	}
 
-	private ejectable(assignment: Assignment, service: Service, servers: Server[]): string[] {
-		const {replica, directory, detector} = this.parts;
-		const {policy} = replica.configuration.value.body;
-		const ejectable: string[] = [];
-		for (const server of servers) {
-			const evidence = this.witnesses.get(server.id);
-			if (!evidence || assignment.lost.includes(server.id)) {
-				continue;
-			}
-
-			const vmGone = directory.isGone(server);
-			const opinion = vmGone ? ServerOpinion.Gone : detector.opinion(server.id);
-			const suspicion = {
-				server: server.id, opinion, witnesses: evidence.answers, asked: evidence.asked, vmGone,
-			};
-			const lostCount = assignment.lost.length + ejectable.length;
-			const verdict = judgeSuspicion(suspicion, service, servers, {policy, lostCount});
-			if (verdict === EjectionVerdict.Eject) {
-				ejectable.push(server.id);
-			}
-
-			this.noteVerdict(server.id, verdict);
-		}
-
-		return ejectable;
-	}
-
-	/** Logs a refused ejection once, until the verdict changes. */
-	private noteVerdict(server: string, verdict: EjectionVerdict): void {
-		if (this.verdicts.get(server) === verdict) {
-			return;
-		}
-
-		this.verdicts.set(server, verdict);
-		if (verdict === EjectionVerdict.Forbidden || verdict === EjectionVerdict.Unproven) {
-			this.parts.log.record(LogEvent.EjectionRefused, {service: this.service, server, verdict});
-		}
-	}
-
 	/** Writes the next version; the condition on the revision fences a leader whose term has ended. */
 	private async write(stored: Stored<Assignment>, step: AssignmentStep): Promise<void> {
 		const {daemon, replica, log} = this.parts;
@@ -470,31 +314,3 @@
 		}
 	}
 }
-
-/** Waits until some of the promises were fulfilled or all are settled. */
-async function settleSome<Result>(promises: Array<Promise<Result>>, count: number, onResult: (result: Result) => void): Promise<void> {
-	if (promises.length === 0) {
-		return;
-	}
-
-	await new Promise<void>(resolve => {
-		let fulfilled = 0;
-		let settled = 0;
-		const note = (isFulfilled: boolean) => {
-			settled += 1;
-			fulfilled += isFulfilled ? 1 : 0;
-			if (fulfilled >= count || settled === promises.length) {
-				resolve();
-			}
-		};
-
-		for (const promise of promises) {
-			promise.then(result => {
-				onResult(result);
-				note(true);
-			}, () => {
-				note(false);
-			});
-		}
-	});
-}
--- /dev/null
+++ b/src/decisions/settle-some.ts
@@ -0,0 +1,31 @@
+/**
+ * Waiting for some of several answers.
+ */
+
+/** Waits until some of the promises were fulfilled or all are settled. */
+export async function settleSome<Result>(promises: Array<Promise<Result>>, count: number, onResult: (result: Result) => void): Promise<void> {
+	if (promises.length === 0) {
+		return;
+	}
+
+	await new Promise<void>(resolve => {
+		let fulfilled = 0;
+		let settled = 0;
+		const note = (isFulfilled: boolean) => {
+			settled += 1;
+			fulfilled += isFulfilled ? 1 : 0;
+			if (fulfilled >= count || settled === promises.length) {
+				resolve();
+			}
+		};
+
+		for (const promise of promises) {
+			promise.then(result => {
+				onResult(result);
+				note(true);
+			}, () => {
+				note(false);
+			});
+		}
+	});
+}
--- a/src/services/kernel.ts
+++ b/src/services/kernel.ts
@@ -24,6 +24,7 @@
 
 /** Creates the broker with all services; it uses no transporter, discovery or balancing. */
 export function createKernel(options: KernelOptions): ServiceBroker {
+	let contexts = 0;
 	const broker = new ServiceBroker({
 		// eslint-disable-next-line @typescript-eslint/naming-convention -- name of the library.
 		nodeID: options.daemon,
@@ -32,6 +33,11 @@
 		internalServices: false,
 		internalMiddlewares: false,
 		skipProcessEventRegistration: true,
+		// Contexts never leave the process, so that a count names them well enough; random ids cost more than a call.
+		uidGenerator() {
+			contexts += 1;
+			return String(contexts);
+		},
 	});
 	const burn = new BurnRecorder();
 	broker.createService(createMetricsService(options.metrics));
--- a/tests/decisions/evidence.test.ts
+++ b/tests/decisions/evidence.test.ts
@@ -68,12 +68,11 @@
 }
 
 const leaderEvidence: LeaderEvidence = {
-	daemon: 'b', leader: 'a', members: ['a', 'b', 'c'], silentProbes: 3, refused: false, heardByOthers: false, suspectedForMs: 0, hasProof: true,
+	daemon: 'b', leader: 'a', members: ['a', 'b', 'c'], silentProbes: 3, refused: false, suspectedForMs: 0, hasProof: true,
 };
 const leadershipCases: Array<{title: string; changes: Partial<LeaderEvidence>; expected: boolean}> = [
 	{title: 'take over from a silent leader', changes: {}, expected: true},
 	{title: 'leave a leader that answers', changes: {silentProbes: 1}, expected: false},
-	{title: 'leave a leader that others hear', changes: {heardByOthers: true}, expected: false},
 	{title: 'not lead without a proof from the store', changes: {hasProof: false}, expected: false},
 	{title: 'take a vacant leadership', changes: {daemon: 'a', leader: '', silentProbes: 0}, expected: true},
 	{title: 'let a better ranked daemon go first', changes: {daemon: 'c'}, expected: false},
