fix(operator): let veto holders wait for the plan that they confirmed

An interrupted demo left its processes behind. Change: veto holders may read the state; the demo ends its processes on SIGINT and SIGTERM; tests for both credentials and for a shutdown with a request in flight.

--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -199,6 +199,12 @@
 	check(lossGapMs < 1000, `keys of a lost server were served again within 1 s (longest gap ${Math.round(lossGapMs)} ms)`);
 }
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+	process.once(signal, () => {
+		void deployment.close();
+	});
+}
+
 try {
 	await demo();
 	if (keepOpen) {
--- a/src/decisions/plan-desk.ts
+++ b/src/decisions/plan-desk.ts
@@ -134,6 +134,13 @@
 		return entries.map(entry => JSON.parse(entry.value) as unknown);
 	}
 
+	/** Operators and veto holders may read the state of the router. */
+	requireReader(credential: string): void {
+		if (this.customersOf(credential).length === 0) {
+			this.requireOperator(credential);
+		}
+	}
+
 	requireOperator(credential: string): void {
 		if (!isSameSecret(credential, this.parts.credentials.operatorToken)) {
 			throw this.refuse(ErrorCode.NotAuthorized, 'The credential is not that of an operator.', 'Use the operator\'s credential.');
--- a/src/peers/control-router.ts
+++ b/src/peers/control-router.ts
@@ -34,7 +34,7 @@
 	status(): Promise<DaemonStatus>;
 	peerAddresses(): Promise<Array<{daemon: string; address: string}>>;
 	burn(): Promise<BurnSample[]>;
-	requireOperator(credential: string): Promise<void>;
+	requireReader(credential: string): Promise<void>;
 };
 
 /** Context of one call. */
@@ -70,8 +70,8 @@
 	return next();
 });
 
-const operatorProcedure = trpc.procedure.use(async ({ctx, next}) => {
-	await ctx.operators.requireOperator(ctx.credential);
+const readerProcedure = trpc.procedure.use(async ({ctx, next}) => {
+	await ctx.operators.requireReader(ctx.credential);
 	return next();
 });
 
@@ -91,11 +91,11 @@
 	rejectPlan: trpc.procedure.input(planId).mutation(async ({ctx, input}) => ctx.operators.reject(input.planId, ctx.credential)),
 	showPlan: trpc.procedure.input(planId).query(async ({ctx, input}) => ctx.operators.showPlan(input.planId)),
 	listPlans: trpc.procedure.query(async ({ctx}) => ctx.operators.listPlans()),
-	status: operatorProcedure.query(async ({ctx}) => ctx.operators.status()),
-	peerAddresses: operatorProcedure.query(async ({ctx}) => ctx.operators.peerAddresses()),
-	assignment: operatorProcedure.input(serviceName).query(async ({ctx, input}) => ctx.operators.assignment(input.service)),
-	history: operatorProcedure.input(serviceName).query(async ({ctx, input}) => ctx.operators.history(input.service)),
-	burn: operatorProcedure.query(async ({ctx}) => ctx.operators.burn()),
+	status: readerProcedure.query(async ({ctx}) => ctx.operators.status()),
+	peerAddresses: readerProcedure.query(async ({ctx}) => ctx.operators.peerAddresses()),
+	assignment: readerProcedure.input(serviceName).query(async ({ctx, input}) => ctx.operators.assignment(input.service)),
+	history: readerProcedure.input(serviceName).query(async ({ctx, input}) => ctx.operators.history(input.service)),
+	burn: readerProcedure.query(async ({ctx}) => ctx.operators.burn()),
 });
 
 /** Type of the control interface, for clients. */
--- a/src/services/control-service.ts
+++ b/src/services/control-service.ts
@@ -130,6 +130,6 @@
 		},
 		peerAddresses: async () => broker.call<Array<{daemon: string; address: string}>>('operator.peerAddresses'),
 		burn: async () => broker.call<BurnSample[]>('operator.burn'),
-		requireOperator: async credential => broker.call<void, Record<string, unknown>>('operator.requireOperator', {credential}),
+		requireReader: async credential => broker.call<void, Record<string, unknown>>('operator.requireReader', {credential}),
 	};
 }
--- a/src/services/operator-service.ts
+++ b/src/services/operator-service.ts
@@ -46,8 +46,8 @@
 			burn(): BurnSample[] {
 				return burn.all();
 			},
-			requireOperator(context: Context<{credential: string}>): void {
-				core.planDesk.requireOperator(context.params.credential);
+			requireReader(context: Context<{credential: string}>): void {
+				core.planDesk.requireReader(context.params.credential);
 			},
 		},
 	};
--- a/tests/http/gateway.test.ts
+++ b/tests/http/gateway.test.ts
@@ -144,6 +144,12 @@
 	t.is(again.state, 'confirmed' as never);
 });
 
+test.serial('should let the veto holder read the state, and nobody without a credential', async t => {
+	const state = await deployment.control('veto-token').status.query();
+	t.is(state.daemon, 'entry-1');
+	await t.throwsAsync(async () => deployment.control('nonsense').status.query());
+});
+
 for (const {title, credential, planId, code} of refusals) {
 	test.serial(`should ${title}`, async t => {
 		const error = await t.throwsAsync(async () => deployment.control(credential).confirmPlan.mutate({planId}));
--- /dev/null
+++ b/tests/http/shutdown.test.ts
@@ -0,0 +1,27 @@
+import test from 'ava';
+import {request} from 'undici';
+import {TestDeployment} from './deployment.js';
+
+test('should answer requests in flight before it stops, and be unready at once', async t => {
+	const deployment = new TestDeployment();
+	await deployment.start();
+	const inFlight = request(`${deployment.url}/registry/applicant-1?work=1500`);
+	while (deployment.target.model.load === 0) {
+		// eslint-disable-next-line no-await-in-loop -- polling.
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+	}
+
+	const stopped = deployment.stop();
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	const ready = await request(`${deployment.url}/-/ready`);
+	await ready.body.dump();
+	const answer = await inFlight;
+	await answer.body.dump();
+	await stopped;
+	t.deepEqual([ready.statusCode, answer.statusCode], [503, 200]);
+	await t.throwsAsync(async () => request(`${deployment.url}/-/live`));
+});
