perf(peers): send control calls without the fetch interface; drain beside a stuck move

Cause: undici's fetch adds headers and streams to every control call. The stand-in server kept the slots of work that its loss had ended, so that a restarted one served nothing.

--- a/src/decisions/move-step.ts
+++ b/src/decisions/move-step.ts
@@ -182,10 +182,6 @@
 }
 
 function chooseMoves(assignment: Assignment, situation: Situation, placement: Placement): AssignmentStep | undefined {
-	if (assignment.moves.length > 0) {
-		return undefined;
-	}
-
 	const eligible = eligibleServers(situation.servers, assignment.service, assignment.lost);
 	const placedFor = placementKey(eligible);
 	const isPlaced = assignment.placedFor === placedFor && assignment.configurationVersion === situation.configurationVersion;
@@ -194,7 +190,12 @@
 	}
 
 	// A placement that was completed for these servers is kept as it is: later moves follow the load.
-	const wanted = assignment.placedFor === placedFor ? [] : wantedMoves(assignment, eligible, placement);
+	const all = assignment.placedFor === placedFor ? [] : wantedMoves(assignment, eligible, placement);
+	const wanted = assignment.moves.length === 0 ? all : urgentMoves(assignment, eligible, all);
+	if (assignment.moves.length > 0 && wanted.length === 0) {
+		return undefined;
+	}
+
 	const hasUnowned = wanted.some(move => ownerOf(assignment, move.shard) === undefined);
 	const limited = hasUnowned ? wanted.filter(move => ownerOf(assignment, move.shard) === undefined) : wanted.slice(0, situation.policy.maxConcurrentMoves);
 	if (limited.length > 0) {
@@ -208,6 +209,16 @@
 	};
 }
 
+/** While other moves are under way, only shards on servers that may not own them any more start to move. */
+function urgentMoves(assignment: Assignment, eligible: Server[], wanted: WantedMove[]): WantedMove[] {
+	const moving = new Set(assignment.moves.map(move => move.shard));
+	const mayOwn = new Set(eligible.map(server => server.id));
+	return wanted.filter(({shard}) => {
+		const owner = ownerOf(assignment, shard);
+		return !moving.has(shard) && owner !== undefined && !mayOwn.has(owner);
+	});
+}
+
 /** Returns the moves that lead from an assignment to the placement on the given servers. */
 export function wantedMoves(assignment: Assignment, eligible: Server[], placement: Placement): WantedMove[] {
 	const baseCount = assignment.owners.length - assignment.exceptions.length;
--- a/src/peers/trpc-peers.ts
+++ b/src/peers/trpc-peers.ts
@@ -4,7 +4,7 @@
 import {
 	createTRPCClient, httpLink, TRPCClientError, type TRPCClient,
 } from '@trpc/client';
-import {Agent, fetch as undiciFetch} from 'undici';
+import {Agent, request} from 'undici';
 import type {Assignment, Stored} from '../model/assignment.js';
 import type {Deadline} from '../model/deadline.js';
 import {PeerUnavailableError} from '../model/errors.js';
@@ -15,16 +15,35 @@
 
 type Client = TRPCClient<ControlRouter>;
 
+type FetchInit = Parameters<typeof fetch>[1];
+
 /** Gives the control addresses of the other daemons. */
 export type AddressBook = () => Array<{id: string; address: string}>;
 
+/**
+ * Sends a call without the headers and streams of the full fetch interface, which cost more than the call itself.
+ */
+async function lightFetch(url: string, init: FetchInit, agent: Agent): Promise<Response> {
+	const answer = await request(url, {
+		method: init?.method as 'GET' | 'POST',
+		headers: init?.headers as Record<string, string>,
+		body: init?.body as string | undefined,
+		signal: init?.signal,
+		dispatcher: agent,
+	});
+	const result = {
+		ok: answer.statusCode < 400, status: answer.statusCode, json: async () => answer.body.json(),
+	};
+	return result as unknown as Response;
+}
+
 /** Creates a client for the control interface at an address. */
 export function createControlClient(address: string, credential: string, agent: Agent): Client {
 	return createTRPCClient<ControlRouter>({
 		links: [httpLink({
 			url: `http://${address}`,
 			headers: {authorization: `Bearer ${credential}`},
-			fetch: async (input, init) => undiciFetch(input as string, {...init as Record<string, unknown>, dispatcher: agent}) as unknown as Promise<Response>,
+			fetch: async (input, init) => lightFetch(input as string, init, agent),
 		})],
 	});
 }
--- a/standins/target-model.ts
+++ b/standins/target-model.ts
@@ -82,10 +82,13 @@
 		return {executing};
 	}
 
-	/** Forgets grants, as a restarted server does. */
+	/** Forgets grants and work, as a restarted server does. */
 	restart(): void {
 		this.epochs.clear();
 		this.term = 0;
+		this.executing.clear();
+		this.waiting.length = 0;
+		this.running = 0;
 	}
 
 	/** Decides on arrival and again before the start. */
