refactor(decisions): use the field's names and split the waiting of requests

Cause: names such as desk, judge, testimony and gate needed explaining; the dispatcher still held the waiting of paused requests; a rejected policy lived in src. Change: PlanManager, LossDetector, ServerLimiter, PausedRequests; slot share moves to the bench; stragglers are 1 in 13 again; KNOWN-RED.txt names 'distributed', red for the known cause, and no longer 'released', which is green.

--- a/bench/experiments/queueing.ts
+++ b/bench/experiments/queueing.ts
@@ -1,8 +1,8 @@
 /**
  * Head-of-line blocking of short reads behind stragglers, and service at the crest of a demand swing.
  */
-import type {Waiter} from '../../src/decisions/server-gate.js';
-import {slotShare} from '../../src/decisions/slot-share.js';
+import type {Waiter} from '../../src/decisions/server-limiter.js';
+import {slotShare} from '../slot-share.js';
 import {FifoOrder, PriorityOrder} from '../../src/decisions/wait-order.js';
 import {Priority} from '../../src/model/configuration.js';
 import {
--- a/bench/matrix/scenario.ts
+++ b/bench/matrix/scenario.ts
@@ -283,7 +283,7 @@
 		const attempt = async (tries: number) => {
 			const daemon = this.deployment.daemons.find(candidate => this.deployment.isRunning(candidate) && !this.lostDaemons.has(candidate));
 			try {
-				const desk = this.deployment.cores.get(daemon!)!.planDesk;
+				const desk = this.deployment.cores.get(daemon!)!.planManager;
 				this.reach(Step.Submitted);
 				const submitted = await desk.submit(intent, fakeCredentials.operator);
 				const plan = submitted.state === PlanState.Confirmed ? submitted : await desk.confirm(intent.id, fakeCredentials.veto);
@@ -382,7 +382,7 @@
 
 	private request(id: string, key: string, idempotent: boolean): RoutedRequest {
 		const now = performance.now();
-		const workMs = this.sequence % 23 === 0 ? 120 : 2;
+		const workMs = this.sequence % 13 === 0 ? 120 : 2;
 		return {
 			service: this.service,
 			requestClass: this.service.classes.find(candidate => candidate.idempotent === idempotent)!,
--- a/bench/matrix/table.ts
+++ b/bench/matrix/table.ts
@@ -13,7 +13,7 @@
 const orderSteps = new Set([Step.Revoked, Step.Drained, Step.Granted]);
 
 /** Cells of KNOWN-RED.txt. */
-export const knownRed: Cell[] = [Step.MovePaused, Step.Revoked, Step.Drained, Step.OwnerWritten, Step.Granted, Step.Released]
+export const knownRed: Cell[] = [Step.Distributed, Step.MovePaused, Step.Revoked, Step.Drained, Step.OwnerWritten, Step.Granted]
 	.map(step => ({fault: Fault.StoreDown, step}));
 
 /** Returns true if a cell is in KNOWN-RED.txt. */
--- a/bench/queue-simulation.ts
+++ b/bench/queue-simulation.ts
@@ -1,11 +1,11 @@
 /**
- * Daemons, their gates and servers with slots, driven by the decisions themselves under the paused clock.
+ * Daemons, their limiters and servers with slots, driven by the decisions themselves under the paused clock.
  */
 import FakeTimers from '@sinonjs/fake-timers';
 import {build, type Histogram} from 'hdr-histogram-js';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {ServerGate, type GateLimits, type Waiter} from '../src/decisions/server-gate.js';
+import {ServerLimiter, type ConcurrencyLimits, type Waiter} from '../src/decisions/server-limiter.js';
 import type {WaitOrder} from '../src/decisions/wait-order.js';
 import type {Priority} from '../src/model/configuration.js';
 
@@ -23,7 +23,7 @@
 /** A policy that is compared. */
 export type Policy = {
 	name: string;
-	limits: GateLimits;
+	limits: ConcurrencyLimits;
 	order: () => WaitOrder<Waiter>;
 	/** True if long work goes through one home daemon per server, one hop more. */
 	hasHomeForLong?: boolean;
@@ -103,14 +103,14 @@
 class Simulation {
 	readonly results: Map<string, ClassResult>;
 	private readonly servers: FifoServer[];
-	private readonly gates: ServerGate[][];
+	private readonly limiters: ServerLimiter[][];
 	private readonly random;
 	private owed = 0;
 
 	constructor(private readonly policy: Policy, private readonly options: SimulationOptions) {
 		this.random = xoroshiro128plus(options.seed);
 		this.servers = Array.from({length: options.servers}, () => new FifoServer(options.slots));
-		this.gates = Array.from({length: options.daemons}, () => this.servers.map((_, index) => new ServerGate(`s${index}`, policy.limits, policy.order())));
+		this.limiters = Array.from({length: options.daemons}, () => this.servers.map((_, index) => new ServerLimiter(`s${index}`, policy.limits, policy.order())));
 		this.results = new Map(options.classes.map(({name}) => [name, {
 			arrived: 0, withinDeadline: 0, refused: 0, late: 0, latency: build({highestTrackableValue: 100_000_000}),
 		}]));
@@ -126,8 +126,8 @@
 		}
 
 		if (at % 20 === 0) {
-			for (const gate of this.gates.flat()) {
-				gate.expire();
+			for (const limiter of this.limiters.flat()) {
+				limiter.expire();
 			}
 		}
 	}
@@ -140,12 +140,12 @@
 		const work = this.drawClass();
 		const result = this.results.get(work.name)!;
 		const server = uniformInt(this.random, 0, this.servers.length - 1);
-		const entry = uniformInt(this.random, 0, this.gates.length - 1);
+		const entry = uniformInt(this.random, 0, this.limiters.length - 1);
 		const isForwarded = work.long && this.policy.hasHomeForLong === true;
-		const gate = this.gates[isForwarded ? server % this.gates.length : entry][server];
+		const limiter = this.limiters[isForwarded ? server % this.limiters.length : entry][server];
 		const hopMs = isForwarded ? this.options.delayMs : 0;
 		result.arrived += 1;
-		gate.enter({
+		limiter.enter({
 			priority: work.priority,
 			long: work.long,
 			arrivedAt: at,
@@ -155,7 +155,7 @@
 				setTimeout(() => {
 					this.servers[server].submit(work.workMs, () => {
 						setTimeout(() => {
-							gate.release(work.long, performance.now() - startedAt);
+							limiter.release(work.long, performance.now() - startedAt);
 							this.finish(work, result, performance.now() - at);
 						}, this.options.delayMs);
 					});
--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -20,7 +20,8 @@
 import {RetryBudget} from './retry-budget.js';
 import {LoadMeter} from './load-meter.js';
 import {RouteTable, type Route} from './route-table.js';
-import type {ServerGate, Waiter} from './server-gate.js';
+import type {ServerLimiter} from './server-limiter.js';
+import {PausedRequests} from './paused-requests.js';
 import type {ServerChoice} from './server-choice.js';
 import {Contact, type ServerDetector} from './server-detector.js';
 import type {SlowStart} from './slow-start.js';
@@ -44,7 +45,7 @@
 /** A place at a server, held from admission to the end of the attempt. */
 type Place = {
 	route: Route;
-	gate: ServerGate;
+	limiter: ServerLimiter;
 	takenAt: number;
 };
 
@@ -55,23 +56,12 @@
 	mayHaveRun: boolean;
 };
 
-/** A request that waits for its shard to be served again. */
-type PausedWaiter = Waiter & {
-	isRoutable: () => boolean;
-};
-
 /** Connections of one daemon to another for forwarded work. */
 const forwardConnections = 32;
 
-/** Requests for paused shards that one daemon lets wait. */
-const maxPaused = 4096;
-
 /** Delay before a server that refused an epoch is asked again, in milliseconds. */
 const fencedRetryMs = 10;
 
-/** Longest delay of a request for a paused or unowned shard before it is refused, in milliseconds. */
-const maxPauseWaitMs = 2000;
-
 /**
  * Dispatches requests under the route lease and the newest assignment.
  */
@@ -79,7 +69,7 @@
 	readonly inFlight = new InFlight();
 	readonly loadMeter: LoadMeter;
 	private readonly routes: RouteTable;
-	private readonly paused = new Set<PausedWaiter>();
+	private readonly pausedRequests = new PausedRequests();
 	private readonly retryBudgets = new Map<string, RetryBudget>();
 	private isShuttingDown = false;
 
@@ -93,7 +83,7 @@
 
 	/** Number of requests in flight or waiting. */
 	get load(): number {
-		return this.paused.size + this.routes.load;
+		return this.pausedRequests.size + this.routes.load;
 	}
 
 	/** Refuses new requests; those accepted before go on to their end. */
@@ -121,19 +111,13 @@
 		this.routes.refresh();
 		this.routes.expire(now);
 
-		for (const waiter of this.paused) {
-			if (now >= waiter.expiresAt) {
-				this.paused.delete(waiter);
-				waiter.refuse(new NotRunError(NotRunReason.Paused, 500));
-			}
-		}
-
+		this.pausedRequests.expire(now);
 		for (const {value} of this.parts.replica.allAssignments()) {
 			this.inFlight.enforce(value, this.parts.timing.drainGraceMs, now);
 		}
 
 		this.inFlight.expire(now);
-		this.releasePaused();
+		this.pausedRequests.release();
 	}
 
 	/** Applies connection shares after a change of members. */
@@ -212,7 +196,7 @@
 
 			return await this.send(request, place);
 		} finally {
-			place.gate.release(requestClass.long, performance.now() - place.takenAt);
+			place.limiter.release(requestClass.long, performance.now() - place.takenAt);
 		}
 	}
 
@@ -226,91 +210,45 @@
 			const route = this.routes.route(request);
 			if (!route) {
 				// eslint-disable-next-line no-await-in-loop -- the route is chosen anew after each wait.
-				await this.waitForRoute(request);
+				await this.pausedRequests.waitForRoute(request, () => this.routes.route(request) !== undefined);
 				continue;
 			}
 
-			const gate = this.routes.gateOf(route.server);
-			if (gate.tryEnter(request.requestClass.long)) {
-				return {route, gate, takenAt: performance.now()};
+			const limiter = this.routes.limiterOf(route.server);
+			if (limiter.tryEnter(request.requestClass.long)) {
+				return {route, limiter, takenAt: performance.now()};
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- the route is checked anew after each wait.
-			const place = await this.waitAtGate(request, route);
+			const place = await this.waitAtLimiter(request, route);
 			if (place) {
 				return place;
 			}
 		}
 	}
 
-	private async waitForRoute(request: RoutedRequest): Promise<void> {
-		if (this.paused.size >= maxPaused) {
-			throw new NotRunError(NotRunReason.Paused, 500);
-		}
-
-		await this.wait(request, waiter => {
-			const expiresAt = Math.min(waiter.expiresAt, waiter.arrivedAt + maxPauseWaitMs);
-			const entry: PausedWaiter = {...waiter, expiresAt, isRoutable: () => this.routes.route(request) !== undefined};
-			this.paused.add(entry);
-			return () => {
-				this.paused.delete(entry);
-			};
-		});
-	}
-
-	private async waitAtGate(request: RoutedRequest, route: Route): Promise<Place | undefined> {
-		const gate = this.routes.gateOf(route.server);
-		await this.wait(request, waiter => {
-			gate.enter(waiter);
+	private async waitAtLimiter(request: RoutedRequest, route: Route): Promise<Place | undefined> {
+		const limiter = this.routes.limiterOf(route.server);
+		await this.pausedRequests.wait(request, waiter => {
+			limiter.enter(waiter);
 			return () => {
-				gate.leave(waiter);
+				limiter.leave(waiter);
 			};
 		});
 		if (this.isStillValid(request, route)) {
-			return {route, gate, takenAt: performance.now()};
+			return {route, limiter, takenAt: performance.now()};
 		}
 
 		// The shard moved or was paused during the wait.
-		gate.release(request.requestClass.long, 0);
+		limiter.release(request.requestClass.long, 0);
 		return undefined;
 	}
 
-	private async wait(request: RoutedRequest, enter: (waiter: Waiter) => () => void): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			let leave: () => void = () => undefined;
-			const onAbort = () => {
-				leave();
-				reject(new NotRunError(NotRunReason.Cancelled));
-			};
-
-			const settle = (action: () => void) => () => {
-				request.cancellation.unsubscribe(onAbort);
-				action();
-			};
-
-			const waiter: Waiter = {
-				priority: request.requestClass.priority,
-				long: request.requestClass.long,
-				arrivedAt: request.receivedAt,
-				expiresAt: request.deadlineAt,
-				admit: settle(resolve),
-				refuse(error) {
-					settle(() => {
-						reject(error);
-					})();
-				},
-			};
-			// A waiter may be admitted at once, which takes the listener off again.
-			request.cancellation.subscribe(onAbort);
-			leave = enter(waiter);
-		});
-	}
-
 	private isStillValid(request: RoutedRequest, route: Route): boolean {
 		return !request.service.divided || this.routes.guard(request, route) === undefined;
 	}
 
-	private async send(request: RoutedRequest, {route, gate}: Place): Promise<AttemptResult> {
+	private async send(request: RoutedRequest, {route, limiter}: Place): Promise<AttemptResult> {
 		const {service, requestClass} = request;
 		const now = performance.now();
 		const leaseMs = service.divided ? this.parts.replica.leaseRemainingMs(service.name, now) : Infinity;
@@ -348,7 +286,7 @@
 				...route,
 				headers: [],
 				startByMs: Date.now() + startInMs,
-				connectionLimit: gate.concurrency,
+				connectionLimit: limiter.concurrency,
 				timeoutMs: Math.max(1, request.deadlineAt - now),
 				guard: () => this.routes.guard(request, route),
 				cancellation,
@@ -358,7 +296,7 @@
 			const isOver = result !== undefined && (result.end === AttemptEnd.Completed || result.end === AttemptEnd.NotRun);
 			request.cancellation.unsubscribe(onCallerGone);
 			this.inFlight.remove(entry, isOver);
-			this.observe(gate.server, result);
+			this.observe(limiter.server, result);
 		}
 	}
 
@@ -457,17 +395,7 @@
 			this.inFlight.enforce(value, this.parts.timing.drainGraceMs);
 		}
 
-		this.releasePaused();
-	}
-
-	/** Lets requests whose shard is served again go on. */
-	private releasePaused(): void {
-		for (const waiter of this.paused) {
-			if (waiter.isRoutable()) {
-				this.paused.delete(waiter);
-				waiter.admit();
-			}
-		}
+		this.pausedRequests.release();
 	}
 
 	private budgetOf(service: string): RetryBudget {
--- a/src/decisions/ejection.ts
+++ b/src/decisions/ejection.ts
@@ -39,7 +39,7 @@
  *
  * @param lostCount servers of the service that are lost already
  */
-export function judgeSuspicion(suspicion: Suspicion, service: Service, servers: Server[], options: {policy: StandingPolicy; lostCount: number}): EjectionVerdict {
+export function decideEjection(suspicion: Suspicion, service: Service, servers: Server[], options: {policy: StandingPolicy; lostCount: number}): EjectionVerdict {
 	const {policy, lostCount} = options;
 	if (suspicion.opinion === ServerOpinion.Healthy) {
 		return EjectionVerdict.Wait;
--- a/src/decisions/loss-judge.ts
+++ b/src/decisions/loss-detector.ts
@@ -1,5 +1,5 @@
 /**
- * Judgement of a leader about which servers are lost, from its own evidence and that of witnesses.
+ * Detection of lost servers by a leader, from its own evidence and that of witnesses.
  */
 import type {Assignment} from '../model/assignment.js';
 import type {Server, Service, StandingPolicy} from '../model/configuration.js';
@@ -7,13 +7,13 @@
 import {LogEvent, type EventLog} from '../model/events.js';
 import type {PeerNetwork} from '../model/peer.js';
 import type {Timing} from '../model/timing.js';
-import {EjectionVerdict, judgeSuspicion} from './ejection.js';
+import {EjectionVerdict, decideEjection} from './ejection.js';
 import {ServerOpinion, type ServerDetector} from './server-detector.js';
 import {settleSome} from './settle-some.js';
 import type {VmDirectory} from './vm-directory.js';
 
-/** What a judge needs. */
-export type LossJudgeParts = {
+/** What a loss detector needs. */
+export type LossDetectorParts = {
 	daemon: string;
 	peers: PeerNetwork;
 	directory: VmDirectory;
@@ -25,7 +25,7 @@
 /** Number of witnesses whose evidence is waited for. */
 const witnessCount = 2;
 
-type Testimony = {
+type PeerEvidence = {
 	answers: boolean[];
 	asked: number;
 };
@@ -33,17 +33,17 @@
 /**
  * Asks other daemons about doubtful servers and says which servers may be declared lost.
  */
-export class LossJudge {
-	private readonly testimonies = new Map<string, Testimony>();
+export class LossDetector {
+	private readonly peerEvidence = new Map<string, PeerEvidence>();
 	private readonly verdicts = new Map<string, EjectionVerdict>();
 
-	constructor(private readonly parts: LossJudgeParts) {}
+	constructor(private readonly parts: LossDetectorParts) {}
 
 	/** Asks the witnesses about every doubtful server. */
 	async askWitnesses(servers: Server[]): Promise<void> {
 		const {peers, daemon, detector, timing, directory} = this.parts;
 		const suspects = servers.filter(server => detector.isDoubtful(server.id) || directory.isGone(server));
-		this.testimonies.clear();
+		this.peerEvidence.clear();
 		const others = peers.members().filter(member => member !== daemon);
 		await Promise.all(suspects.map(async server => {
 			const asked = others.map(async other => peers.probeServer(other, server.id, Deadline.after(timing.peerCallMs, `evidence of ${other}`)));
@@ -51,7 +51,7 @@
 			await settleSome(asked, witnessCount, evidence => {
 				answers.push(evidence.reachable);
 			});
-			this.testimonies.set(server.id, {answers, asked: asked.length});
+			this.peerEvidence.set(server.id, {answers, asked: asked.length});
 		}));
 	}
 
@@ -60,18 +60,18 @@
 		const {directory, detector} = this.parts;
 		const ejectable: string[] = [];
 		for (const server of servers) {
-			const testimony = this.testimonies.get(server.id);
-			if (!testimony || assignment.lost.includes(server.id)) {
+			const evidence = this.peerEvidence.get(server.id);
+			if (!evidence || assignment.lost.includes(server.id)) {
 				continue;
 			}
 
 			const vmGone = directory.isGone(server);
 			const opinion = vmGone ? ServerOpinion.Gone : detector.opinion(server.id);
 			const suspicion = {
-				server: server.id, opinion, witnesses: testimony.answers, asked: testimony.asked, vmGone,
+				server: server.id, opinion, witnesses: evidence.answers, asked: evidence.asked, vmGone,
 			};
 			const lostCount = assignment.lost.length + ejectable.length;
-			const verdict = judgeSuspicion(suspicion, service, servers, {policy, lostCount});
+			const verdict = decideEjection(suspicion, service, servers, {policy, lostCount});
 			if (verdict === EjectionVerdict.Eject) {
 				ejectable.push(server.id);
 			}
--- a/src/decisions/move-step.ts
+++ b/src/decisions/move-step.ts
@@ -78,8 +78,8 @@
 function chooseLoss(assignment: Assignment, situation: Situation, placement: Placement): AssignmentStep | undefined {
 	const fresh = situation.ejectable.filter(server => !assignment.lost.includes(server));
 	const lost = [...new Set([...assignment.lost, ...fresh])];
-	const stranded = shardsToRescue(assignment, lost);
-	if (fresh.length === 0 && stranded.length === 0) {
+	const unserved = shardsWithoutLiveOwner(assignment, lost);
+	if (fresh.length === 0 && unserved.length === 0) {
 		return undefined;
 	}
 
@@ -88,7 +88,7 @@
 	const owners = ownerIds(assignment);
 	const placed = placement.place({owners, servers: fallback});
 	const takeovers: WantedMove[] = [];
-	for (const shard of stranded) {
+	for (const shard of unserved) {
 		const to = placed[shard];
 		if (to !== undefined) {
 			takeovers.push({shard, to});
@@ -107,17 +107,17 @@
 	};
 }
 
-/** Shards that no live server owns and no move rescues. */
-function shardsToRescue(assignment: Assignment, lost: string[]): number[] {
+/** Shards that no live server owns and no move takes over. */
+function shardsWithoutLiveOwner(assignment: Assignment, lost: string[]): number[] {
 	const moves = new Map(assignment.moves.map(move => [move.shard, move]));
 	const shards: number[] = [];
 	for (let shard = 0; shard < assignment.owners.length; shard++) {
 		const owner = ownerOf(assignment, shard);
 		const move = moves.get(shard);
-		const isRescued = move?.phase === MovePhase.Paused && !lost.includes(move.to);
+		const isTakenOver = move?.phase === MovePhase.Paused && !lost.includes(move.to);
 		const isPausedToLost = move?.phase === MovePhase.Paused && lost.includes(move.to);
 		const isOwnerLost = owner !== undefined && lost.includes(owner);
-		if (isPausedToLost || (isOwnerLost && !isRescued)) {
+		if (isPausedToLost || (isOwnerLost && !isTakenOver)) {
 			shards.push(shard);
 		}
 	}
--- /dev/null
+++ b/src/decisions/paused-requests.ts
@@ -0,0 +1,100 @@
+/**
+ * Waiting of requests: for a route, or for a place at a limiter.
+ */
+import {NotRunError, NotRunReason} from '../model/errors.js';
+import type {RoutedRequest} from '../model/request.js';
+import type {Waiter} from './server-limiter.js';
+
+/** A request that waits for its shard to be served again. */
+type PausedWaiter = Waiter & {
+	isRoutable: () => boolean;
+};
+
+/** Requests for paused shards that one daemon lets wait. */
+const maxPaused = 4096;
+
+/** Longest delay of a request for a paused or unowned shard before it is refused, in milliseconds. */
+const maxPauseWaitMs = 2000;
+
+/** Delay that callers of paused keys are told, in milliseconds. */
+const pausedRetryMs = 500;
+
+/**
+ * Holds requests whose shard is paused or has no owner, and ends every wait once.
+ */
+export class PausedRequests {
+	private readonly paused = new Set<PausedWaiter>();
+
+	/** Number of requests without a route. */
+	get size(): number {
+		return this.paused.size;
+	}
+
+	/** Refuses requests that waited too long for a route. */
+	expire(now: number): void {
+		for (const waiter of this.paused) {
+			if (now >= waiter.expiresAt) {
+				this.paused.delete(waiter);
+				waiter.refuse(new NotRunError(NotRunReason.Paused, pausedRetryMs));
+			}
+		}
+	}
+
+	/** Lets requests whose shard is served again go on. */
+	release(): void {
+		for (const waiter of this.paused) {
+			if (waiter.isRoutable()) {
+				this.paused.delete(waiter);
+				waiter.admit();
+			}
+		}
+	}
+
+	/** Waits while a request has no route. */
+	async waitForRoute(request: RoutedRequest, isRoutable: () => boolean): Promise<void> {
+		if (this.paused.size >= maxPaused) {
+			throw new NotRunError(NotRunReason.Paused, pausedRetryMs);
+		}
+
+		await this.wait(request, waiter => {
+			const expiresAt = Math.min(waiter.expiresAt, waiter.arrivedAt + maxPauseWaitMs);
+			const entry: PausedWaiter = {...waiter, expiresAt, isRoutable};
+			this.paused.add(entry);
+			return () => {
+				this.paused.delete(entry);
+			};
+		});
+	}
+
+	/** Waits until `enter` admits or refuses the request, or its caller leaves. */
+	async wait(request: RoutedRequest, enter: (waiter: Waiter) => () => void): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			let leave: () => void = () => undefined;
+			const onAbort = () => {
+				leave();
+				reject(new NotRunError(NotRunReason.Cancelled));
+			};
+
+			const settle = (action: () => void) => () => {
+				request.cancellation.unsubscribe(onAbort);
+				action();
+			};
+
+			const waiter: Waiter = {
+				priority: request.requestClass.priority,
+				long: request.requestClass.long,
+				arrivedAt: request.receivedAt,
+				expiresAt: request.deadlineAt,
+				admit: settle(resolve),
+				refuse(error) {
+					settle(() => {
+						reject(error);
+					})();
+				},
+			};
+			// A waiter may be admitted at once, which takes the listener off again.
+			request.cancellation.subscribe(onAbort);
+			leave = enter(waiter);
+		});
+	}
+}
--- a/src/decisions/plan-desk.ts
+++ b/src/decisions/plan-manager.ts
@@ -24,8 +24,8 @@
 	vetoTokens: Map<string, string>;
 };
 
-/** What a plan desk needs. */
-export type PlanDeskParts = {
+/** What a plan manager needs. */
+export type PlanManagerParts = {
 	store: KeyValueStore;
 	credentials: Credentials;
 	placement: Placement;
@@ -49,10 +49,10 @@
 /**
  * Answers intents with plans and puts confirmed plans in force. Every refusal is typed and changes nothing.
  */
-export class PlanDesk {
+export class PlanManager {
 	private readonly writer: DocumentWriter;
 
-	constructor(private readonly parts: PlanDeskParts) {
+	constructor(private readonly parts: PlanManagerParts) {
 		this.writer = new DocumentWriter(parts.store, operatorCallMs);
 	}
 
--- a/src/decisions/route-table.ts
+++ b/src/decisions/route-table.ts
@@ -1,5 +1,5 @@
 /**
- * Routes of requests: the owner of a key or the least loaded server, with each server's gate and circuit breaker.
+ * Routes of requests: the owner of a key or the least loaded server, with each server's limiter and circuit breaker.
  */
 import {
 	MovePhase, ownerOf, type Assignment,
@@ -9,7 +9,7 @@
 import type {RoutedRequest} from '../model/request.js';
 import {CircuitBreaker} from './circuit-breaker.js';
 import type {Replica} from './replica.js';
-import {ServerGate, type GateLimits, type Waiter} from './server-gate.js';
+import {ServerLimiter, type ConcurrencyLimits, type Waiter} from './server-limiter.js';
 import type {ServerChoice} from './server-choice.js';
 import {shardOfKey} from './shard-hash.js';
 import type {SlowStart} from './slow-start.js';
@@ -39,7 +39,7 @@
  * Chooses routes and checks that they still hold.
  */
 export class RouteTable {
-	private readonly gates = new Map<string, ServerGate>();
+	private readonly limiters = new Map<string, ServerLimiter>();
 	private readonly breakers = new Map<string, CircuitBreaker>();
 	private servers = new Map<string, Server>();
 	private serversOfService = new Map<string, Server[]>();
@@ -47,20 +47,20 @@
 
 	constructor(private readonly parts: RouteTableParts) {}
 
-	/** Number of requests in flight or waiting at gates. */
+	/** Number of requests in flight or waiting at limiters. */
 	get load(): number {
 		let load = 0;
-		for (const gate of this.gates.values()) {
-			load += gate.load;
+		for (const limiter of this.limiters.values()) {
+			load += limiter.load;
 		}
 
 		return load;
 	}
 
-	/** Refuses requests that waited too long at a gate. */
+	/** Refuses requests that waited too long at a limiter. */
 	expire(now: number): void {
-		for (const gate of this.gates.values()) {
-			gate.expire(now);
+		for (const limiter of this.limiters.values()) {
+			limiter.expire(now);
 		}
 	}
 
@@ -110,10 +110,10 @@
 
 	/** Applies connection shares after a change of members or servers. */
 	updateLimits(): void {
-		for (const [id, gate] of this.gates) {
+		for (const [id, limiter] of this.limiters) {
 			const server = this.servers.get(id);
 			if (server) {
-				gate.setLimits(this.limitsOf(server));
+				limiter.setLimits(this.limitsOf(server));
 			}
 		}
 	}
@@ -132,7 +132,7 @@
 			value.body.servers.filter(server => server.service === service.name),
 		]));
 		for (const server of value.body.servers) {
-			if (!this.gates.has(server.id)) {
+			if (!this.limiters.has(server.id)) {
 				this.parts.slowStart.begin(server.id);
 			}
 		}
@@ -140,14 +140,14 @@
 		this.updateLimits();
 	}
 
-	gateOf(server: Server): ServerGate {
-		let gate = this.gates.get(server.id);
-		if (!gate) {
-			gate = new ServerGate(server.id, this.limitsOf(server), new PriorityOrder<Waiter>());
-			this.gates.set(server.id, gate);
+	limiterOf(server: Server): ServerLimiter {
+		let limiter = this.limiters.get(server.id);
+		if (!limiter) {
+			limiter = new ServerLimiter(server.id, this.limitsOf(server), new PriorityOrder<Waiter>());
+			this.limiters.set(server.id, limiter);
 		}
 
-		return gate;
+		return limiter;
 	}
 
 	breakerOf(server: string): CircuitBreaker {
@@ -166,7 +166,7 @@
 		const sound = willing.filter(server => this.breakerOf(server.id).allows());
 		const candidates = (sound.length > 0 ? sound : willing).map(server => ({
 			server,
-			load: (this.gateOf(server).load + 1) / (server.weight * this.parts.slowStart.share(server.id)),
+			load: (this.limiterOf(server).load + 1) / (server.weight * this.parts.slowStart.share(server.id)),
 		}));
 		const server = this.parts.choice.choose(candidates);
 		if (!server) {
@@ -177,7 +177,7 @@
 		return {server, shard: undefined, epoch: undefined};
 	}
 
-	private limitsOf(server: Server): GateLimits {
+	private limitsOf(server: Server): ConcurrencyLimits {
 		const daemons = Math.max(1, this.parts.directory.members().length);
 		const concurrency = Math.max(1, Math.floor(server.connections / daemons));
 		return {concurrency, longConcurrency: this.longShare(server), waiting: maxWaiting};
--- a/src/decisions/router-core.ts
+++ b/src/decisions/router-core.ts
@@ -16,7 +16,7 @@
 import {Dispatcher} from './dispatcher.js';
 import {HotSpots} from './hot-spots.js';
 import {InstructionClaims} from './instruction-claims.js';
-import {PlanDesk, type Credentials} from './plan-desk.js';
+import {PlanManager, type Credentials} from './plan-manager.js';
 import {MinimalPlacement, type Placement} from './placement.js';
 import {Replica} from './replica.js';
 import {TwoChoices} from './server-choice.js';
@@ -62,7 +62,7 @@
 	readonly confirmation: Confirmation;
 	readonly directory: VmDirectory;
 	readonly dispatcher: Dispatcher;
-	readonly planDesk: PlanDesk;
+	readonly planManager: PlanManager;
 	private readonly peers: PeerNetwork;
 	private readonly detector: ServerDetector;
 	private readonly claims: InstructionClaims;
@@ -95,7 +95,7 @@
 			peerSecret: parts.peerSecret,
 			timing,
 		});
-		this.planDesk = new PlanDesk({
+		this.planManager = new PlanManager({
 			store, credentials: parts.credentials, placement: this.placement, timing, log,
 		});
 		this.replica.subscribe(() => {
--- a/src/decisions/server-gate.ts
+++ b/src/decisions/server-limiter.ts
@@ -5,7 +5,7 @@
 import type {WaitingRequest, WaitOrder} from './wait-order.js';
 
 /** Limits of one daemon towards one server. */
-export type GateLimits = {
+export type ConcurrencyLimits = {
 	/** Requests in flight. */
 	concurrency: number;
 	/** Requests in flight that are long. */
@@ -28,12 +28,12 @@
 /**
  * Admits requests to one server.
  */
-export class ServerGate {
+export class ServerLimiter {
 	private inFlight = 0;
 	private longInFlight = 0;
 	private averageMs = 5;
 
-	constructor(readonly server: string, private limits: GateLimits, private readonly order: WaitOrder<Waiter>) {}
+	constructor(readonly server: string, private limits: ConcurrencyLimits, private readonly order: WaitOrder<Waiter>) {}
 
 	get load(): number {
 		return this.inFlight + this.order.size;
@@ -48,7 +48,7 @@
 		return this.order.size;
 	}
 
-	setLimits(limits: GateLimits): void {
+	setLimits(limits: ConcurrencyLimits): void {
 		this.limits = limits;
 		this.pump();
 	}
--- a/src/decisions/service-leader.ts
+++ b/src/decisions/service-leader.ts
@@ -15,7 +15,7 @@
 import type {Confirmation} from './confirmation.js';
 import {DocumentWriter} from './document-writer.js';
 import {LeaderWatch} from './leader-watch.js';
-import {LossJudge} from './loss-judge.js';
+import {LossDetector} from './loss-detector.js';
 import type {HotSpots} from './hot-spots.js';
 import {nextStep, type AssignmentStep, type Situation} from './move-step.js';
 import type {Placement} from './placement.js';
@@ -58,7 +58,7 @@
 	private readonly publishing = new Set<string>();
 	private readonly publishedAt = new Map<string, number>();
 	private readonly watch: LeaderWatch;
-	private readonly judge: LossJudge;
+	private readonly lossDetector: LossDetector;
 	private isRunning = false;
 	private isWoken = false;
 	private isStopping = false;
@@ -68,7 +68,7 @@
 	constructor(readonly service: string, private readonly parts: LeaderParts) {
 		this.acknowledgements = new Acknowledgements(parts.timing);
 		this.watch = new LeaderWatch(service, parts);
-		this.judge = new LossJudge(parts);
+		this.lossDetector = new LossDetector(parts);
 		this.writer = new DocumentWriter(parts.store, parts.timing.storeCallMs);
 		this.supervisor = new ServerSupervisor({
 			targets: parts.targets,
@@ -214,7 +214,7 @@
 		this.serversProbedAt = now;
 		const probe = async () => {
 			await this.supervisor.probe(servers);
-			await this.judge.askWitnesses(servers);
+			await this.lossDetector.askWitnesses(servers);
 			this.wake();
 		};
 
@@ -270,7 +270,7 @@
 			servers,
 			policy,
 			configurationVersion: replica.configuration.value.version,
-			ejectable: this.judge.ejectable(assignment, service, servers, policy),
+			ejectable: this.lossDetector.ejectable(assignment, service, servers, policy),
 			recovered: assignment.lost.filter(server => detector.healthyForMs(server) >= timing.recoveryMs),
 			warmed: this.supervisor.warmed,
 			revoked: this.supervisor.revoked,
--- a/src/services/operator-service.ts
+++ b/src/services/operator-service.ts
@@ -17,22 +17,22 @@
 		name: 'operator',
 		actions: {
 			async submit(context: Context<{intent: Intent; credential: string}>): Promise<Plan> {
-				return core.planDesk.submit(context.params.intent, context.params.credential);
+				return core.planManager.submit(context.params.intent, context.params.credential);
 			},
 			async confirm(context: Context<PlanCall>): Promise<Plan> {
-				return core.planDesk.confirm(context.params.planId, context.params.credential);
+				return core.planManager.confirm(context.params.planId, context.params.credential);
 			},
 			async reject(context: Context<PlanCall>): Promise<Plan> {
-				return core.planDesk.reject(context.params.planId, context.params.credential);
+				return core.planManager.reject(context.params.planId, context.params.credential);
 			},
 			async showPlan(context: Context<{planId: string}>): Promise<Plan> {
-				return core.planDesk.show(context.params.planId);
+				return core.planManager.show(context.params.planId);
 			},
 			async listPlans(): Promise<Plan[]> {
-				return core.planDesk.list();
+				return core.planManager.list();
 			},
 			async history(context: Context<{service: string}>): Promise<unknown[]> {
-				return core.planDesk.history(context.params.service);
+				return core.planManager.history(context.params.service);
 			},
 			assignment(context: Context<{service: string}>): Assignment | undefined {
 				return core.replica.assignment(context.params.service)?.value;
@@ -47,7 +47,7 @@
 				return burn.all();
 			},
 			requireReader(context: Context<{credential: string}>): void {
-				core.planDesk.requireReader(context.params.credential);
+				core.planManager.requireReader(context.params.credential);
 			},
 		},
 	};
--- a/tests/decisions/evidence.test.ts
+++ b/tests/decisions/evidence.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {Acknowledgements, type MoveContext} from '../../src/decisions/acknowledgements.js';
-import {EjectionVerdict, judgeSuspicion, type Suspicion} from '../../src/decisions/ejection.js';
+import {EjectionVerdict, decideEjection, type Suspicion} from '../../src/decisions/ejection.js';
 import {shouldTakeLeadership, type LeaderEvidence} from '../../src/decisions/leadership.js';
 import {Contact, ServerDetector, ServerOpinion} from '../../src/decisions/server-detector.js';
 import {
@@ -45,7 +45,7 @@
 
 for (const {title, suspicion, fencing = Fencing.Epoch, lostCount = 0, expected} of ejectionCases) {
 	test(`should ${title}`, t => {
-		t.is(judgeSuspicion(suspicion, {...service, fencing}, servers, {policy, lostCount}), expected);
+		t.is(decideEjection(suspicion, {...service, fencing}, servers, {policy, lostCount}), expected);
 	});
 }
 
--- a/tests/decisions/queueing.test.ts
+++ b/tests/decisions/queueing.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {ServerGate, type Waiter} from '../../src/decisions/server-gate.js';
+import {ServerLimiter, type Waiter} from '../../src/decisions/server-limiter.js';
 import {FifoOrder, PriorityOrder, type WaitOrder} from '../../src/decisions/wait-order.js';
 import {Priority} from '../../src/model/configuration.js';
 import {type NotRunError, NotRunReason} from '../../src/model/errors.js';
@@ -14,14 +14,14 @@
 class Queue {
 	readonly admitted: string[] = [];
 	readonly refused: Array<[string, NotRunReason]> = [];
-	readonly gate: ServerGate;
+	readonly limiter: ServerLimiter;
 
 	constructor(concurrency: number, longConcurrency: number, waiting = 10, order: WaitOrder<Waiter> = new PriorityOrder<Waiter>()) {
-		this.gate = new ServerGate('s', {concurrency, longConcurrency, waiting}, order);
+		this.limiter = new ServerLimiter('s', {concurrency, longConcurrency, waiting}, order);
 	}
 
 	arrive({name, priority = Priority.Read, long = false, expiresAt = Infinity}: Arrival): void {
-		this.gate.enter({
+		this.limiter.enter({
 			priority,
 			long,
 			arrivedAt: 0,
@@ -43,7 +43,7 @@
 	}
 
 	for (let served = 0; served < 4; served++) {
-		queue.gate.release(false, 1);
+		queue.limiter.release(false, 1);
 	}
 
 	t.deepEqual(queue.admitted, ['first', 'instruction', 'read', 'extract', 'poll']);
@@ -62,8 +62,8 @@
 	queue.arrive({name: 'a', priority: Priority.Poll});
 	queue.arrive({name: 'b', priority: Priority.Poll});
 	queue.arrive({name: 'c', priority: Priority.Instruction});
-	queue.gate.release(false, 1);
-	queue.gate.release(false, 1);
+	queue.limiter.release(false, 1);
+	queue.limiter.release(false, 1);
 	t.deepEqual(queue.admitted, ['a', 'b', 'c']);
 });
 
@@ -88,6 +88,6 @@
 	const queue = new Queue(1, 1);
 	queue.arrive({name: 'running'});
 	queue.arrive({name: 'waiting', expiresAt: 100});
-	queue.gate.expire(100);
+	queue.limiter.expire(100);
 	t.deepEqual(queue.refused, [['waiting', NotRunReason.QueueTimeout]]);
 });
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -34,7 +34,7 @@
 		let survivor = 'daemon-1';
 		try {
 			await clock.tickAsync(500);
-			const desk = deployment.cores.get('daemon-1')!.planDesk;
+			const desk = deployment.cores.get('daemon-1')!.planManager;
 			const submitted = desk.submit({id: 'first', kind: IntentKind.Configure, configuration}, fakeCredentials.operator);
 			await clock.tickAsync(300);
 			await submitted;
