fix(bench): say when a process of the demo has ended

Cause: daemons left over from an interrupted demo held the ports; the demo took them for its own and failed later with a store that they could not reach. Change: after a daemon is ready its own process must still run.

--- a/bench/demo-deployment.ts
+++ b/bench/demo-deployment.ts
@@ -101,6 +101,7 @@
 		for (const index of this.entries.keys()) {
 			// eslint-disable-next-line no-await-in-loop -- each daemon is waited for.
 			await eventually(async () => this.isReady(index), 15_000, `daemon ${index} ready`);
+			this.processes.requireRunning(this.entries[index].id);
 		}
 	}
 
--- a/bench/processes.ts
+++ b/bench/processes.ts
@@ -69,6 +69,14 @@
 		]);
 	}
 
+	/** Throws if a process has ended, for example because another one holds its port. */
+	requireRunning(name: string): void {
+		const child = this.children.get(name);
+		if (child?.exitCode !== null) {
+			throw new Error(`${name} has ended with exit code ${child?.exitCode}; is its port in use?`);
+		}
+	}
+
 	signal(name: string, signal: NodeJS.Signals): void {
 		this.children.get(name)?.kill(signal);
 	}
