--- /dev/null
+++ b/src/daemon/platform-daemon.ts
@@ -0,0 +1,220 @@
+/**
+ * A daemon on the users' platform: adapters, decisions and kernel, with start and graceful shutdown.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import type {ServiceBroker} from 'moleculer';
+import {FleetSync} from '../decisions/fleet/fleet-sync.js';
+import {FleetView} from '../decisions/fleet/fleet-view.js';
+import {Membership} from '../decisions/fleet/membership.js';
+import {PeerExchange, type PeerMessage} from '../decisions/fleet/peer-exchange.js';
+import {Forwarder} from '../decisions/forwarding/forwarder.js';
+import {TargetLoads} from '../decisions/forwarding/target-loads.js';
+import {KeyLeader} from '../decisions/ownership/key-leader.js';
+import {RouterError} from '../model/errors.js';
+import {LogEvent, type EventLog} from '../model/events.js';
+import type {Member} from '../model/fleet.js';
+import {
+	OutcomeKind, type CallerRequest, type Outcome,
+} from '../model/forwarding.js';
+import {DatagramPeers} from '../peers/datagram-peers.js';
+import {decodeConfiguration, decodeTarget} from '../platform/documents.js';
+import {PlatformKeyOrders} from '../platform/key-orders.js';
+import {PlatformStore} from '../platform/platform-store.js';
+import type {PlatformSettings} from '../platform/settings.js';
+import {PlatformTargetProtocol, readCallerHeaders} from '../platform/target-protocol.js';
+import {wireKeys, wirePaths} from '../platform/wire.js';
+import {createPlatformGatewayService} from '../services/platform-gateway-service.js';
+import {createPlatformKernel} from '../services/platform-kernel.js';
+import {createReadinessService} from '../services/readiness-service.js';
+import {TargetTransport} from '../transport/target-transport.js';
+
+/** Time in which the balancer sees that the daemon is not ready, in milliseconds; it asks every second and takes two misses. */
+const balancerNoticeMs = 2600;
+
+/** Part of the grace period that is kept for the end of the process, in milliseconds. */
+const endReserveMs = 400;
+
+/** Interval in which a shutdown looks for requests in flight, in milliseconds. */
+const drainPollMs = 20;
+
+/** One in this many served requests is logged; every other outcome is, within the bound of the log. */
+const servedSample = 50;
+
+/** Milliseconds in a second. */
+const secondMs = 1000;
+
+/** Runs one daemon in this process. */
+export class PlatformDaemon {
+	private readonly store: PlatformStore;
+	private readonly orders = new PlatformKeyOrders();
+	private readonly transport = new TargetTransport(new PlatformTargetProtocol());
+	private readonly view = new FleetView();
+	private readonly sync: FleetSync;
+	private readonly membership: Membership;
+	private readonly peers: DatagramPeers<PeerMessage>;
+	private readonly leader: KeyLeader;
+	private readonly kernel: ServiceBroker;
+	private servedCount = 0;
+	private isStopping = false;
+
+	constructor(private readonly settings: PlatformSettings, private readonly log: EventLog) {
+		const {daemon, availabilityZone, ip, peerPorts: [port]} = settings;
+		this.store = new PlatformStore(settings.storeAddress);
+		this.sync = new FleetSync(this.store, this.view, {
+			configurationKey: wireKeys.configuration, targetsPrefix: wireKeys.targets, decodeConfiguration, decodeTarget,
+		}, log);
+		const member: Member = {
+			daemon, availabilityZone, ip, port,
+		};
+		this.membership = new Membership(member, this.store, log);
+		const loads = new TargetLoads();
+		const exchange = this.createExchange(loads);
+		this.peers = new DatagramPeers(message => {
+			exchange.hear(message);
+		}, detail => {
+			log.record(LogEvent.PeerMessageRejected, {detail});
+		});
+		this.leader = this.createLeader(loads);
+		const forwarder = new Forwarder({
+			availabilityZone,
+			view: this.view,
+			loads,
+			transport: this.transport,
+			log,
+			retryRatio: settings.retryRatio,
+			retryReserve: settings.retryReserve,
+			random: Math.random,
+			noteKey(service, key) {
+				exchange.noteKey(service, key);
+			},
+		});
+		this.kernel = createPlatformKernel(daemon, {
+			view: this.view, sync: this.sync, membership: this.membership, exchange, forwarder, loads, leader: this.leader,
+		}, this.edges());
+	}
+
+	async start(): Promise<void> {
+		const {ip, peerPorts: [port], callerAddress, readinessAddress} = this.settings;
+		await this.peers.open(ip, port);
+		await this.kernel.start();
+		this.log.record(LogEvent.DaemonStarted, {callerAddress, readinessAddress, startMs: Math.round(performance.now())});
+	}
+
+	/** Takes settings that may change without a restart. */
+	reload(settings: PlatformSettings): void {
+		this.log.record(LogEvent.SettingsReloaded, {isSame: JSON.stringify(settings) === JSON.stringify(this.settings)});
+	}
+
+	/** Shuts down in order: readiness and leadership, listener, requests in flight. No request is cut off. */
+	async shutdown(): Promise<void> {
+		if (this.isStopping) {
+			return;
+		}
+
+		this.isStopping = true;
+		const endAt = performance.now() + (this.settings.shutdownGraceS * secondMs) - endReserveMs;
+		this.log.record(LogEvent.DaemonStopping, {load: await this.kernel.call<number>('gateway.load')});
+		await this.kernel.call('readiness.drain');
+		await Promise.all([this.tryLeaving(), delay(balancerNoticeMs)]);
+		await this.kernel.call('gateway.drain');
+		await this.kernel.call('gateway.closeListener');
+		await this.waitForRequests(endAt);
+		await this.kernel.stop();
+		this.transport.close();
+		this.orders.close();
+		this.peers.close();
+		await this.store.close();
+		this.log.record(LogEvent.DaemonStopped, {});
+	}
+
+	private async waitForRequests(endAt: number): Promise<void> {
+		for (;;) {
+			// eslint-disable-next-line no-await-in-loop -- polling.
+			const load = await this.kernel.call<number>('gateway.load');
+			if (load === 0 || performance.now() >= endAt) {
+				return;
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- polling.
+			await delay(drainPollMs);
+		}
+	}
+
+	/** Leases end by themselves if the store does not answer. */
+	private async tryLeaving(): Promise<void> {
+		const steps = await Promise.allSettled([this.leader.leadership.resign(), this.membership.leave()]);
+		for (const step of steps) {
+			if (step.status === 'rejected') {
+				this.log.record(LogEvent.LeaseLost, {detail: step.reason instanceof RouterError ? step.reason.message : String(step.reason)});
+			}
+		}
+	}
+
+	private createExchange(loads: TargetLoads): PeerExchange {
+		return new PeerExchange({
+			daemon: this.settings.daemon,
+			view: this.view,
+			loads,
+			sync: this.sync,
+			sender: {
+				send: (message, members) => {
+					this.peers.send(message, members);
+				},
+			},
+			noteKeys: (service, keys) => {
+				this.leader.noteKeys(service, keys);
+			},
+		});
+	}
+
+	private createLeader(loads: TargetLoads): KeyLeader {
+		const {daemon, leaseMinimumMs, holdLimitMs, thawSlackMs} = this.settings;
+		return new KeyLeader({
+			daemon,
+			store: this.store,
+			orders: this.orders,
+			view: this.view,
+			loads,
+			log: this.log,
+			leaseMinimumMs,
+			limits: {holdLimitMs, thawSlackMs},
+			random: Math.random,
+		});
+	}
+
+	private edges(): Array<ReturnType<typeof createReadinessService>> {
+		const gateway = createPlatformGatewayService({
+			...splitAddress(this.settings.callerAddress),
+			log: this.log,
+			readHeaders: readCallerHeaders,
+			limits: () => this.view.configuration?.limits,
+			onOutcome: (request, outcome) => {
+				this.noteOutcome(request, outcome);
+			},
+		});
+		const readiness = createReadinessService({
+			...splitAddress(this.settings.readinessAddress),
+			path: wirePaths.ready,
+			isReady: () => this.view.configuration !== undefined,
+		});
+		return [gateway, readiness];
+	}
+
+	private noteOutcome(request: CallerRequest, outcome: Outcome): void {
+		if (outcome.kind !== OutcomeKind.Answered) {
+			return;
+		}
+
+		this.servedCount += 1;
+		if (this.servedCount % servedSample === 0) {
+			this.log.record(LogEvent.RequestServed, {
+				request: request.requestId, route: outcome.route?.name, status: outcome.answer?.status, tookMs: Math.round(performance.now() - request.receivedAt),
+			});
+		}
+	}
+}
+
+function splitAddress(address: string): {ip: string; port: number} {
+	const [ip = '', port = ''] = address.split(':');
+	return {ip, port: Number(port)};
+}
--- /dev/null
+++ b/src/daemon/platform-main.ts
@@ -0,0 +1,72 @@
+#!/usr/bin/env node
+/**
+ * Program eelgrasswheeld on the users' platform: reads the settings file and runs a daemon until it is told to stop.
+ */
+// eslint-disable-next-line import-x/no-unassigned-import, import-x/order -- the log library reads its switch when it is loaded.
+import './enable-log.js';
+import process from 'node:process';
+import {MalformedDocumentError} from '../model/errors.js';
+import {LogEvent} from '../model/events.js';
+import {readSettings, settingsVariable, type PlatformSettings} from '../platform/settings.js';
+import {BoundedLog, LineWriter} from './bounded-log.js';
+import {PlatformDaemon} from './platform-daemon.js';
+import {RoarrLog} from './roarr-log.js';
+
+/** Exit code for wrong settings. */
+const settingsExitCode = 2;
+
+/** Time that the last lines of the log get, in milliseconds. */
+const lastLinesMs = 100;
+
+const path = process.env[settingsVariable] ?? '';
+
+function settingsOrExit(): PlatformSettings {
+	try {
+		return readSettings(path);
+	} catch (error) {
+		const faults = error instanceof MalformedDocumentError ? error.faults : [`${settingsVariable}=${path}: ${error instanceof Error ? error.message : String(error)}`];
+		console.error(faults.join('\n'));
+		process.exit(settingsExitCode);
+	}
+}
+
+const settings = settingsOrExit();
+const writer = new LineWriter();
+const log = new BoundedLog(new RoarrLog(settings.daemon, settings.availabilityZone, writer));
+const daemon = new PlatformDaemon(settings, log);
+
+async function end(code: number): Promise<never> {
+	await writer.drain(lastLinesMs);
+	process.exit(code);
+}
+
+async function stop(): Promise<void> {
+	await daemon.shutdown();
+	await end(0);
+}
+
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+	process.on(signal, () => {
+		void stop();
+	});
+}
+
+process.on('SIGHUP', () => {
+	try {
+		daemon.reload(readSettings(path));
+	} catch (error) {
+		log.record(LogEvent.DocumentRejected, {key: path, detail: error instanceof Error ? error.message : String(error)});
+	}
+});
+
+process.on('uncaughtException', error => {
+	log.record(LogEvent.InternalFailure, {detail: String(error.stack ?? error)});
+	void end(1);
+});
+
+try {
+	await daemon.start();
+} catch (error) {
+	console.error(`The daemon could not start: ${error instanceof Error ? error.message : String(error)}`);
+	process.exit(1);
+}
--- a/src/daemon/roarr-log.ts
+++ b/src/daemon/roarr-log.ts
@@ -1,14 +1,21 @@
 /**
  * Structured log of numbered events.
  */
-import {Roarr, type Logger} from 'roarr';
+import {ROARR, Roarr, type Logger} from 'roarr';
 import {LogEvent, type EventLog, type LogFields} from '../model/events.js';
 
 /** Writes events as JSON lines to the standard output. */
 export class RoarrLog implements EventLog {
 	private readonly logger: Logger;
 
-	constructor(daemon: string, zone: string) {
+	/** @param writer takes the lines in place of the library's own blocking write */
+	constructor(daemon: string, zone: string, writer?: {write(line: string): void}) {
+		if (writer) {
+			ROARR.write = line => {
+				writer.write(line);
+			};
+		}
+
 		this.logger = Roarr.child({program: 'eelgrasswheeld', daemon, zone});
 	}
 
--- /dev/null
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -0,0 +1,265 @@
+/**
+ * Keeps the view in step with the store by one watch over all keys.
+ */
+import type {CoordinationStore, StoreChange} from '../../model/coordination-store.js';
+import {HistoryLostError, RouterError} from '../../model/errors.js';
+import {LogEvent, type EventLog} from '../../model/events.js';
+import type {Target} from '../../model/fleet.js';
+import type {RouteConfiguration} from '../../model/route-configuration.js';
+import type {FleetView} from './fleet-view.js';
+import {
+	decodeAssignment, decodeLeader, decodeMember, storeKeys,
+} from './own-documents.js';
+
+/** The documents that the platform writes; an adapter decodes them. */
+export type PlatformDocuments = {
+	configurationKey: string;
+	targetsPrefix: string;
+	/** Throws `MalformedDocumentError`. */
+	decodeConfiguration(text: string): RouteConfiguration;
+	/** Throws `MalformedDocumentError`. */
+	decodeTarget(key: string, text: string): Target;
+};
+
+/** Longest wait of a watch in milliseconds; peers announce newer revisions sooner. */
+const watchWaitMs = 8000;
+
+/** Pause between two watches in milliseconds, in which changes gather. */
+const gatherMs = 120;
+
+/** Pause after a failed call in milliseconds. */
+const retryPauseMs = 250;
+
+/** Time after the store's return in which lapsed entries come back, in milliseconds; the platform promises about two seconds. */
+const returnMs = 2200;
+
+/** Time after which a revision that peers know is asked for, in milliseconds; a watch usually brings it sooner. */
+const behindMs = 500;
+
+/** Runs until it is stopped. */
+export class FleetSync {
+	private isStopped = false;
+	private isInTouch = false;
+	private hasListed = false;
+	private readonly malformed = new Map<string, number>();
+	private newestHeard = 0;
+	private heardAt = 0;
+
+	constructor(
+		private readonly store: CoordinationStore,
+		private readonly view: FleetView,
+		private readonly documents: PlatformDocuments,
+		private readonly log: EventLog,
+	) {}
+
+	/** True while the store answers. */
+	get isStoreReachable(): boolean {
+		return this.isInTouch;
+	}
+
+	/** True once everything was read. */
+	get isComplete(): boolean {
+		return this.hasListed;
+	}
+
+	async run(): Promise<void> {
+		while (!this.isStopped) {
+			// eslint-disable-next-line no-await-in-loop -- one watch at a time.
+			await this.step();
+		}
+	}
+
+	stop(): void {
+		this.isStopped = true;
+		this.store.interruptWatch('the synchronization stops');
+	}
+
+	/** Notes the revision that a peer has seen; a watch that stays behind it is begun anew. */
+	hearRevision(revision: number, now = performance.now()): void {
+		if (revision > this.newestHeard) {
+			this.newestHeard = revision;
+			this.heardAt = now;
+		}
+	}
+
+	/** Called regularly; ends a watch that does not bring what peers know. */
+	tick(now = performance.now()): void {
+		if (this.newestHeard > this.view.revision && now - this.heardAt > behindMs) {
+			this.heardAt = now;
+			this.store.interruptWatch(`peers know revision ${this.newestHeard}`);
+		}
+	}
+
+	private async step(): Promise<void> {
+		try {
+			await (this.hasListed ? this.watch() : this.list());
+		} catch (error) {
+			if (error instanceof HistoryLostError) {
+				this.hasListed = false;
+				return;
+			}
+
+			this.noteFailure(error);
+			await pause(retryPauseMs);
+		}
+	}
+
+	private async list(): Promise<void> {
+		const {items, revision} = await this.store.list('');
+		this.noteSuccess();
+		const listed = new Set(items.map(({key}) => key));
+		this.removeUnlisted(listed);
+		for (const item of items) {
+			this.apply(item);
+		}
+
+		this.view.revision = revision;
+		this.hasListed = true;
+	}
+
+	private async watch(): Promise<void> {
+		const {changes, revision} = await this.store.watch('', this.view.revision, watchWaitMs);
+		this.noteSuccess();
+		for (const change of changes) {
+			this.apply(change);
+		}
+
+		this.view.revision = Math.max(this.view.revision, revision);
+		if (changes.length > 0) {
+			await pause(gatherMs);
+		}
+	}
+
+	private removeUnlisted(listed: Set<string>): void {
+		for (const {id} of this.view.listedTargets()) {
+			if (!listed.has(`${this.documents.targetsPrefix}${id}`)) {
+				this.removeTarget(id);
+			}
+		}
+
+		for (const daemon of this.view.members.keys()) {
+			if (!listed.has(`${storeKeys.members}${daemon}`)) {
+				this.view.members.delete(daemon);
+			}
+		}
+
+		if (!listed.has(storeKeys.leader)) {
+			this.view.leader = undefined;
+		}
+	}
+
+	private apply(change: StoreChange): void {
+		try {
+			this.applyDecoded(change);
+			this.malformed.delete(change.key);
+		} catch (error) {
+			if (!(error instanceof RouterError)) {
+				throw error;
+			}
+
+			this.noteMalformed(change, error);
+		}
+	}
+
+	private applyDecoded({key, value, revision}: StoreChange): void {
+		if (key.startsWith(this.documents.targetsPrefix)) {
+			this.applyTarget(key, value);
+		} else if (key === this.documents.configurationKey && value !== undefined) {
+			this.applyConfiguration(value, revision);
+		} else if (key.startsWith(storeKeys.assignments) && value !== undefined) {
+			this.view.applyAssignment({assignment: decodeAssignment(value), revision});
+		} else if (key.startsWith(storeKeys.members)) {
+			this.applyMember(key.slice(storeKeys.members.length), value);
+		} else if (key === storeKeys.leader) {
+			this.applyLeader(value, revision);
+		}
+	}
+
+	private applyTarget(key: string, value: string | undefined): void {
+		const id = key.slice(this.documents.targetsPrefix.length);
+		if (value === undefined) {
+			this.removeTarget(id);
+			return;
+		}
+
+		const known = this.view.listedTarget(id);
+		const target = this.documents.decodeTarget(key, value);
+		this.view.applyTarget(target);
+		if (known?.state !== target.state || known.bornAt !== target.bornAt) {
+			this.log.record(LogEvent.TargetChanged, {
+				target: id, service: target.service, state: target.state, address: target.address, bornAt: target.bornAt,
+			});
+		}
+	}
+
+	private removeTarget(id: string): void {
+		this.view.removeTarget(id);
+		this.log.record(LogEvent.TargetRemoved, {target: id});
+	}
+
+	private applyConfiguration(value: string, revision: number): void {
+		const configuration = this.documents.decodeConfiguration(value);
+		if (this.view.applyConfiguration(configuration)) {
+			this.log.record(LogEvent.ConfigurationInForce, {version: configuration.version, revision, routes: configuration.routes.length});
+		}
+	}
+
+	private applyMember(daemon: string, value: string | undefined): void {
+		if (value === undefined) {
+			this.view.members.delete(daemon);
+			return;
+		}
+
+		this.view.members.set(daemon, decodeMember(value));
+	}
+
+	private applyLeader(value: string | undefined, revision: number): void {
+		const leader = value === undefined ? undefined : {daemon: decodeLeader(value).daemon, revision};
+		if (leader?.daemon !== this.view.leader?.daemon) {
+			this.log.record(LogEvent.LeaderChanged, {leader: leader?.daemon ?? 'none', revision});
+		}
+
+		this.view.leader = leader;
+	}
+
+	/** An entry that cannot be understood names no target; the same fault is logged once. */
+	private noteMalformed({key, revision}: StoreChange, error: RouterError): void {
+		if (key.startsWith(this.documents.targetsPrefix)) {
+			this.view.removeTarget(key.slice(this.documents.targetsPrefix.length));
+		}
+
+		if (!this.malformed.has(key)) {
+			this.log.record(LogEvent.DocumentRejected, {key, revision, detail: error.message});
+		}
+
+		this.malformed.set(key, revision);
+	}
+
+	private noteSuccess(): void {
+		if (this.isInTouch) {
+			return;
+		}
+
+		this.isInTouch = true;
+		this.view.tolerateLapses(performance.now() + returnMs);
+		this.log.record(LogEvent.StoreRegained, {revision: this.view.revision});
+	}
+
+	private noteFailure(error: unknown): void {
+		if (!(error instanceof RouterError)) {
+			throw error;
+		}
+
+		this.view.tolerateLapses(performance.now() + returnMs);
+		if (this.isInTouch) {
+			this.isInTouch = false;
+			this.log.record(LogEvent.StoreLost, {revision: this.view.revision, detail: error.message});
+		}
+	}
+}
+
+async function pause(durationMs: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, durationMs);
+	});
+}
--- /dev/null
+++ b/src/decisions/fleet/fleet-view.ts
@@ -0,0 +1,188 @@
+/**
+ * What a daemon believes of the configuration, the targets, its peers and the owners of keys.
+ */
+import {
+	isSameLife, TargetState, type Member, type Target,
+} from '../../model/fleet.js';
+import type {KeyAssignment} from '../../model/key-ownership.js';
+import type {RouteConfiguration} from '../../model/route-configuration.js';
+import {RouteIndex} from '../routing/route-index.js';
+
+/** A target that the store no longer lists. */
+type RemovedTarget = {
+	target: Target;
+	removedAt: number;
+};
+
+/** An assignment with the revision of its key. */
+export type KnownAssignment = {
+	assignment: KeyAssignment;
+	revision: number;
+};
+
+/** The daemon that leads, with the revision of the leader's key. */
+export type KnownLeader = {
+	daemon: string;
+	revision: number;
+};
+
+/** Called after a part of the view has changed. */
+export type ViewListener = () => void;
+
+/** Time for which a removed target is remembered, in milliseconds; beyond the longest hold of keys. */
+const removedMemoryMs = 15_000;
+
+/** State of the view; the synchronization with the store writes it. */
+export class FleetView {
+	/** Revision of the store up to which the view is complete. */
+	revision = 0;
+	leader: KnownLeader | undefined;
+	readonly members = new Map<string, Member>();
+	readonly assignments = new Map<string, KnownAssignment>();
+	private routes: RouteIndex | undefined;
+	private readonly targets = new Map<string, Target>();
+	private readonly removed = new Map<string, RemovedTarget>();
+	private readonly byService = new Map<string, Target[]>();
+	private readonly warmAt = new Map<string, number>();
+	private readonly assignmentListeners = new Set<ViewListener>();
+	/** Until this time, targets that were removed without a notice are still used. */
+	private lenientUntil = 0;
+
+	get routeIndex(): RouteIndex | undefined {
+		return this.routes;
+	}
+
+	get configuration(): RouteConfiguration | undefined {
+		return this.routes?.configuration;
+	}
+
+	/** Takes a configuration unless a newer one is in force. */
+	applyConfiguration(configuration: RouteConfiguration): boolean {
+		if (this.configuration && this.configuration.version >= configuration.version) {
+			return false;
+		}
+
+		this.routes = new RouteIndex(configuration);
+		return true;
+	}
+
+	applyTarget(target: Target, now = performance.now()): void {
+		const known = this.targets.get(target.id);
+		if (known && known.bornAt > target.bornAt) {
+			return;
+		}
+
+		this.targets.set(target.id, target);
+		this.removed.delete(target.id);
+		this.warmAt.set(target.id, now + target.warmUpLeftMs);
+		this.byService.clear();
+	}
+
+	removeTarget(id: string, now = performance.now()): void {
+		const target = this.targets.get(id);
+		if (!target) {
+			return;
+		}
+
+		this.targets.delete(id);
+		this.warmAt.delete(id);
+		this.removed.set(id, {target, removedAt: now});
+		this.byService.clear();
+	}
+
+	/** Targets that the store lists at present, draining ones included. */
+	listedTargets(): Iterable<Target> {
+		return this.targets.values();
+	}
+
+	listedTarget(id: string): Target | undefined {
+		return this.targets.get(id);
+	}
+
+	/** The listed or recently removed target with this id. */
+	rememberedTarget(id: string): Target | undefined {
+		return this.targets.get(id) ?? this.removed.get(id)?.target;
+	}
+
+	/** Targets of a service that may get new requests. */
+	readyTargets(service: string, now = performance.now()): Target[] {
+		const ready = this.readyListed(service);
+		if (now >= this.lenientUntil || this.removed.size === 0) {
+			return ready;
+		}
+
+		const lapsed = [...this.removed.values()]
+			.map(({target}) => target)
+			.filter(target => target.service === service && target.state === TargetState.Ready);
+		return lapsed.length === 0 ? ready : [...ready, ...lapsed];
+	}
+
+	/** True while a target may get new requests. */
+	isReady(target: {id: string; bornAt: number; address: string}, now = performance.now()): boolean {
+		const listed = this.targets.get(target.id);
+		if (listed) {
+			return listed.state === TargetState.Ready && isSameLife(listed, target);
+		}
+
+		const removed = this.removed.get(target.id);
+		return now < this.lenientUntil && removed?.target.state === TargetState.Ready && isSameLife(removed.target, target);
+	}
+
+	/** Time until a target has warmed up, in milliseconds. */
+	warmUpLeft(id: string, now = performance.now()): number {
+		return Math.max(0, (this.warmAt.get(id) ?? 0) - now);
+	}
+
+	/** After trouble with the store, entries that lapsed meanwhile get time to come back. */
+	tolerateLapses(until: number): void {
+		this.lenientUntil = Math.max(this.lenientUntil, until);
+	}
+
+	get toleratesLapsesUntil(): number {
+		return this.lenientUntil;
+	}
+
+	applyAssignment(known: KnownAssignment): void {
+		const present = this.assignments.get(known.assignment.service);
+		if (present && present.revision >= known.revision) {
+			return;
+		}
+
+		this.assignments.set(known.assignment.service, known);
+		this.notifyAssignments();
+	}
+
+	onAssignment(listener: ViewListener): void {
+		this.assignmentListeners.add(listener);
+	}
+
+	offAssignment(listener: ViewListener): void {
+		this.assignmentListeners.delete(listener);
+	}
+
+	/** Forgets targets that were removed long ago. */
+	prune(now = performance.now()): void {
+		for (const [id, {removedAt}] of this.removed) {
+			if (now - removedAt > removedMemoryMs) {
+				this.removed.delete(id);
+			}
+		}
+	}
+
+	private readyListed(service: string): Target[] {
+		const known = this.byService.get(service);
+		if (known) {
+			return known;
+		}
+
+		const ready = [...this.targets.values()].filter(target => target.service === service && target.state === TargetState.Ready);
+		this.byService.set(service, ready);
+		return ready;
+	}
+
+	private notifyAssignments(): void {
+		for (const listener of this.assignmentListeners) {
+			listener();
+		}
+	}
+}
--- /dev/null
+++ b/src/decisions/fleet/membership.ts
@@ -0,0 +1,77 @@
+/**
+ * The entry by which peers find this daemon, under a lease.
+ */
+import type {CoordinationStore} from '../../model/coordination-store.js';
+import {LeaseEndedError, RouterError} from '../../model/errors.js';
+import {LogEvent, type EventLog} from '../../model/events.js';
+import type {Member} from '../../model/fleet.js';
+import {storeKeys} from './own-documents.js';
+
+/** Time for which an entry outlives its daemon, in milliseconds. */
+const leaseMs = 9000;
+
+/** Interval of renewals in milliseconds; three fit into the lease. */
+const renewalMs = 3000;
+
+/** Pause after a failed call in milliseconds. */
+const retryMs = 500;
+
+/** Keeps the entry. */
+export class Membership {
+	private lease: number | undefined;
+	private nextCallAt = 0;
+	private isBusy = false;
+	private isLeft = false;
+
+	constructor(private readonly member: Member, private readonly store: CoordinationStore, private readonly log: EventLog) {}
+
+	/** Called regularly. */
+	tick(now = performance.now()): void {
+		if (this.isBusy || this.isLeft || now < this.nextCallAt) {
+			return;
+		}
+
+		this.isBusy = true;
+		void this.step();
+	}
+
+	/** Removes the entry. */
+	async leave(): Promise<void> {
+		this.isLeft = true;
+		if (this.lease !== undefined) {
+			await this.store.endLease(this.lease);
+		}
+	}
+
+	private async step(): Promise<void> {
+		try {
+			await (this.lease === undefined ? this.enter() : this.renew(this.lease));
+			this.nextCallAt = performance.now() + renewalMs;
+		} catch (error) {
+			if (!(error instanceof RouterError)) {
+				throw error;
+			}
+
+			this.nextCallAt = performance.now() + retryMs;
+			if (error instanceof LeaseEndedError) {
+				this.lease = undefined;
+				this.nextCallAt = 0;
+			}
+
+			this.log.record(LogEvent.LeaseLost, {detail: error.message});
+		} finally {
+			this.isBusy = false;
+		}
+	}
+
+	private async enter(): Promise<void> {
+		const {id} = await this.store.openLease(leaseMs);
+		const key = `${storeKeys.members}${this.member.daemon}`;
+		await this.store.write({expected: [], puts: [{key, value: JSON.stringify(this.member), lease: id}]});
+		this.lease = id;
+	}
+
+	private async renew(lease: number): Promise<void> {
+		await this.store.renewLease(lease);
+	}
+}
--- /dev/null
+++ b/src/decisions/forwarding/forwarder.ts
@@ -0,0 +1,443 @@
+/**
+ * Takes a caller's request to a target that may run it, and decides what the caller is told if there is none.
+ */
+import {Cancellation} from '../../model/cancellation.js';
+import {LogEvent, type EventLog, type LogFields} from '../../model/events.js';
+import {isSameLife, type Target} from '../../model/fleet.js';
+import {
+	AttemptEnd, OutcomeKind, OutcomeReason, type AttemptResult, type CallerRequest, type Outcome, type RequestTransport,
+} from '../../model/forwarding.js';
+import {findRange} from '../../model/key-ownership.js';
+import type {Route, ServiceRule} from '../../model/route-configuration.js';
+import type {FleetView} from '../fleet/fleet-view.js';
+import {RetryBudget} from '../retry-budget.js';
+import {chooseTarget} from './target-choice.js';
+import type {TargetLoads} from './target-loads.js';
+
+/** Requests with less time left are not sent, in milliseconds; a target could not answer them. */
+const leastUsefulMs = 10;
+
+/** Longest wait for the new owner of a moving key, in milliseconds; a planned move takes less. */
+const moveWaitMs = 1200;
+
+/** Wait after a target said that it does not own the key, unless the assignment changes sooner, in milliseconds. */
+const misdirectedWaitMs = 80;
+
+/** Tries at targets that do not own the key, for one request. */
+const misdirectedLimit = 4;
+
+/** Tries that never left this daemon, for one request. */
+const unsentLimit = 4;
+
+/** Delays that callers are told, in milliseconds. */
+const retryAfter = {
+	moving: 100,
+	ownerLost: 400,
+	overloaded: 200,
+	noTarget: 300,
+	starting: 300,
+};
+
+/** Daemons that are assumed while the members are not known. */
+const assumedDaemons = 12;
+
+/** Share of the retry budget that is used; the rest covers daemons that have just joined. */
+const budgetShare = 0.8;
+
+/** Connections to a target that each daemon may always have. */
+const leastConnections = 4;
+
+/** What the forwarder needs. */
+export type ForwarderOptions = {
+	availabilityZone: string;
+	view: FleetView;
+	loads: TargetLoads;
+	transport: RequestTransport;
+	log: EventLog;
+	retryRatio: number;
+	/** Additional arrivals for all daemons together. */
+	retryReserve: number;
+	random(): number;
+	/** Notes the key of a request, for the balance of keyed services. */
+	noteKey(service: string, key: number): void;
+};
+
+/** State of one request. */
+type Passage = {
+	request: CallerRequest;
+	route: Route;
+	service: ServiceRule;
+	/** Monotonic time at which the caller or the route gives up. */
+	deadlineAt: number;
+	tried: Set<string>;
+	/** Tries that reached a target. */
+	arrivals: number;
+	unsent: number;
+	misdirected: number;
+	/** True once a try may have run. */
+	mayHaveRun: boolean;
+	lastDetail: string;
+	/** Last answer that the target gave although it failed. */
+	failure: AttemptResult | undefined;
+};
+
+/** Forwards requests; one instance for each daemon. */
+export class Forwarder {
+	private readonly budgets = new Map<string, {budget: RetryBudget; reserve: number}>();
+	private inFlight = 0;
+
+	constructor(private readonly options: ForwarderOptions) {}
+
+	/** Requests that have no final answer yet. */
+	get load(): number {
+		return this.inFlight;
+	}
+
+	/** Never rejects on account of a target. */
+	async forward(request: CallerRequest): Promise<Outcome> {
+		const {view} = this.options;
+		const index = view.routeIndex;
+		if (!index) {
+			return {kind: OutcomeKind.NotRun, reason: OutcomeReason.NoConfiguration, retryAfterMs: retryAfter.starting};
+		}
+
+		const path = request.path.split('?', 1)[0] ?? '';
+		const route = index.routeOf(request.host, path);
+		const service = index.nextService(request.host, path);
+		if (!route || !service) {
+			return {kind: OutcomeKind.NoRoute, reason: OutcomeReason.NoRoute};
+		}
+
+		this.inFlight += 1;
+		try {
+			return {...await this.carry(this.begin(request, route, service)), route};
+		} finally {
+			this.inFlight -= 1;
+		}
+	}
+
+	private begin(request: CallerRequest, route: Route, service: ServiceRule): Passage {
+		this.budgetOf(service.name).deposit();
+		if (service.isKeyed && request.key !== undefined) {
+			this.options.noteKey(service.name, request.key);
+		}
+
+		return {
+			request,
+			route,
+			service,
+			deadlineAt: request.receivedAt + Math.min(request.budgetMs ?? route.timeoutMs, route.timeoutMs),
+			tried: new Set(),
+			arrivals: 0,
+			unsent: 0,
+			misdirected: 0,
+			mayHaveRun: false,
+			lastDetail: '',
+			failure: undefined,
+		};
+	}
+
+	private async carry(passage: Passage): Promise<Outcome> {
+		for (;;) {
+			if (passage.request.cancellation.isCancelled) {
+				return this.abandon(passage);
+			}
+
+			if (remaining(passage) < leastUsefulMs) {
+				return this.giveUp(passage, OutcomeReason.Timeout, 0);
+			}
+
+			if (passage.arrivals > 0 && !this.budgetOf(passage.service.name).withdraw()) {
+				return this.giveUp(passage, OutcomeReason.RetryBudgetSpent, retryAfter.overloaded);
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- tries follow one another.
+			const outcome = await this.tryOnce(passage);
+			if (outcome) {
+				return outcome;
+			}
+		}
+	}
+
+	/** Makes one try; returns the final outcome, or nothing if another try may follow. */
+	private async tryOnce(passage: Passage): Promise<Outcome | undefined> {
+		const chosen = passage.service.isKeyed ? await this.owner(passage) : this.choose(passage);
+		if (!chosen) {
+			return undefined;
+		}
+
+		if ('kind' in chosen) {
+			return chosen;
+		}
+
+		const result = await this.send(passage, chosen);
+		return this.judge(passage, chosen, result);
+	}
+
+	private choose(passage: Passage): Target | Outcome {
+		const {view, loads, availabilityZone, random} = this.options;
+		const now = performance.now();
+		const targets = view.readyTargets(passage.service.name, now);
+		const candidate = chooseTarget(loads, {
+			targets, tried: passage.tried, route: passage.route, availabilityZone, random, now,
+			warmUpLeft: id => view.warmUpLeft(id, now),
+		});
+		if (!candidate) {
+			return this.giveUp(passage, targets.length === 0 ? OutcomeReason.NoTarget : OutcomeReason.AttemptsUsed, retryAfter.noTarget);
+		}
+
+		if (!passage.mayHaveRun && candidate.expectation.finishMs > remaining(passage)) {
+			return this.giveUp(passage, OutcomeReason.Overloaded, retryAfter.overloaded);
+		}
+
+		return candidate.target;
+	}
+
+	/** Returns the owner of the request's key, waiting for a move to end; nothing if the search begins anew. */
+	private async owner(passage: Passage): Promise<Target | Outcome | undefined> {
+		const {view} = this.options;
+		const {request, service} = passage;
+		const known = view.assignments.get(service.name);
+		const range = known && findRange(known.assignment.ranges, request.key ?? 0);
+		if (!range) {
+			return this.waitForOwner(passage, OutcomeReason.NoOwner, retryAfter.starting);
+		}
+
+		if (range.isBlocked) {
+			return this.giveUp(passage, OutcomeReason.OwnerLost, retryAfter.ownerLost);
+		}
+
+		const target = view.rememberedTarget(range.owner.id);
+		if (range.previous.length > 0 || !target || !isSameLife(target, range.owner) || !view.isReady(range.owner)) {
+			return this.waitForOwner(passage, OutcomeReason.KeyMoving, retryAfter.moving);
+		}
+
+		return target;
+	}
+
+	private async waitForOwner(passage: Passage, reason: OutcomeReason, retryAfterMs: number): Promise<Outcome | undefined> {
+		const waitMs = Math.min(moveWaitMs, remaining(passage) - leastUsefulMs);
+		const isChanged = await this.assignmentChange(passage.request.cancellation, waitMs);
+		return isChanged ? undefined : this.giveUp(passage, reason, retryAfterMs);
+	}
+
+	/** Waits for a change of any assignment; false if there was none in time. */
+	private async assignmentChange(cancellation: Cancellation, waitMs: number): Promise<boolean> {
+		const {view} = this.options;
+		return new Promise<boolean>(resolve => {
+			const settle = (isChanged: boolean): void => {
+				clearTimeout(timer);
+				view.offAssignment(onChange);
+				cancellation.unsubscribe(onCancel);
+				resolve(isChanged);
+			};
+
+			const onChange = (): void => {
+				settle(true);
+			};
+
+			const onCancel = (): void => {
+				settle(true);
+			};
+
+			const timer = setTimeout(() => {
+				settle(false);
+			}, Math.max(0, waitMs));
+			view.onAssignment(onChange);
+			cancellation.subscribe(onCancel);
+		});
+	}
+
+	private async send(passage: Passage, target: Target): Promise<AttemptResult> {
+		const {loads, transport} = this.options;
+		const key = loads.begin(target);
+		const timeoutMs = remaining(passage);
+		const cancellation = new Cancellation();
+		const onCallerLeft = (): void => {
+			// Work that may not be repeated goes on to its end.
+			if (passage.route.isIdempotent) {
+				cancellation.cancel();
+			}
+		};
+
+		passage.request.cancellation.subscribe(onCallerLeft);
+		const result = await transport.send(passage.request, {
+			target, budgetMs: timeoutMs, timeoutMs, cancellation, connectionLimit: this.connectionLimit(passage.service),
+		});
+		passage.request.cancellation.unsubscribe(onCallerLeft);
+		this.account(passage, target, key, result);
+		return result;
+	}
+
+	private account(passage: Passage, target: Target, key: number, result: AttemptResult): void {
+		const {loads} = this.options;
+		if (passage.request.cancellation.isCancelled || result.end === AttemptEnd.Misdirected) {
+			loads.abandon(target, key);
+			return;
+		}
+
+		switch (result.end) {
+			case AttemptEnd.Answered:
+			case AttemptEnd.Streamed: {
+				loads.succeed(target, key, isServerFailure(result));
+				break;
+			}
+
+			case AttemptEnd.Refused: {
+				loads.refuse(target, key);
+				break;
+			}
+
+			case AttemptEnd.Ambiguous:
+			case AttemptEnd.NotSent: {
+				const ejectionMs = loads.fail(target, key);
+				this.options.log.record(LogEvent.TargetEjected, {
+					...describe(passage), target: target.id, ejectionMs, detail: result.detail,
+				});
+				break;
+			}
+		}
+	}
+
+	/** Decides what follows from a try. */
+	private async judge(passage: Passage, target: Target, result: AttemptResult): Promise<Outcome | undefined> {
+		passage.lastDetail = result.detail ?? result.end;
+		if (result.end === AttemptEnd.NotSent) {
+			passage.unsent += 1;
+			passage.tried.add(target.id);
+			return this.goOn(passage, result, passage.unsent < unsentLimit);
+		}
+
+		passage.arrivals += 1;
+		switch (result.end) {
+			case AttemptEnd.Answered: {
+				return this.judgeAnswer(passage, target, result);
+			}
+
+			case AttemptEnd.Streamed: {
+				return {kind: OutcomeKind.Streamed, answer: result.answer};
+			}
+
+			case AttemptEnd.Misdirected: {
+				return this.misdirected(passage, target, result);
+			}
+
+			case AttemptEnd.Refused: {
+				passage.tried.add(target.id);
+				return this.goOn(passage, result, !passage.service.isKeyed && passage.arrivals < passage.route.maxAttempts);
+			}
+
+			case AttemptEnd.Ambiguous: {
+				passage.tried.add(target.id);
+				passage.mayHaveRun = true;
+				return this.goOn(passage, result, this.mayRepeat(passage));
+			}
+		}
+	}
+
+	private async misdirected(passage: Passage, target: Target, result: AttemptResult): Promise<Outcome | undefined> {
+		passage.misdirected += 1;
+		if (!passage.service.isKeyed) {
+			passage.tried.add(target.id);
+		} else if (passage.misdirected < misdirectedLimit) {
+			await this.assignmentChange(passage.request.cancellation, Math.min(misdirectedWaitMs * passage.misdirected, remaining(passage)));
+		}
+
+		return this.goOn(passage, result, passage.misdirected < misdirectedLimit);
+	}
+
+	/** A failure that the target reports may be repeated elsewhere; the last one is passed on. */
+	private judgeAnswer(passage: Passage, target: Target, result: AttemptResult): Outcome | undefined {
+		passage.tried.add(target.id);
+		if (!isServerFailure(result)) {
+			return {kind: OutcomeKind.Answered, answer: result.answer, body: result.body};
+		}
+
+		passage.failure = result;
+		passage.mayHaveRun = true;
+		return this.goOn(passage, result, !passage.service.isKeyed && this.mayRepeat(passage));
+	}
+
+	private mayRepeat({route, arrivals}: Passage): boolean {
+		return route.isIdempotent && arrivals < route.maxAttempts;
+	}
+
+	private goOn(passage: Passage, result: AttemptResult, mayGoOn: boolean): Outcome | undefined {
+		if (!mayGoOn) {
+			return this.giveUp(passage, result.isTimeout ? OutcomeReason.Timeout : OutcomeReason.AttemptsUsed, retryAfter.overloaded);
+		}
+
+		this.options.log.record(LogEvent.RequestRetried, {...describe(passage), end: result.end, detail: result.detail});
+		return undefined;
+	}
+
+	private giveUp(passage: Passage, reason: OutcomeReason, retryAfterMs: number): Outcome {
+		if (passage.request.cancellation.isCancelled) {
+			return this.abandon(passage);
+		}
+
+		if (passage.failure) {
+			const {answer, body} = passage.failure;
+			return {
+				kind: OutcomeKind.Answered, answer, body, reason,
+			};
+		}
+
+		const isTimeout = reason === OutcomeReason.Timeout;
+		if (passage.mayHaveRun) {
+			const kind = isTimeout ? OutcomeKind.TimedOut : OutcomeKind.Unknown;
+			this.options.log.record(LogEvent.RequestUnknown, {...describe(passage), reason, detail: passage.lastDetail});
+			return {kind, reason};
+		}
+
+		this.options.log.record(LogEvent.RequestRefused, {
+			...describe(passage), reason, detail: passage.lastDetail, retryAfterMs,
+		});
+		return {kind: OutcomeKind.NotRun, reason, retryAfterMs};
+	}
+
+	private abandon(passage: Passage): Outcome {
+		this.options.log.record(LogEvent.RequestAbandoned, describe(passage));
+		return {kind: OutcomeKind.Abandoned, reason: OutcomeReason.CallerLeft};
+	}
+
+	private daemonCount(): number {
+		return this.options.view.members.size || assumedDaemons;
+	}
+
+	private connectionLimit(service: ServiceRule): number {
+		return Math.max(leastConnections, Math.floor(service.maxConnections / (this.daemonCount() + 1)));
+	}
+
+	/** Each daemon takes its part of the budget that all share. */
+	private budgetOf(service: string): RetryBudget {
+		const reserve = Math.floor(this.options.retryReserve * budgetShare / this.daemonCount());
+		const known = this.budgets.get(service);
+		if (known?.reserve === reserve) {
+			return known.budget;
+		}
+
+		const budget = new RetryBudget(this.options.retryRatio * budgetShare, reserve);
+		this.budgets.set(service, {budget, reserve});
+		return budget;
+	}
+}
+
+function remaining({deadlineAt}: Passage): number {
+	return deadlineAt - performance.now();
+}
+
+function isServerFailure({answer}: AttemptResult): boolean {
+	return (answer?.status ?? 0) >= 500;
+}
+
+function describe(passage: Passage): LogFields {
+	return {
+		request: passage.request.requestId,
+		route: passage.route.name,
+		service: passage.service.name,
+		key: passage.request.key,
+		arrivals: passage.arrivals,
+		leftMs: Math.round(remaining(passage)),
+	};
+}
--- /dev/null
+++ b/src/decisions/ownership/assignment-draft.ts
@@ -0,0 +1,115 @@
+/**
+ * Changes to an assignment that are written together.
+ */
+import {isSameLife, type TargetLife} from '../../model/fleet.js';
+import {
+	lastKey, type KeyAssignment, type KeyRange, type OwnedRange,
+} from '../../model/key-ownership.js';
+
+/** Divides all keys evenly among the owners of a service that has no assignment yet. */
+export function initialAssignment(service: string, owners: readonly TargetLife[]): KeyAssignment {
+	const keys = lastKey + 1;
+	const ranges = owners.map((owner, index): OwnedRange => ({
+		first: Math.floor(index * keys / owners.length),
+		last: Math.floor((index + 1) * keys / owners.length) - 1,
+		owner,
+		fence: 1,
+		previous: [],
+		isBlocked: false,
+	}));
+	return {
+		service, fence: 1, writeId: '', ranges,
+	};
+}
+
+/** A copy of an assignment that takes changes. */
+export class AssignmentDraft {
+	ranges: OwnedRange[];
+	private isChanged = false;
+	private readonly fence: number;
+
+	constructor(private readonly base: KeyAssignment) {
+		this.ranges = base.ranges.map(range => ({...range}));
+		this.fence = base.fence + 1;
+	}
+
+	/** The changed assignment; nothing if nothing changed. */
+	result(writeId: string): KeyAssignment | undefined {
+		return this.isChanged
+			? {
+				service: this.base.service, fence: this.fence, writeId, ranges: this.ranges,
+			}
+			: undefined;
+	}
+
+	/** Renews every grant under a higher fence, which invalidates orders of earlier leaders. */
+	raiseFences(): void {
+		this.isChanged = true;
+		for (const range of this.ranges) {
+			range.fence = this.fence;
+		}
+	}
+
+	/** Gives a whole range another owner; the present one may hold it, whether its grant was answered or not. */
+	replaceOwner(range: OwnedRange, owner: TargetLife): void {
+		this.isChanged = true;
+		if (!range.previous.some(life => isSameLife(life, range.owner))) {
+			range.previous = [...range.previous, range.owner];
+		}
+
+		range.previous = range.previous.filter(life => !isSameLife(life, owner));
+		range.owner = owner;
+		range.fence = this.fence;
+	}
+
+	/** The new owner holds the range and nobody else can. */
+	finishMove(range: OwnedRange): void {
+		this.isChanged = true;
+		range.previous = [];
+		range.isBlocked = false;
+	}
+
+	setBlocked(range: OwnedRange, isBlocked: boolean): void {
+		if (range.isBlocked !== isBlocked) {
+			this.isChanged = true;
+			range.isBlocked = isBlocked;
+		}
+	}
+
+	/** Moves a part of a range; the rest stays with its owner under its fence. */
+	movePart(part: KeyRange, owner: TargetLife): void {
+		const index = this.ranges.findIndex(range => part.first >= range.first && part.last <= range.last);
+		const range = this.ranges[index];
+		if (!range) {
+			return;
+		}
+
+		const moved: OwnedRange = {...range, ...part, previous: [...range.previous]};
+		const rest = [
+			{...range, last: part.first - 1},
+			{...range, first: part.last + 1},
+		].filter(({first, last}) => first <= last);
+		this.ranges.splice(index, 1, ...[...rest, moved].toSorted((left, right) => left.first - right.first));
+		this.replaceOwner(moved, owner);
+	}
+
+	/** Joins neighbours that one owner holds under one fence. */
+	mergeNeighbours(): void {
+		const joined: OwnedRange[] = [];
+		for (const range of this.ranges) {
+			const before = joined.at(-1);
+			if (before && isJoinable(before, range)) {
+				before.last = range.last;
+				this.isChanged = true;
+			} else {
+				joined.push(range);
+			}
+		}
+
+		this.ranges = joined;
+	}
+}
+
+function isJoinable(left: OwnedRange, right: OwnedRange): boolean {
+	return isSameLife(left.owner, right.owner) && left.fence === right.fence && left.previous.length === 0 && right.previous.length === 0;
+}
--- /dev/null
+++ b/src/decisions/ownership/service-keys.ts
@@ -0,0 +1,487 @@
+/**
+ * The leader's work for one keyed service: decides owners, writes them and gives the orders that follow.
+ */
+import type {CoordinationStore} from '../../model/coordination-store.js';
+import {
+	ConflictError, FenceRejectedError, RouterError, StoreAmbiguousError, StoreUnavailableError,
+} from '../../model/errors.js';
+import {LogEvent, type EventLog} from '../../model/events.js';
+import {isSameLife, type Target, type TargetLife} from '../../model/fleet.js';
+import type {KeyOrders} from '../../model/key-orders.js';
+import {findRange, type KeyAssignment, type OwnedRange} from '../../model/key-ownership.js';
+import type {ServiceRule} from '../../model/route-configuration.js';
+import {decodeAssignment, storeKeys} from '../fleet/own-documents.js';
+import type {FleetView} from '../fleet/fleet-view.js';
+import type {TargetLoads} from '../forwarding/target-loads.js';
+import {AssignmentDraft, initialAssignment} from './assignment-draft.js';
+import type {HoldPolicy} from './hold-policy.js';
+import {balanceKeys, type OwnerCandidate} from './key-balance.js';
+import {KeyHeat} from './key-heat.js';
+import type {Leadership} from './leadership.js';
+import {RangeState} from './range-state.js';
+import {lifeKey, type TargetTrust} from './target-trust.js';
+
+/** Time limit of a grant in milliseconds; targets answer within a few, links add some. */
+export const grantLimitMs = 300;
+
+/** Time limit of a release in milliseconds; running work of usual length ends within it. */
+const releaseLimitMs = 900;
+
+/** Pause after an order without an answer, in milliseconds. */
+const orderRetryMs = 60;
+
+/** Pause after a failed write in milliseconds. */
+const writeRetryMs = 150;
+
+/** Interval in which load is balanced, in milliseconds. */
+const balanceMs = 400;
+
+/** Time after the first target in which others are awaited before keys are divided, in milliseconds. */
+const settleMs = 600;
+
+/** Milliseconds in a second. */
+const secondMs = 1000;
+
+/** What the leader's work needs. */
+export type ServiceKeysOptions = {
+	store: CoordinationStore;
+	orders: KeyOrders;
+	view: FleetView;
+	loads: TargetLoads;
+	leadership: Leadership;
+	policy: HoldPolicy;
+	trust: TargetTrust;
+	log: EventLog;
+	daemon: string;
+};
+
+/** Owners and holds of one service under one term of leadership. */
+export class ServiceKeys {
+	readonly heat = new KeyHeat();
+	private assignment: KeyAssignment | undefined;
+	private revision = 0;
+	private states: RangeState[] = [];
+	private pending: KeyAssignment | undefined;
+	private nextWriteAt = 0;
+	private isWriting = false;
+	private isAdopted = false;
+	/** True once the fences of this term are written; before that, grants of earlier leaders could mix with new ones. */
+	private isFenced = false;
+	private nextBalanceAt = 0;
+	private firstTargetAt: number | undefined;
+	private writes = 0;
+	/** Latest end of holds that earlier leaders may have granted. */
+	private readonly inheritedUntil: number;
+
+	constructor(public rule: ServiceRule, private readonly options: ServiceKeysOptions, takenAt: number) {
+		this.inheritedUntil = options.policy.latestInheritedEnd(takenAt, grantLimitMs);
+	}
+
+	/** Called regularly while leadership is proved. */
+	tick(now: number): void {
+		if (!this.isAdopted) {
+			this.startWrite(now, async () => this.adopt());
+			return;
+		}
+
+		this.write(now);
+		if (!this.isFenced) {
+			return;
+		}
+
+		for (const state of this.states) {
+			this.drive(state, now);
+		}
+	}
+
+	/** Reads the assignment and renews it under higher fences. */
+	private async adopt(): Promise<void> {
+		const item = await this.options.store.read(`${storeKeys.assignments}${this.rule.name}`);
+		if (item) {
+			this.take(decodeAssignment(item.value), item.revision);
+			const draft = new AssignmentDraft(decodeAssignment(item.value));
+			draft.raiseFences();
+			draft.mergeNeighbours();
+			this.pending = draft.result(this.nextWriteId());
+		}
+
+		this.isFenced = item === undefined;
+		this.isAdopted = true;
+	}
+
+	private write(now: number): void {
+		this.pending ??= this.plan(now);
+		const {pending} = this;
+		if (pending) {
+			this.startWrite(now, async () => this.commit(pending));
+		}
+	}
+
+	private startWrite(now: number, step: () => Promise<void>): void {
+		if (this.isWriting || now < this.nextWriteAt) {
+			return;
+		}
+
+		this.isWriting = true;
+		void this.runWrite(step);
+	}
+
+	private async runWrite(step: () => Promise<void>): Promise<void> {
+		try {
+			await step();
+		} catch (error) {
+			if (!(error instanceof RouterError)) {
+				throw error;
+			}
+
+			this.nextWriteAt = performance.now() + writeRetryMs;
+			this.options.log.record(LogEvent.LeaderStoreWriteFailed, {service: this.rule.name, detail: error.message});
+		} finally {
+			this.isWriting = false;
+		}
+	}
+
+	/** Writes the owners on condition that nobody else wrote them and that this daemon still leads. */
+	private async commit(pending: KeyAssignment): Promise<void> {
+		const {store, leadership, log} = this.options;
+		const key = `${storeKeys.assignments}${this.rule.name}`;
+		try {
+			const revision = await store.write({
+				expected: [{key, revision: this.revision}, {key: storeKeys.leader, revision: leadership.revision}],
+				puts: [{key, value: JSON.stringify(pending)}],
+			});
+			this.take(pending, revision);
+			this.isFenced = true;
+			log.record(LogEvent.AssignmentWritten, {
+				service: this.rule.name, revision, fence: pending.fence, ranges: pending.ranges.length,
+			});
+		} catch (error) {
+			if (error instanceof ConflictError) {
+				await this.resolveConflict(pending);
+				return;
+			}
+
+			if (error instanceof StoreAmbiguousError || error instanceof StoreUnavailableError) {
+				throw error;
+			}
+
+			this.pending = undefined;
+			throw error;
+		}
+	}
+
+	/** An earlier try of the same write may have taken effect after all. */
+	private async resolveConflict(pending: KeyAssignment): Promise<void> {
+		const {store, log} = this.options;
+		const item = await store.read(`${storeKeys.assignments}${this.rule.name}`);
+		const stored = item && decodeAssignment(item.value);
+		log.record(LogEvent.AssignmentRejected, {service: this.rule.name, revision: item?.revision, isOwn: stored?.writeId === pending.writeId});
+		if (item && stored && item.revision !== this.revision) {
+			this.take(stored, item.revision);
+			this.isFenced ||= stored.writeId === pending.writeId;
+			this.isAdopted = this.isFenced;
+			return;
+		}
+
+		// The assignment is unchanged: another daemon leads, which the next renewal of the lease will show.
+		this.pending = undefined;
+		this.nextWriteAt = performance.now() + writeRetryMs;
+	}
+
+	private take(assignment: KeyAssignment, revision: number): void {
+		const old = this.states;
+		this.states = assignment.ranges.map(range => {
+			const parent = findRange(old.map(state => ({...state.range, state})), range.first)?.state;
+			const state = parent ? parent.derive(range) : new RangeState(range);
+			this.inheritHolds(state, old);
+			return state;
+		});
+		this.assignment = assignment;
+		this.revision = revision;
+		this.pending = undefined;
+		this.options.view.applyAssignment({assignment, revision});
+	}
+
+	/** A range that joins several takes the latest end of each hold. */
+	private inheritHolds(state: RangeState, old: readonly RangeState[]): void {
+		for (const {range, holds} of old) {
+			if (range.last < state.range.first || range.first > state.range.last) {
+				continue;
+			}
+
+			for (const [life, until] of holds) {
+				state.holds.set(life, Math.max(until, state.holds.get(life) ?? 0));
+			}
+		}
+	}
+
+	/** Decides the next change of owners. */
+	private plan(now: number): KeyAssignment | undefined {
+		const candidates = this.candidates(now);
+		if (!this.assignment) {
+			return this.planInitial(candidates, now);
+		}
+
+		const draft = new AssignmentDraft(this.assignment);
+		for (const [index, range] of [...draft.ranges].entries()) {
+			const state = this.states[index];
+			if (state) {
+				this.planRange(draft, state, range, candidates);
+			}
+		}
+
+		if (now >= this.nextBalanceAt && candidates.length > 0) {
+			this.nextBalanceAt = now + balanceMs;
+			for (const {range, to} of balanceKeys(draft.ranges, this.heat.sorted(now), candidates)) {
+				draft.movePart(range, to);
+			}
+		}
+
+		return draft.result(this.nextWriteId());
+	}
+
+	private planInitial(candidates: readonly OwnerCandidate[], now: number): KeyAssignment | undefined {
+		if (candidates.length === 0) {
+			return undefined;
+		}
+
+		this.firstTargetAt ??= now;
+		if (now - this.firstTargetAt < settleMs) {
+			return undefined;
+		}
+
+		const owners = candidates.map(({life}) => life);
+		return {...initialAssignment(this.rule.name, owners), writeId: this.nextWriteId()};
+	}
+
+	private planRange(draft: AssignmentDraft, state: RangeState, range: OwnedRange, candidates: readonly OwnerCandidate[]): void {
+		const isOwnerFit = candidates.some(({life}) => isSameLife(life, range.owner));
+		if (!isOwnerFit) {
+			const owner = leastLoaded(draft.ranges, candidates);
+			if (owner) {
+				draft.replaceOwner(range, owner);
+			}
+
+			return;
+		}
+
+		if (range.previous.length > 0 && state.isFree && state.isHeld()) {
+			draft.finishMove(range);
+			return;
+		}
+
+		draft.setBlocked(range, state.isWaitingForHold);
+	}
+
+	/** Targets that may own keys. */
+	private candidates(now: number): OwnerCandidate[] {
+		const {view, trust, loads} = this.options;
+		return view.readyTargets(this.rule.name, now)
+			.filter(target => !trust.isSuspected(target) && !trust.hasEnded(target))
+			.map(target => ({life: lifeOf(target), capacity: target.slots * secondMs / loads.learnedServiceMs(target)}));
+	}
+
+	/** Gives the orders that the written owners of a range call for. */
+	private drive(state: RangeState, now: number): void {
+		for (const life of state.range.previous) {
+			if (!state.isCleared(life)) {
+				this.clear(state, life, now);
+			}
+		}
+
+		if (state.isFree) {
+			this.grant(state, now);
+		}
+	}
+
+	/** Makes sure that a previous life holds the range no more. */
+	private clear(state: RangeState, life: TargetLife, now: number): void {
+		const {log, trust} = this.options;
+		const key = lifeKey(life);
+		const until = Math.max(state.holds.get(key) ?? 0, this.hasBeenGranted(state, life) ? 0 : this.inheritedUntil);
+		if (this.hasEnded(life) || now > until) {
+			state.cleared.add(key);
+			log.record(LogEvent.HoldRanOut, {...this.describe(state), target: life.id, hasEnded: this.hasEnded(life)});
+			return;
+		}
+
+		if (trust.isSuspected(life)) {
+			state.unreachable.add(key);
+			this.question(life, now);
+			return;
+		}
+
+		if (now >= (state.nextReleaseAt.get(key) ?? 0)) {
+			state.nextReleaseAt.set(key, Infinity);
+			void this.release(state, life);
+		}
+	}
+
+	/** True if the life answered a grant of this term, so that older grants of the range are void. */
+	private hasBeenGranted(state: RangeState, life: TargetLife): boolean {
+		return state.confirmed.has(lifeKey(life));
+	}
+
+	private hasEnded(life: TargetLife): boolean {
+		const listed = this.options.view.listedTarget(life.id);
+		return this.options.trust.hasEnded(life) || (listed !== undefined && listed.bornAt > life.bornAt);
+	}
+
+	private async release(state: RangeState, life: TargetLife): Promise<void> {
+		const {orders, log} = this.options;
+		const {range} = state;
+		const key = lifeKey(life);
+		try {
+			const handover = await orders.release(life, {range, fence: range.fence, timeoutMs: releaseLimitMs});
+			this.noteAnswer(life);
+			state.handover = range.previous.length === 1 ? handover : undefined;
+			state.cleared.add(key);
+			log.record(LogEvent.RangeReleased, {...this.describe(state), target: life.id, handover: handover !== undefined});
+		} catch (error) {
+			this.noteFailure(life, error, 'release');
+			state.unreachable.add(key);
+			state.nextReleaseAt.set(key, performance.now() + orderRetryMs);
+		}
+	}
+
+	private grant(state: RangeState, now: number): void {
+		const {leadership, policy, trust} = this.options;
+		const {owner} = state.range;
+		if (trust.isSuspected(owner)) {
+			this.question(owner, now);
+			return;
+		}
+
+		const proofAgeMs = leadership.proofAgeMs();
+		const holdMs = policy.holdMs(proofAgeMs);
+		const isExtension = policy.isTrouble(proofAgeMs) && state.grantedHoldMs < holdMs;
+		if (state.isGranting || (now < state.nextGrantAt && !isExtension) || this.hasEnded(owner)) {
+			return;
+		}
+
+		state.isGranting = true;
+		state.noteHold(owner, policy.latestEnd(now + grantLimitMs, holdMs));
+		void this.sendGrant(state, holdMs);
+	}
+
+	private async sendGrant(state: RangeState, holdMs: number): Promise<void> {
+		const {orders, policy, log} = this.options;
+		const {range, handover} = state;
+		const isFirst = state.grantedAt === undefined;
+		try {
+			await orders.grant(range.owner, {
+				range, fence: range.fence, holdMs, handover, timeoutMs: grantLimitMs,
+			});
+			state.grantedAt = performance.now();
+			state.grantedHoldMs = holdMs;
+			state.nextGrantAt = state.grantedAt + policy.renewalMs(holdMs);
+			state.confirmed.add(lifeKey(range.owner));
+			this.noteAnswer(range.owner);
+			if (isFirst) {
+				log.record(LogEvent.RangeGranted, {
+					...this.describe(state), target: range.owner.id, holdMs, handover: handover !== undefined,
+				});
+			}
+		} catch (error) {
+			state.nextGrantAt = performance.now() + orderRetryMs;
+			if (error instanceof FenceRejectedError) {
+				this.raiseFence(error);
+				return;
+			}
+
+			this.noteFailure(range.owner, error, 'grant');
+		} finally {
+			state.isGranting = false;
+		}
+	}
+
+	/** A target knows a higher fence than the assignment: every range gets one above it with the next write. */
+	private raiseFence(error: FenceRejectedError): void {
+		this.options.log.record(LogEvent.OrderFailed, {service: this.rule.name, detail: error.message});
+		if (this.assignment && !this.pending && !this.isWriting) {
+			const draft = new AssignmentDraft(this.assignment);
+			draft.raiseFences();
+			this.pending = draft.result(this.nextWriteId());
+		}
+	}
+
+	/** Asks a suspected target who it is. */
+	private question(life: TargetLife, now: number): void {
+		if (this.options.trust.takeQuestion(life, now)) {
+			void this.ask(life);
+		}
+	}
+
+	private async ask(life: TargetLife): Promise<void> {
+		const {orders, trust, log} = this.options;
+		try {
+			const id = await orders.identify(life, this.rule.healthPath, grantLimitMs);
+			if (id === life.id) {
+				this.noteAnswer(life);
+				return;
+			}
+
+			if (id !== undefined) {
+				trust.noteEnded(life, performance.now());
+			}
+		} catch (error) {
+			if (!(error instanceof RouterError)) {
+				throw error;
+			}
+
+			log.record(LogEvent.OrderFailed, {
+				service: this.rule.name, order: 'identify', target: life.id, detail: error.message,
+			});
+		}
+	}
+
+	private noteAnswer(life: TargetLife): void {
+		if (this.options.trust.noteAnswer(life)) {
+			this.options.log.record(LogEvent.TargetTrusted, {service: this.rule.name, target: life.id});
+		}
+	}
+
+	private noteFailure(life: TargetLife, error: unknown, order: string): void {
+		if (!(error instanceof RouterError)) {
+			throw error;
+		}
+
+		const {trust, log} = this.options;
+		log.record(LogEvent.OrderFailed, {
+			service: this.rule.name, order, target: life.id, detail: error.message,
+		});
+		if (trust.noteFailure(life)) {
+			log.record(LogEvent.TargetSuspected, {service: this.rule.name, target: life.id});
+		}
+	}
+
+	private describe({range}: RangeState): Record<string, string | number> {
+		return {
+			service: this.rule.name, first: range.first, last: range.last, fence: range.fence,
+		};
+	}
+
+	private nextWriteId(): string {
+		this.writes += 1;
+		return `${this.options.daemon}/${this.options.leadership.revision}/${this.writes}`;
+	}
+}
+
+function lifeOf({id, bornAt, address}: Target): TargetLife {
+	return {id, bornAt, address};
+}
+
+/** The candidate with the fewest keys for its capacity. */
+function leastLoaded(ranges: readonly OwnedRange[], candidates: readonly OwnerCandidate[]): TargetLife | undefined {
+	let best: OwnerCandidate | undefined;
+	let bestShare = Infinity;
+	for (const candidate of candidates) {
+		const keys = ranges.filter(({owner}) => isSameLife(owner, candidate.life)).reduce((sum, {first, last}) => sum + last - first + 1, 0);
+		if (keys / candidate.capacity < bestShare) {
+			best = candidate;
+			bestShare = keys / candidate.capacity;
+		}
+	}
+
+	return best?.life;
+}
--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -24,6 +24,10 @@
 	InvalidIntent = 'invalid_intent',
 	NotAuthorized = 'not_authorized',
 	BadSettings = 'bad_settings',
+	HistoryLost = 'history_lost',
+	LeaseEnded = 'lease_ended',
+	MalformedDocument = 'malformed_document',
+	FenceRejected = 'fence_rejected',
 }
 
 /** Base class of every failure of the router. */
@@ -157,3 +161,39 @@
 export class OperatorRefusalError extends RouterError {
 	override name = 'OperatorRefusalError';
 }
+
+/** The store no longer has the changes since a revision. */
+export class HistoryLostError extends RouterError {
+	override name = 'HistoryLostError';
+
+	constructor(after: number) {
+		super(ErrorCode.HistoryLost, `The key-value service has no changes since revision ${after} any more.`, 'Read all keys again.');
+	}
+}
+
+/** A lease has ended. */
+export class LeaseEndedError extends RouterError {
+	override name = 'LeaseEndedError';
+
+	constructor(lease: number) {
+		super(ErrorCode.LeaseEnded, `Lease ${lease} has ended.`, 'Open a new lease and write its keys again.');
+	}
+}
+
+/** A document from outside has another form than expected. */
+export class MalformedDocumentError extends RouterError {
+	override name = 'MalformedDocumentError';
+
+	constructor(document: string, readonly faults: string[]) {
+		super(ErrorCode.MalformedDocument, `${document}: ${faults.join('; ')}.`, 'Correct the document.');
+	}
+}
+
+/** A target has seen a higher fencing token on the range. */
+export class FenceRejectedError extends RouterError {
+	override name = 'FenceRejectedError';
+
+	constructor(target: string, fence: number) {
+		super(ErrorCode.FenceRejected, `Target ${target} has seen a higher fencing token than ${fence}.`, 'Write a higher token first.');
+	}
+}
--- /dev/null
+++ b/src/model/key-ownership.ts
@@ -0,0 +1,57 @@
+/**
+ * Ownership of keys: which life of a target owns which range, and under which fencing token.
+ */
+import type {TargetLife} from './fleet.js';
+
+/** Largest key; the smallest is 0. */
+export const lastKey = 65_535;
+
+/** Keys from `first` to `last`, both inclusive. */
+export type KeyRange = {
+	first: number;
+	last: number;
+};
+
+/** A range with its owner. */
+export type OwnedRange = KeyRange & {
+	owner: TargetLife;
+	/** Fencing token of the owner's grants; above all earlier ones of these keys. */
+	fence: number;
+	/** Lives that may still hold the range; while there are any, the owner has no grant. */
+	previous: TargetLife[];
+	/** True while a previous life cannot be reached and its hold has to run out. */
+	isBlocked: boolean;
+};
+
+/** All ranges of a service in the order of their keys; together they cover every key once. */
+export type KeyAssignment = {
+	service: string;
+	/** Highest fencing token that was ever written. */
+	fence: number;
+	/** Name of the write, by which its writer recognizes it after a lost reply. */
+	writeId: string;
+	ranges: OwnedRange[];
+};
+
+/** Finds the range of a key by binary search. */
+export function findRange<Range extends KeyRange>(ranges: readonly Range[], key: number): Range | undefined {
+	let low = 0;
+	let high = ranges.length - 1;
+	while (low <= high) {
+		const middle = Math.floor((low + high) / 2);
+		const range = ranges[middle];
+		if (!range) {
+			return undefined;
+		}
+
+		if (key < range.first) {
+			high = middle - 1;
+		} else if (key > range.last) {
+			low = middle + 1;
+		} else {
+			return range;
+		}
+	}
+
+	return undefined;
+}
--- /dev/null
+++ b/src/model/route-configuration.ts
@@ -0,0 +1,56 @@
+/**
+ * The configuration in force: routes, services and limits of callers.
+ */
+
+/** A part of a route's traffic. */
+export type ServiceShare = {
+	service: string;
+	weight: number;
+};
+
+/** Requests of one host and path prefix. */
+export type Route = {
+	name: string;
+	host: string;
+	/** Begins and ends with a slash. */
+	prefix: string;
+	shares: ServiceShare[];
+	/** True if a request may run more than once. */
+	isIdempotent: boolean;
+	/** Longest time that a caller is kept waiting, in milliseconds. */
+	timeoutMs: number;
+	/** Time within which an answer has its full worth, in milliseconds. */
+	targetLatencyMs: number;
+	/** Rank of the requests; 0 is the most urgent. */
+	priority: number;
+	/** Most targets that one request may reach. */
+	maxAttempts: number;
+};
+
+/** Rules for the targets of one service. */
+export type ServiceRule = {
+	name: string;
+	healthPath: string;
+	/** Connections that a target accepts from all daemons together. */
+	maxConnections: number;
+	/** True if each key has a single owner among the targets. */
+	isKeyed: boolean;
+	/** Time for which keys without a handover are slow, in milliseconds. */
+	keyWarmUpMs: number;
+};
+
+/** Bounds on what a caller may send. */
+export type CallerLimits = {
+	maxHeaderBytes: number;
+	maxBodyBytes: number;
+	headerTimeoutMs: number;
+	idleTimeoutMs: number;
+};
+
+/** One version of the configuration. */
+export type RouteConfiguration = {
+	version: number;
+	routes: Route[];
+	services: Map<string, ServiceRule>;
+	limits: CallerLimits;
+};
--- /dev/null
+++ b/src/platform/key-orders.ts
@@ -0,0 +1,74 @@
+/**
+ * Orders about keys, to the targets of keyed services.
+ */
+import type {KeyOrders, KeyOrder, KeyGrant} from '../model/key-orders.js';
+import {FenceRejectedError, TargetUnavailableError} from '../model/errors.js';
+import type {TargetLife} from '../model/fleet.js';
+import type {KeyRange} from '../model/key-ownership.js';
+import {ConnectionPool} from '../transport/connection-pool.js';
+import {callJson, CallFailure, type JsonAnswer} from '../transport/json-call.js';
+import {WireHeader, wirePaths} from './wire.js';
+
+/** Sends orders over HTTP, on connections apart from those of requests. */
+export class PlatformKeyOrders implements KeyOrders {
+	private readonly pool = new ConnectionPool();
+
+	async grant(target: TargetLife, {range, fence, holdMs, handover, timeoutMs}: KeyGrant): Promise<void> {
+		// The wire calls the last key of the range "target".
+		const body = {
+			from: range.first, target: range.last, fence, holdMs, ...(handover !== undefined && {handover}),
+		};
+		const answer = await this.send(target, wirePaths.grant, body, timeoutMs);
+		if (answer.status === 409) {
+			throw new FenceRejectedError(target.id, fence);
+		}
+
+		expectSuccess(target, answer);
+	}
+
+	async release(target: TargetLife, {range, fence, timeoutMs}: KeyOrder): Promise<string | undefined> {
+		const answer = await this.send(target, wirePaths.release, wireRange(range, fence), timeoutMs);
+		expectSuccess(target, answer);
+		const handover = answer.headers[WireHeader.Handover];
+		return typeof handover === 'string' && handover !== '' ? handover : undefined;
+	}
+
+	async identify(target: TargetLife, healthPath: string, timeoutMs: number): Promise<string | undefined> {
+		const answer = await this.call(target, async () => callJson(this.pool, target.address, {method: 'GET', path: healthPath, timeoutMs}));
+		const id = answer.headers[WireHeader.Target];
+		return typeof id === 'string' ? id : undefined;
+	}
+
+	close(): void {
+		this.pool.close();
+	}
+
+	private async send(target: TargetLife, path: string, body: unknown, timeoutMs: number): Promise<JsonAnswer> {
+		return this.call(target, async () => callJson(this.pool, target.address, {
+			method: 'POST', path, body, timeoutMs,
+		}));
+	}
+
+	private async call(target: TargetLife, order: () => Promise<JsonAnswer>): Promise<JsonAnswer> {
+		try {
+			return await order();
+		} catch (error) {
+			if (!(error instanceof CallFailure)) {
+				throw error;
+			}
+
+			this.pool.discardIdle(target.address);
+			throw new TargetUnavailableError(target.id, error.message);
+		}
+	}
+}
+
+function wireRange(range: KeyRange, fence: number): {from: number; target: number; fence: number} {
+	return {from: range.first, target: range.last, fence};
+}
+
+function expectSuccess(target: TargetLife, answer: JsonAnswer): void {
+	if (answer.status !== 200) {
+		throw new TargetUnavailableError(target.id, `status ${answer.status}`);
+	}
+}
--- /dev/null
+++ b/src/platform/platform-store.ts
@@ -0,0 +1,170 @@
+/**
+ * Client of the platform's store.
+ */
+import {Buffer} from 'node:buffer';
+import type {
+	CoordinationStore, StoreChange, StoreChanges, StoredItem, StoreLease, StoreListing, StoreTransaction,
+} from '../model/coordination-store.js';
+import {
+	ConflictError, HistoryLostError, LeaseEndedError, StoreAmbiguousError, StoreUnavailableError,
+} from '../model/errors.js';
+import {ConnectionPool} from '../transport/connection-pool.js';
+import {
+	callJson, CallFailure, type JsonAnswer, type JsonCall,
+} from '../transport/json-call.js';
+import {wirePaths} from './wire.js';
+
+/** Time limit of a call in milliseconds; the store's slow spells take 4 ms to some 400 ms. */
+const callLimitMs = 1200;
+
+/** Time beyond its own wait after which a watch is taken for silent, in milliseconds. */
+const watchSlackMs = 1000;
+
+type WireItem = {key: string; value: string; revision: number; tombstone?: boolean};
+
+/** Calls the store over a few kept connections. */
+export class PlatformStore implements CoordinationStore {
+	private readonly pool = new ConnectionPool();
+	private abortWatch: ((reason: string) => void) | undefined;
+	private calls = 0;
+
+	constructor(private readonly address: string) {}
+
+	/** Calls made since the start. */
+	get callCount(): number {
+		return this.calls;
+	}
+
+	async list(prefix: string): Promise<StoreListing> {
+		const items: StoredItem[] = [];
+		let revision: number | undefined;
+		let after: string | undefined;
+		for (;;) {
+			// eslint-disable-next-line no-await-in-loop -- each page begins after the one before.
+			const page = await this.readPage(prefix, after);
+			// Pages are no snapshot: a watch from the first page's revision repeats what changed meanwhile.
+			revision ??= page.storeRevision;
+			items.push(...page.items.map(item => decodeItem(item)));
+			if (!page.hasMore || page.items.length === 0) {
+				return {items, revision};
+			}
+
+			after = page.items.at(-1)?.key;
+		}
+	}
+
+	async watch(prefix: string, after: number, waitMs: number): Promise<StoreChanges> {
+		const query = new URLSearchParams({prefix, after: String(after), waitMs: String(waitMs)});
+		const answer = await this.call({method: 'GET', path: `${wirePaths.storeWatch}?${query.toString()}`, timeoutMs: waitMs + watchSlackMs}, abort => {
+			this.abortWatch = abort;
+		});
+		if (answer.status === 410) {
+			throw new HistoryLostError(after);
+		}
+
+		const {events, storeRevision} = parse<{events: WireItem[]; storeRevision: number}>(answer);
+		return {changes: events.map(event => decodeChange(event)), revision: storeRevision};
+	}
+
+	async read(key: string): Promise<StoredItem | undefined> {
+		const query = new URLSearchParams({key});
+		const answer = await this.call({method: 'GET', path: `${wirePaths.storeItem}?${query.toString()}`, timeoutMs: callLimitMs});
+		return answer.status === 404 ? undefined : decodeItem(parse<WireItem>(answer));
+	}
+
+	async write({expected, puts, removals = []}: StoreTransaction): Promise<number> {
+		const body = {
+			expect: expected,
+			puts: puts.map(({key, value, lease}) => ({key, value: Buffer.from(value).toString('base64'), ...(lease !== undefined && {lease})})),
+			remove: removals,
+		};
+		const answer = await this.call({
+			method: 'POST', path: wirePaths.storeTransaction, body, timeoutMs: callLimitMs,
+		});
+		if (answer.status === 412) {
+			throw new ConflictError(expected.map(({key}) => key).join(', '));
+		}
+
+		if (answer.status === 404) {
+			throw new LeaseEndedError(puts.find(({lease}) => lease !== undefined)?.lease ?? 0);
+		}
+
+		return parse<{revision: number}>(answer).revision;
+	}
+
+	async openLease(durationMs: number): Promise<StoreLease> {
+		const answer = await this.call({
+			method: 'POST', path: wirePaths.storeLease, body: {ttlMs: durationMs}, timeoutMs: callLimitMs,
+		});
+		const {lease, ttlMs} = parse<{lease: number; ttlMs: number}>(answer);
+		return {id: lease, durationMs: ttlMs};
+	}
+
+	async renewLease(id: number): Promise<void> {
+		const answer = await this.call({method: 'POST', path: `${wirePaths.storeLeaseRenewal}/${id}`, timeoutMs: callLimitMs});
+		if (answer.status === 404) {
+			throw new LeaseEndedError(id);
+		}
+
+		parse(answer);
+	}
+
+	async endLease(id: number): Promise<void> {
+		await this.call({method: 'DELETE', path: `${wirePaths.storeLeaseEnd}/${id}`, timeoutMs: callLimitMs});
+	}
+
+	interruptWatch(reason: string): void {
+		this.abortWatch?.(reason);
+	}
+
+	async close(): Promise<void> {
+		this.abortWatch?.('the daemon stops');
+		this.pool.close();
+	}
+
+	private async readPage(prefix: string, after: string | undefined): Promise<{items: WireItem[]; hasMore: boolean; storeRevision: number}> {
+		const query = new URLSearchParams({prefix, ...(after !== undefined && {after})});
+		return parse(await this.call({method: 'GET', path: `${wirePaths.storeRange}?${query.toString()}`, timeoutMs: callLimitMs}));
+	}
+
+	private async call(call: JsonCall, onStart?: (abort: (reason: string) => void) => void): Promise<JsonAnswer> {
+		this.calls += 1;
+		try {
+			const answer = await callJson(this.pool, this.address, call, onStart);
+			if (answer.status === 429 || answer.status >= 500) {
+				throw new StoreUnavailableError(`status ${answer.status}`);
+			}
+
+			return answer;
+		} catch (error) {
+			if (!(error instanceof CallFailure)) {
+				throw error;
+			}
+
+			// Other kept connections may be silent as well.
+			this.pool.discardIdle(this.address);
+			const mayBeDone = error.wasSent && call.method !== 'GET';
+			throw mayBeDone ? new StoreAmbiguousError(error.message) : new StoreUnavailableError(error.message);
+		}
+	}
+}
+
+function parse<Body>(answer: JsonAnswer): Body {
+	if (answer.status !== 200) {
+		throw new StoreUnavailableError(`status ${answer.status}`);
+	}
+
+	try {
+		return JSON.parse(answer.text) as Body;
+	} catch (error) {
+		throw new StoreUnavailableError(`the answer is not JSON: ${error instanceof Error ? error.message : String(error)}`);
+	}
+}
+
+function decodeItem({key, value, revision}: WireItem): StoredItem {
+	return {key, value: Buffer.from(value, 'base64').toString('utf8'), revision};
+}
+
+function decodeChange(event: WireItem): StoreChange {
+	return event.tombstone ? {key: event.key, value: undefined, revision: event.revision} : decodeItem(event);
+}
--- /dev/null
+++ b/src/transport/json-call.ts
@@ -0,0 +1,115 @@
+/**
+ * Short calls with small bodies in JSON.
+ */
+import {Buffer} from 'node:buffer';
+import type {Dispatcher} from 'undici';
+import type {ConnectionPool} from './connection-pool.js';
+
+/** Largest answer that a call accepts, in bytes. */
+const answerLimitBytes = 16_777_216;
+
+/** A call to a server. */
+export type JsonCall = {
+	method: 'GET' | 'POST' | 'DELETE';
+	path: string;
+	body?: unknown;
+	timeoutMs: number;
+};
+
+/** Answer to a call. */
+export type JsonAnswer = {
+	status: number;
+	headers: Record<string, string | string[] | undefined>;
+	text: string;
+};
+
+/** The call got no whole answer. */
+export class CallFailure extends Error {
+	override name = 'CallFailure';
+
+	/** @param wasSent true if bytes of the call may have reached the server */
+	constructor(message: string, readonly wasSent: boolean) {
+		super(message);
+	}
+}
+
+/**
+ * Makes one call on a connection of the pool.
+ *
+ * @throws {CallFailure} if no whole answer came in time
+ */
+export async function callJson(pool: ConnectionPool, address: string, call: JsonCall, onStart?: (abort: (reason: string) => void) => void): Promise<JsonAnswer> {
+	return new Promise<JsonAnswer>((resolve, reject) => {
+		const connection = pool.take(address);
+		const chunks: Uint8Array[] = [];
+		let bytes = 0;
+		let status = 0;
+		let headers: JsonAnswer['headers'] = {};
+		let wasSent = false;
+		let isSettled = false;
+
+		const fail = (detail: string): void => {
+			if (isSettled) {
+				return;
+			}
+
+			isSettled = true;
+			clearTimeout(timer);
+			pool.discard(connection);
+			reject(new CallFailure(`${call.method} ${call.path} at ${address}: ${detail}`, wasSent));
+		};
+
+		const timer = setTimeout(() => {
+			fail('no answer in time');
+		}, call.timeoutMs);
+		onStart?.(fail);
+
+		const handler: Dispatcher.DispatchHandler = {
+			onRequestStart() {
+				wasSent = true;
+			},
+			onResponseStart(_controller, statusCode, answerHeaders) {
+				status = statusCode;
+				headers = answerHeaders;
+			},
+			onResponseData(_controller, chunk) {
+				bytes += chunk.length;
+				if (bytes > answerLimitBytes) {
+					fail('the answer is too large');
+					return;
+				}
+
+				chunks.push(chunk);
+			},
+			onResponseEnd() {
+				if (isSettled) {
+					return;
+				}
+
+				if (connection.isBroken) {
+					fail('the answer was cut off');
+					return;
+				}
+
+				isSettled = true;
+				clearTimeout(timer);
+				// The library frees the connection after this callback.
+				setImmediate(() => {
+					pool.giveBack(connection);
+				});
+				resolve({status, headers, text: Buffer.concat(chunks).toString('utf8')});
+			},
+			onResponseError(_controller, error) {
+				fail(error.message);
+			},
+		};
+		const body = call.body === undefined ? undefined : JSON.stringify(call.body);
+		connection.dispatch({
+			path: call.path,
+			method: call.method,
+			headers: body === undefined ? [] : ['content-type', 'application/json'],
+			body,
+			idempotent: false,
+		}, handler);
+	});
+}
