fix(transport): take a reset beside the last bytes for a broken answer; send nothing after the caller left

Ruled out: the order of listeners (the library's comes later); a missing error. The peer's name is known after an ordinary end and unknown after a reset. Change: an end without a peer is a failure; opening takes at most 300 ms; a caller that left is looked for right before the first byte. Hot keys are moved by need instead of by chance, single hot keys to a fast target, and owners are told to peers.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -74,7 +74,7 @@
 		}, detail => {
 			log.record(LogEvent.PeerMessageRejected, {detail});
 		});
-		this.leader = this.createLeader(loads);
+		this.leader = this.createLeader(loads, exchange);
 		const forwarder = new Forwarder({
 			availabilityZone,
 			view: this.view,
@@ -167,7 +167,7 @@
 		});
 	}
 
-	private createLeader(loads: TargetLoads): KeyLeader {
+	private createLeader(loads: TargetLoads, exchange: PeerExchange): KeyLeader {
 		const {daemon, leaseMinimumMs, holdLimitMs, thawSlackMs} = this.settings;
 		return new KeyLeader({
 			daemon,
@@ -178,6 +178,9 @@
 			log: this.log,
 			leaseMinimumMs,
 			limits: {holdLimitMs, thawSlackMs},
+			announce(known) {
+				exchange.announce(known);
+			},
 			random: Math.random,
 		});
 	}
--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -25,7 +25,7 @@
 const watchWaitMs = 8000;
 
 /** Pause between two watches in milliseconds, in which changes gather. */
-const gatherMs = 120;
+const gatherMs = 300;
 
 /** Pause after a failed call in milliseconds. */
 const retryPauseMs = 250;
--- a/src/decisions/fleet/peer-exchange.ts
+++ b/src/decisions/fleet/peer-exchange.ts
@@ -4,7 +4,7 @@
 import type {Member} from '../../model/fleet.js';
 import type {LoadReport, TargetLoads} from '../forwarding/target-loads.js';
 import type {FleetSync} from './fleet-sync.js';
-import type {FleetView} from './fleet-view.js';
+import type {FleetView, KnownAssignment} from './fleet-view.js';
 
 /** A message between daemons. */
 export type PeerMessage = {
@@ -13,6 +13,8 @@
 	load: LoadReport;
 	/** Keys that were asked for since the last message, by service; only the leader gets them. */
 	keys?: Record<string, number[]>;
+	/** Owners that the leader has just written. */
+	assignment?: KnownAssignment;
 };
 
 /** Sends messages to peers. */
@@ -67,14 +69,27 @@
 		this.reportKeys(now);
 	}
 
+	/** Tells peers the owners that were just written; they learn them from the store as well, but later. */
+	announce(assignment: KnownAssignment): void {
+		const {sender, daemon, view, loads} = this.options;
+		const load = {inFlight: loads.inFlightNow(), samples: {}};
+		sender.send({
+			daemon, revision: view.revision, load, assignment,
+		}, this.peers());
+	}
+
 	hear(message: PeerMessage): void {
-		const {loads, sync, noteKeys, daemon} = this.options;
+		const {loads, sync, view, noteKeys, daemon} = this.options;
 		if (message.daemon === daemon) {
 			return;
 		}
 
 		loads.hear(message.daemon, message.load);
 		sync.hearRevision(message.revision);
+		if (message.assignment) {
+			view.applyAssignment(message.assignment);
+		}
+
 		for (const [service, keys] of Object.entries(message.keys ?? {})) {
 			noteKeys(service, keys);
 		}
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -212,6 +212,11 @@
 			return this.waitForOwner(passage, OutcomeReason.KeyMoving, retryAfter.moving);
 		}
 
+		const {finishMs} = this.options.loads.expect(target, view.warmUpLeft(target.id));
+		if (!passage.mayHaveRun && finishMs > remaining(passage)) {
+			return this.giveUp(passage, OutcomeReason.Overloaded, retryAfter.overloaded);
+		}
+
 		return target;
 	}
 
--- a/src/decisions/ownership/key-balance.ts
+++ b/src/decisions/ownership/key-balance.ts
@@ -3,7 +3,7 @@
  */
 import type {TargetLife} from '../../model/fleet.js';
 import type {KeyRange, OwnedRange} from '../../model/key-ownership.js';
-import type {KeyCount} from './key-heat.js';
+import {meanLifeS, type KeyCount} from './key-heat.js';
 
 /** A target that may own keys. */
 export type OwnerCandidate = {
@@ -18,17 +18,28 @@
 	to: TargetLife;
 };
 
-/** Difference of relative load from which a move is worth its pause; below it, counts differ by chance. */
-const leastDifference = 0.5;
+/** Part of its capacity from which a target is relieved; below it, waiting is short and a move would only cost. */
+const busyShare = 0.55;
 
-/** Requests, as counted with decay, that a move has to relieve. */
-const leastRelief = 5;
+/** Difference of relative load from which a move is worth its pause. */
+const leastDifference = 0.35;
+
+/** A target's load has to exceed its share by this many standard deviations; below it, counts differ by chance. */
+const leastDeviations = 2;
+
+/** Requests, as counted with decay, that a piece has to carry. */
+const leastRelief = 2;
+
+/** Part of its fair share that a target without load is given at once. */
+const newcomerShare = 0.6;
+
+/** A key that overloads its owner alone moves to a target that is faster by this factor. */
+const fasterFactor = 1.15;
 
 /** Most moves of one round. */
 const moveLimit = 12;
 
-/** Bounds of a piece's load as a share of the load that levels two targets. */
-const smallestPiece = 0.25;
+/** Largest load of a piece as a share of the load that levels two targets. */
 const largestPiece = 1.35;
 
 /** Relative load of a target: 1 is the average. */
@@ -46,35 +57,91 @@
 
 /** Proposes moves from the most to the least loaded targets. */
 export function balanceKeys(ranges: readonly OwnedRange[], counts: readonly KeyCount[], candidates: readonly OwnerCandidate[]): KeyMove[] {
-	const levels = measure(ranges, counts, candidates);
-	const totalLoad = levels.reduce((sum, {load}) => sum + load, 0);
-	const totalCapacity = levels.reduce((sum, {candidate}) => sum + candidate.capacity, 0);
-	const relative = ({load, candidate}: Level): number => (load / candidate.capacity) / (totalLoad / totalCapacity);
-	const moves: KeyMove[] = [];
-	const stuck = new Set<Level>();
-	if (totalLoad === 0) {
-		return moves;
+	return new Balance(measure(ranges, counts, candidates)).moves();
+}
+
+/** One round of balancing. */
+class Balance {
+	private readonly totalLoad: number;
+	private readonly totalCapacity: number;
+	private readonly proposed: KeyMove[] = [];
+	private readonly stuck = new Set<Level>();
+
+	constructor(private readonly levels: Level[]) {
+		this.totalLoad = levels.reduce((total, {load}) => total + load, 0);
+		this.totalCapacity = levels.reduce((total, {candidate}) => total + candidate.capacity, 0);
 	}
 
-	while (moves.length < moveLimit) {
-		const movable = levels.filter(level => !stuck.has(level));
-		const hottest = extreme(movable, level => relative(level));
-		const coldest = extreme(levels, level => -relative(level));
-		if (!hottest || !coldest || relative(hottest) - relative(coldest) < leastDifference) {
-			break;
+	moves(): KeyMove[] {
+		while (this.totalLoad > 0 && this.proposed.length < moveLimit && this.relieveNext()) {
+			// Each step proposes a move or rules a target out.
 		}
 
-		const piece = choosePiece(hottest, levellingLoad(hottest, coldest));
-		if (!piece) {
-			stuck.add(hottest);
-			continue;
+		return this.proposed;
+	}
+
+	/** False if nothing is left to do. */
+	private relieveNext(): boolean {
+		const hottest = extreme(this.levels.filter(level => !this.stuck.has(level)), level => this.relative(level));
+		const coldest = extreme(this.levels, level => -this.relative(level));
+		if (!hottest || !coldest || hottest === coldest) {
+			return false;
+		}
+
+		const wanted = this.wantedRelief(hottest, coldest);
+		if (wanted === 0) {
+			return false;
+		}
+
+		const piece = choosePiece(hottest, wanted);
+		if (piece) {
+			this.propose(hottest, coldest, piece);
+			return true;
+		}
+
+		this.stuck.add(hottest);
+		this.moveToFaster(hottest);
+		return true;
+	}
+
+	/** Load that should leave the hottest target; 0 if it is as well where it is. */
+	private wantedRelief(hottest: Level, coldest: Level): number {
+		if (coldest.load === 0) {
+			return this.fairLoad(coldest) * newcomerShare;
 		}
 
-		move(hottest, coldest, piece);
-		moves.push({range: {first: piece.first, last: piece.last}, to: coldest.candidate.life});
+		const fair = this.fairLoad(hottest);
+		const isBusy = hottest.load / meanLifeS / hottest.candidate.capacity > busyShare;
+		const isUneven = this.relative(hottest) - this.relative(coldest) > leastDifference;
+		const isSignificant = hottest.load - fair > leastDeviations * Math.sqrt(fair);
+		return isBusy && isUneven && isSignificant ? levellingLoad(hottest, coldest) : 0;
 	}
 
-	return moves;
+	/** A single key cannot be divided: a fast target takes it, and gives away its other keys in the next steps. */
+	private moveToFaster(level: Level): void {
+		const hottestPiece = extremePiece(level.pieces);
+		const fastest = extreme(this.levels, ({candidate}) => candidate.capacity);
+		if (!hottestPiece || !fastest || fastest === level || this.relative(level) < 1) {
+			return;
+		}
+
+		if (fastest.candidate.capacity > level.candidate.capacity * fasterFactor) {
+			this.propose(level, fastest, hottestKey(hottestPiece));
+		}
+	}
+
+	private propose(from: Level, to: Level, piece: CountedRange): void {
+		move(from, to, piece);
+		this.proposed.push({range: {first: piece.first, last: piece.last}, to: to.candidate.life});
+	}
+
+	private relative(level: Level): number {
+		return level.load / this.fairLoad(level);
+	}
+
+	private fairLoad({candidate}: Level): number {
+		return this.totalLoad * candidate.capacity / this.totalCapacity;
+	}
 }
 
 function measure(ranges: readonly OwnedRange[], counts: readonly KeyCount[], candidates: readonly OwnerCandidate[]): Level[] {
@@ -115,14 +182,10 @@
 
 /** Finds the piece whose load is nearest to the wanted one. */
 function choosePiece(level: Level, wanted: number): CountedRange | undefined {
-	if (wanted < leastRelief) {
-		return undefined;
-	}
-
 	let best: CountedRange | undefined;
 	for (const range of level.pieces) {
 		for (const piece of pieces(range, wanted)) {
-			const isFit = piece.load >= wanted * smallestPiece && piece.load <= wanted * largestPiece;
+			const isFit = piece.load >= leastRelief && piece.load <= wanted * largestPiece;
 			if (isFit && (!best || Math.abs(piece.load - wanted) < Math.abs(best.load - wanted))) {
 				best = piece;
 			}
@@ -186,6 +249,16 @@
 	};
 }
 
+function extremePiece(ranges: readonly CountedRange[]): CountedRange | undefined {
+	return ranges.toSorted((left, right) => right.load - left.load)[0];
+}
+
+/** The part of a range with its hottest key alone. */
+function hottestKey(range: CountedRange): CountedRange {
+	const [hottest] = range.counts.toSorted((left, right) => right.count - left.count);
+	return hottest ? slice(range, hottest.key, hottest.key) : range;
+}
+
 function sum(counts: readonly KeyCount[]): number {
 	return counts.reduce((total, {count}) => total + count, 0);
 }
--- a/src/decisions/ownership/key-heat.ts
+++ b/src/decisions/ownership/key-heat.ts
@@ -5,6 +5,9 @@
 /** Time after which a request counts half, in milliseconds; hot keys change within seconds. */
 const halfLifeMs = 2000;
 
+/** Time that a request counts on average, in seconds; counts divided by it are requests a second. */
+export const meanLifeS = halfLifeMs / Math.LN2 / 1000;
+
 /** Counts below this are forgotten. */
 const leastCount = 0.05;
 
--- a/src/decisions/ownership/service-keys.ts
+++ b/src/decisions/ownership/service-keys.ts
@@ -11,7 +11,7 @@
 import {findRange, type KeyAssignment, type OwnedRange} from '../../model/key-ownership.js';
 import type {ServiceRule} from '../../model/route-configuration.js';
 import {decodeAssignment, storeKeys} from '../fleet/own-documents.js';
-import type {FleetView} from '../fleet/fleet-view.js';
+import type {FleetView, KnownAssignment} from '../fleet/fleet-view.js';
 import type {TargetLoads} from '../forwarding/target-loads.js';
 import {AssignmentDraft, initialAssignment} from './assignment-draft.js';
 import type {HoldPolicy} from './hold-policy.js';
@@ -36,8 +36,8 @@
 /** Interval in which load is balanced, in milliseconds. */
 const balanceMs = 400;
 
-/** Time after the first target in which others are awaited before keys are divided, in milliseconds. */
-const settleMs = 600;
+/** Keys of a new service are divided once no further target has come for this time, in milliseconds. */
+const settleMs = 1500;
 
 /** Milliseconds in a second. */
 const secondMs = 1000;
@@ -53,6 +53,8 @@
 	trust: TargetTrust;
 	log: EventLog;
 	daemon: string;
+	/** Called with owners that were just written. */
+	announce(known: KnownAssignment): void;
 };
 
 /** Owners and holds of one service under one term of leadership. */
@@ -68,7 +70,7 @@
 	/** True once the fences of this term are written; before that, grants of earlier leaders could mix with new ones. */
 	private isFenced = false;
 	private nextBalanceAt = 0;
-	private firstTargetAt: number | undefined;
+	private readonly settling = {count: 0, since: 0};
 	private writes = 0;
 	/** Latest end of holds that earlier leaders may have granted. */
 	private readonly inheritedUntil: number;
@@ -200,6 +202,7 @@
 		this.revision = revision;
 		this.pending = undefined;
 		this.options.view.applyAssignment({assignment, revision});
+		this.options.announce({assignment, revision});
 	}
 
 	/** A range that joins several takes the latest end of each hold. */
@@ -245,8 +248,12 @@
 			return undefined;
 		}
 
-		this.firstTargetAt ??= now;
-		if (now - this.firstTargetAt < settleMs) {
+		if (this.settling.count !== candidates.length) {
+			this.settling.count = candidates.length;
+			this.settling.since = now;
+		}
+
+		if (now - this.settling.since < settleMs) {
 			return undefined;
 		}
 
--- a/src/transport/http-connection.ts
+++ b/src/transport/http-connection.ts
@@ -42,7 +42,7 @@
 		return !this.isClosed && !this.hasFailed && this.socket?.destroyed === false && this.socket.readable;
 	}
 
-	/** True if the socket failed; an answer that ends with the connection is then not whole. */
+	/** True if the socket failed or was reset; an answer that ends with the connection is then not whole. */
 	get isBroken(): boolean {
 		return this.hasFailed;
 	}
@@ -80,6 +80,10 @@
 				callback(error, null);
 			}
 		});
+		// The runtime reports a reset that arrives together with bytes as an ordinary end, but a reset socket has no peer.
+		socket.on('end', () => {
+			this.hasFailed ||= socket.remoteAddress === undefined;
+		});
 		socket.once('connect', () => {
 			isOpen = true;
 			clearTimeout(limit);
--- a/src/transport/target-exchange.ts
+++ b/src/transport/target-exchange.ts
@@ -13,6 +13,9 @@
 /** Answers up to this size are held until they are whole, so that a failed try can be repeated; in bytes. */
 const heldAnswerBytes = 262_144;
 
+/** Time for opening a connection, in milliseconds; it takes a few, and a lost opening packet is sent again only after a second. */
+const connectMs = 300;
+
 /** What the first line and headers of an answer mean. */
 export enum AnswerMeaning {
 	/** The target's answer to this request. */
@@ -43,6 +46,7 @@
 	private sink: Writable | undefined;
 	private requestBody: PassThrough | undefined;
 	private timer: NodeJS.Timeout | undefined;
+	private connectTimer: NodeJS.Timeout | undefined;
 	private resolve: ((result: AttemptResult) => void) | undefined;
 
 	private readonly onCancel: () => void;
@@ -66,6 +70,11 @@
 			this.timer = setTimeout(() => {
 				this.fail('no answer in time', true);
 			}, attempt.timeoutMs);
+			this.connectTimer = setTimeout(() => {
+				if (!this.wasSent) {
+					this.fail('no connection in time');
+				}
+			}, connectMs);
 			attempt.cancellation.subscribe(this.onCancel);
 			if (attempt.cancellation.isCancelled) {
 				this.onCancel();
@@ -89,6 +98,12 @@
 			return;
 		}
 
+		if (this.request.cancellation.isCancelled) {
+			// The caller left while the connection was opened.
+			this.fail('cancelled');
+			return;
+		}
+
 		this.wasSent = true;
 		if (this.requestBody && this.request.body instanceof Readable) {
 			this.request.body.pipe(this.requestBody);
@@ -190,6 +205,7 @@
 	private settle(result: AttemptResult): void {
 		this.isSettled = true;
 		clearTimeout(this.timer);
+		clearTimeout(this.connectTimer);
 		this.attempt.cancellation.unsubscribe(this.onCancel);
 		this.resolve?.(result);
 	}
--- /dev/null
+++ b/tests/platform/target-exchange.test.ts
@@ -0,0 +1,217 @@
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import test from 'ava';
+import {Cancellation} from '../../src/model/cancellation.js';
+import {TargetState, type Target} from '../../src/model/fleet.js';
+import {AttemptEnd, type CallerRequest} from '../../src/model/forwarding.js';
+import {PlatformTargetProtocol} from '../../src/platform/target-protocol.js';
+import {TargetTransport} from '../../src/transport/target-transport.js';
+
+/** Rounds of cases that depend on how bytes and the end of a connection meet. */
+const rounds = 60;
+
+const requestId = 'attempt-1';
+const seal = 'seal-1';
+
+type Answer = {
+	title: string;
+	end: AttemptEnd;
+	status?: number;
+	body?: string;
+	/** Writes to the socket after a request was read. */
+	write(socket: Socket): void;
+};
+
+const head = (lines: string[]): string => `${['HTTP/1.1 200 OK', `Attempt-Id: ${requestId}`, `Response-Seal: ${seal}`, ...lines].join('\r\n')}\r\n\r\n`;
+
+const answers: Answer[] = [
+	{
+		title: 'a whole answer with a length',
+		write(socket) {
+			socket.write(`${head(['Content-Length: 5'])}hello`);
+		},
+		end: AttemptEnd.Answered,
+		status: 200,
+		body: 'hello',
+	},
+	{
+		title: 'a whole answer that ends with its connection',
+		write(socket) {
+			socket.end(`${head(['Connection: close'])}hello`);
+		},
+		end: AttemptEnd.Answered,
+		status: 200,
+		body: 'hello',
+	},
+	{
+		title: 'an answer without a length that is reset',
+		write(socket) {
+			socket.write(`${head(['Connection: close'])}hel`, () => {
+				socket.resetAndDestroy();
+			});
+		},
+		end: AttemptEnd.Ambiguous,
+	},
+	{
+		title: 'an answer that is shorter than its length',
+		write(socket) {
+			socket.end(`${head(['Content-Length: 5', 'Connection: close'])}hel`);
+		},
+		end: AttemptEnd.Ambiguous,
+	},
+	{
+		title: 'an answer to another request',
+		write(socket) {
+			socket.write('HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r\n');
+		},
+		end: AttemptEnd.Ambiguous,
+	},
+	{
+		title: 'a success without a seal',
+		write(socket) {
+			socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${requestId}\r\nContent-Length: 0\r\n\r\n`);
+		},
+		end: AttemptEnd.Ambiguous,
+	},
+	{
+		title: 'bytes that are no answer',
+		write(socket) {
+			socket.write('\u0001\u0002garbage\r\n\r\n');
+		},
+		end: AttemptEnd.Ambiguous,
+	},
+	{
+		title: 'a refusal',
+		write(socket) {
+			socket.write('HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n');
+		},
+		end: AttemptEnd.Refused,
+		status: 503,
+	},
+	{
+		title: 'a misdirected request',
+		write(socket) {
+			socket.write('HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n');
+		},
+		end: AttemptEnd.Misdirected,
+		status: 421,
+	},
+];
+
+async function listen(onRequest: (socket: Socket, text: string) => void): Promise<Server> {
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.on('data', data => {
+			onRequest(socket, data.toString());
+		});
+	});
+	return new Promise(resolve => {
+		server.listen(0, '127.0.0.1', () => {
+			resolve(server);
+		});
+	});
+}
+
+function targetOf(server: Server): Target {
+	const {port} = server.address() as AddressInfo;
+	return {
+		id: 'target-1', bornAt: 1, address: `127.0.0.1:${port}`, service: 'service', availabilityZone: 'zone', softwareVersion: 'v1', slots: 3, state: TargetState.Ready, warmUpLeftMs: 0,
+	};
+}
+
+function callerRequest(overrides: Partial<CallerRequest> = {}): CallerRequest {
+	return {
+		method: 'GET',
+		path: '/a/b',
+		host: 'host.example',
+		headers: ['Host', 'host.example', 'Attempt-Id', requestId],
+		requestId,
+		key: undefined,
+		budgetMs: 1000,
+		receivedAt: 0,
+		body: undefined,
+		cancellation: new Cancellation(),
+		beginStream() {
+			throw new Error('The answer is small.');
+		},
+		abortStream() {
+			throw new Error('Nothing was streamed.');
+		},
+		...overrides,
+	};
+}
+
+for (const {title, write, end, status, body} of answers) {
+	test(`should end as ${end} after ${title}`, async t => {
+		const server = await listen(socket => {
+			write(socket);
+		});
+		const transport = new TargetTransport(new PlatformTargetProtocol());
+		for (let round = 0; round < rounds; round += 1) {
+			// eslint-disable-next-line no-await-in-loop -- rounds follow one another.
+			const result = await transport.send(callerRequest(), {
+				target: targetOf(server), budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4,
+			});
+			t.is(result.end, end);
+			t.is(result.answer?.status, status);
+			t.is(result.body && Buffer.from(result.body).toString(), body);
+		}
+
+		transport.close();
+		server.close();
+	});
+}
+
+test('should send the remaining time, the expected target and the request unchanged', async t => {
+	let text = '';
+	const server = await listen((socket, received) => {
+		text += received;
+		socket.write(`${head(['Content-Length: 0'])}`);
+	});
+	const transport = new TargetTransport(new PlatformTargetProtocol());
+	await transport.send(callerRequest({method: 'POST', body: Buffer.from('payload')}), {
+		target: targetOf(server), budgetMs: 321.7, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4,
+	});
+	transport.close();
+	server.close();
+	t.regex(text, /^POST \/a\/b HTTP\/1\.1\r\n/v);
+	t.regex(text, /time-budget-ms: 321\r\n/iv);
+	t.regex(text, /target-instance: target-1\r\n/iv);
+	t.regex(text, /attempt-id: attempt-1\r\n/iv);
+	t.regex(text, /content-length: 7\r\n/iv);
+	t.regex(text, /\r\n\r\npayload$/v);
+});
+
+test('should say that nothing was sent when no connection could be opened', async t => {
+	const server = await listen(() => undefined);
+	const target = targetOf(server);
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	const transport = new TargetTransport(new PlatformTargetProtocol());
+	const result = await transport.send(callerRequest(), {
+		target, budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4,
+	});
+	t.is(result.end, AttemptEnd.NotSent);
+});
+
+test('should not send a request whose caller left while the connection was opened', async t => {
+	let text = '';
+	const server = await listen((_socket, received) => {
+		text += received;
+	});
+	const transport = new TargetTransport(new PlatformTargetProtocol());
+	const cancellation = new Cancellation();
+	// A caller that leaves does not end work that may not be repeated, but here none has begun.
+	const sending = transport.send(callerRequest({cancellation}), {
+		target: targetOf(server), budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4,
+	});
+	cancellation.cancel();
+	const result = await sending;
+	transport.close();
+	server.close();
+	t.is(result.end, AttemptEnd.NotSent);
+	t.is(text, '');
+});
