perf(daemon): start in a quarter of a second; refuse locally what a full target would refuse

Cause: services waited a second for those that they depend on (the library's interval), in every restart; the bundle held names and comments. At a hot key the owner refused one request in four, each of which cost a passage. Change: dependency interval 2 ms, minified bundle; a target that refused is full for 300 ms from the load at which it refused.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -15,7 +15,8 @@
 	platform: 'node',
 	format: 'esm',
 	target: 'node20',
-	minifySyntax: true,
+	minify: true,
+	keepNames: false,
 	alias: {undici: './deploy/undici-client.cjs'},
 	// Optional parts of the kernel library that are not installed and not used.
 	external: [
--- a/src/decisions/fleet/peer-exchange.ts
+++ b/src/decisions/fleet/peer-exchange.ts
@@ -23,7 +23,7 @@
 };
 
 /** Least interval of load reports in milliseconds; requests take longer. */
-const reportMs = 40;
+const reportMs = 50;
 
 /** Interval of reports while nothing changes, in milliseconds. */
 const quietReportMs = 400;
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -12,7 +12,7 @@
 import type {FleetView} from '../fleet/fleet-view.js';
 import {RetryBudget} from '../retry-budget.js';
 import {chooseTarget} from './target-choice.js';
-import type {TargetLoads} from './target-loads.js';
+import type {Expectation, TargetLoads} from './target-loads.js';
 
 /** Requests with less time left are not sent, in milliseconds; a target could not answer them. */
 const leastUsefulMs = 10;
@@ -186,8 +186,8 @@
 			return this.giveUp(passage, targets.length === 0 ? OutcomeReason.NoTarget : OutcomeReason.AttemptsUsed, retryAfter.noTarget);
 		}
 
-		if (!passage.mayHaveRun && candidate.expectation.finishMs > remaining(passage)) {
-			return this.giveUp(passage, OutcomeReason.Overloaded, retryAfter.overloaded);
+		if (!passage.mayHaveRun && cannotServe(candidate.expectation, passage)) {
+			return this.giveUp(passage, OutcomeReason.Overloaded, returnDelay(candidate.expectation));
 		}
 
 		return candidate.target;
@@ -212,9 +212,9 @@
 			return this.waitForOwner(passage, OutcomeReason.KeyMoving, retryAfter.moving);
 		}
 
-		const {finishMs} = this.options.loads.expect(target, view.warmUpLeft(target.id));
-		if (!passage.mayHaveRun && finishMs > remaining(passage)) {
-			return this.giveUp(passage, OutcomeReason.Overloaded, retryAfter.overloaded);
+		const expectation = this.options.loads.expect(target, view.warmUpLeft(target.id));
+		if (!passage.mayHaveRun && cannotServe(expectation, passage)) {
+			return this.giveUp(passage, OutcomeReason.Overloaded, returnDelay(expectation));
 		}
 
 		return target;
@@ -428,6 +428,16 @@
 	}
 }
 
+/** True if the target would refuse the request, or answer it too late. */
+function cannotServe({isFull, finishMs}: Expectation, passage: Passage): boolean {
+	return isFull || finishMs > remaining(passage);
+}
+
+/** Half of the backlog has gone when the caller comes back. */
+function returnDelay({finishMs}: Expectation): number {
+	return Math.max(retryAfter.moving, finishMs / 2);
+}
+
 function remaining({deadlineAt}: Passage): number {
 	return deadlineAt - performance.now();
 }
--- a/src/decisions/forwarding/target-choice.ts
+++ b/src/decisions/forwarding/target-choice.ts
@@ -49,7 +49,8 @@
 		}
 
 		const candidate = rate(loads, target, input);
-		const rank = candidate.expectation.isEjected ? 1 : 0;
+		const {isEjected, isFull} = candidate.expectation;
+		const rank = isEjected || isFull ? 1 : 0;
 		if (rank < bestRank || (rank === bestRank && candidate.costMs < (best?.costMs ?? Infinity))) {
 			best = candidate;
 			bestRank = rank;
--- a/src/decisions/forwarding/target-loads.ts
+++ b/src/decisions/forwarding/target-loads.ts
@@ -30,6 +30,9 @@
 const firstEjectionMs = 250;
 const longestEjectionMs = 3000;
 
+/** Time for which a refusal tells how much a target takes, in milliseconds; its queue drains meanwhile. */
+const fullMemoryMs = 300;
+
 /** Share of its age by which an unanswered request raises the expectation of its target. */
 const pendingShare = 0.5;
 
@@ -40,6 +43,9 @@
 	failureShare: number;
 	failuresInRow: number;
 	ejectedUntil: number;
+	/** Requests in flight at which the target refused another one, and until when that counts. */
+	fullAt: number;
+	fullUntil: number;
 	sampleCount: number;
 	sampleSumMs: number;
 };
@@ -57,6 +63,8 @@
 	inFlight: number;
 	failureShare: number;
 	isEjected: boolean;
+	/** True if the target would refuse another request. */
+	isFull: boolean;
 };
 
 /** Learns from answers; knows nothing of sockets. */
@@ -95,9 +103,11 @@
 	}
 
 	/** Notes a refusal of the target. */
-	refuse(target: Target, key: number): void {
+	refuse(target: Target, key: number, now = performance.now()): void {
 		const record = this.record(target.id);
 		record.pending.delete(key);
+		record.fullAt = Math.max(target.slots, this.inFlight(target.id));
+		record.fullUntil = now + fullMemoryMs;
 		record.failureShare += (1 - record.failureShare) * failureWeight;
 	}
 
@@ -125,7 +135,7 @@
 		const serviceMs = Math.max(base, (now - oldest) * pendingShare);
 		const finishMs = serviceMs * Math.max(1, (inFlight + 1) / target.slots);
 		return {
-			finishMs, inFlight, failureShare: record.failureShare, isEjected: now < record.ejectedUntil,
+			finishMs, inFlight, failureShare: record.failureShare, isEjected: now < record.ejectedUntil, isFull: now < record.fullUntil && inFlight >= record.fullAt,
 		};
 	}
 
@@ -233,7 +243,7 @@
 		}
 
 		const record: TargetRecord = {
-			pending: new Set(), serviceMs: undefined, failureShare: 0, failuresInRow: 0, ejectedUntil: 0, sampleCount: 0, sampleSumMs: 0,
+			pending: new Set(), serviceMs: undefined, failureShare: 0, failuresInRow: 0, ejectedUntil: 0, fullAt: 0, fullUntil: 0, sampleCount: 0, sampleSumMs: 0,
 		};
 		this.records.set(id, record);
 		return record;
--- a/src/services/platform-kernel.ts
+++ b/src/services/platform-kernel.ts
@@ -14,6 +14,9 @@
 /** Interval of the work that is due by time, in milliseconds; orders and reports have intervals of their own. */
 const tickMs = 20;
 
+/** Interval in which services look for those that they depend on, in milliseconds; the library's second would delay every restart. */
+const dependencyMs = 2;
+
 /** Interval in which forgotten targets and peers are dropped, in milliseconds. */
 const pruneMs = 500;
 
@@ -38,6 +41,7 @@
 		logger: false,
 		internalServices: false,
 		internalMiddlewares: false,
+		dependencyInterval: dependencyMs,
 		skipProcessEventRegistration: true,
 		// Contexts never leave the process, so that a count names them well enough; random ids cost more than a call.
 		uidGenerator() {
