feat(forwarding): ask a keyed owner again that refuses with a short queue; prefer targets nearby

An interrupted watch counted as trouble of the store. Ruled out: processor time at the crest; a longer lenience for lapsed entries. Metrics on their own address.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -25,6 +25,7 @@
 import {wireKeys, wirePaths} from '../platform/wire.js';
 import {createPlatformGatewayService} from '../services/platform-gateway-service.js';
 import {createPlatformKernel} from '../services/platform-kernel.js';
+import {createPlatformMetricsService, PlatformMetrics} from '../services/platform-metrics-service.js';
 import {createReadinessService} from '../services/readiness-service.js';
 import {TargetTransport} from '../transport/target-transport.js';
 
@@ -32,7 +33,7 @@
 const balancerNoticeMs = 2600;
 
 /** Part of the grace period that is kept for the end of the process, in milliseconds. */
-const endReserveMs = 400;
+const endReserveMs = 900;
 
 /** Interval in which a shutdown looks for requests in flight, in milliseconds. */
 const drainPollMs = 20;
@@ -40,6 +41,9 @@
 /** One in this many served requests is logged; every other outcome is, within the bound of the log. */
 const servedSample = 50;
 
+/** Port of the metrics; deploy/system.toml names it too. */
+const metricsPort = 9464;
+
 /** Milliseconds in a second. */
 const secondMs = 1000;
 
@@ -53,6 +57,7 @@
 	private readonly membership: Membership;
 	private readonly peers: DatagramPeers<PeerMessage>;
 	private readonly leader: KeyLeader;
+	private readonly metrics: PlatformMetrics;
 	private readonly kernel: ServiceBroker;
 	private servedCount = 0;
 	private isStopping = false;
@@ -88,6 +93,7 @@
 				exchange.noteKey(service, key);
 			},
 		});
+		this.metrics = this.createMetrics(forwarder);
 		this.kernel = createPlatformKernel(daemon, {
 			view: this.view, sync: this.sync, membership: this.membership, exchange, forwarder, loads, leader: this.leader,
 		}, this.edges());
@@ -200,10 +206,23 @@
 			path: wirePaths.ready,
 			isReady: () => this.view.configuration !== undefined,
 		});
-		return [gateway, readiness];
+		const metrics = createPlatformMetricsService(this.metrics, {ip: this.settings.ip, port: metricsPort});
+		return [gateway, readiness, metrics];
+	}
+
+	private createMetrics(forwarder: Forwarder): PlatformMetrics {
+		return new PlatformMetrics({
+			inFlight: () => forwarder.load,
+			storeCalls: () => this.store.callCount,
+			targetConnections: () => this.transport.pool.openedCount,
+			isLeader: () => this.leader.leadership.isLeader,
+			configurationVersion: () => this.view.configuration?.version ?? 0,
+			isStoreReachable: () => this.sync.isStoreReachable,
+		});
 	}
 
 	private noteOutcome(request: CallerRequest, outcome: Outcome): void {
+		this.metrics.note(request, outcome);
 		if (outcome.kind !== OutcomeKind.Answered) {
 			return;
 		}
--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -2,7 +2,7 @@
  * Keeps the view in step with the store by one watch over all keys.
  */
 import type {CoordinationStore, StoreChange} from '../../model/coordination-store.js';
-import {HistoryLostError, RouterError} from '../../model/errors.js';
+import {HistoryLostError, RouterError, WatchInterruptedError} from '../../model/errors.js';
 import {LogEvent, type EventLog} from '../../model/events.js';
 import type {Target} from '../../model/fleet.js';
 import type {RouteConfiguration} from '../../model/route-configuration.js';
@@ -99,6 +99,10 @@
 				return;
 			}
 
+			if (error instanceof WatchInterruptedError) {
+				return;
+			}
+
 			this.noteFailure(error);
 			await pause(retryPauseMs);
 		}
--- a/src/decisions/fleet/peer-exchange.ts
+++ b/src/decisions/fleet/peer-exchange.ts
@@ -29,7 +29,7 @@
 const quietReportMs = 400;
 
 /** Interval in which keys are told to the leader, in milliseconds. */
-const keyReportMs = 200;
+const keyReportMs = 100;
 
 /** Most keys of a service that are told at once; the rest is left out, which keeps the shares. */
 const keyLimit = 2000;
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -26,6 +26,9 @@
 /** Tries at targets that do not own the key, for one request. */
 const misdirectedLimit = 4;
 
+/** Tries at the owner of a key that refuses although its queue is short, for one request. */
+const refusalLimit = 3;
+
 /** Tries that never left this daemon, for one request. */
 const unsentLimit = 4;
 
@@ -328,8 +331,7 @@
 			}
 
 			case AttemptEnd.Refused: {
-				passage.tried.add(target.id);
-				return this.goOn(passage, result, !passage.service.isKeyed && passage.arrivals < passage.route.maxAttempts);
+				return this.refused(passage, target, result);
 			}
 
 			case AttemptEnd.Ambiguous: {
@@ -340,6 +342,17 @@
 		}
 	}
 
+	/** Another target may have room; the only owner of a key is asked again unless its queue is full. */
+	private refused(passage: Passage, target: Target, result: AttemptResult): Outcome | undefined {
+		if (passage.service.isKeyed) {
+			const {isFull} = this.options.loads.expect(target, 0);
+			return this.goOn(passage, result, !isFull && passage.arrivals < refusalLimit);
+		}
+
+		passage.tried.add(target.id);
+		return this.goOn(passage, result, passage.arrivals < passage.route.maxAttempts);
+	}
+
 	private async misdirected(passage: Passage, target: Target, result: AttemptResult): Promise<Outcome | undefined> {
 		passage.misdirected += 1;
 		if (!passage.service.isKeyed) {
--- a/src/decisions/forwarding/target-choice.ts
+++ b/src/decisions/forwarding/target-choice.ts
@@ -9,7 +9,7 @@
  * Share of the target latency that an answer from another availability zone has to be faster by. Bytes between
  * availability zones are priced, so that a target nearby is worth a short delay, but no missed objective.
  */
-const remoteShare = 0.12;
+const remoteShare = 0.25;
 
 /** Cost of a likely failure, in target latencies. */
 const failureCost = 1.5;
--- a/src/decisions/forwarding/target-loads.ts
+++ b/src/decisions/forwarding/target-loads.ts
@@ -30,6 +30,9 @@
 const firstEjectionMs = 250;
 const longestEjectionMs = 3000;
 
+/** A target that refuses with fewer requests for each of its slots does so for another reason than its queue. */
+const fullPerSlot = 2;
+
 /** Time for which a refusal tells how much a target takes, in milliseconds; its queue drains meanwhile. */
 const fullMemoryMs = 300;
 
@@ -106,8 +109,12 @@
 	refuse(target: Target, key: number, now = performance.now()): void {
 		const record = this.record(target.id);
 		record.pending.delete(key);
-		record.fullAt = Math.max(target.slots, this.inFlight(target.id));
-		record.fullUntil = now + fullMemoryMs;
+		const inFlight = this.inFlight(target.id);
+		if (inFlight >= target.slots * fullPerSlot) {
+			record.fullAt = inFlight;
+			record.fullUntil = now + fullMemoryMs;
+		}
+
 		record.failureShare += (1 - record.failureShare) * failureWeight;
 	}
 
--- a/src/decisions/ownership/key-balance.ts
+++ b/src/decisions/ownership/key-balance.ts
@@ -2,7 +2,7 @@
  * Decides which ranges change owner so that targets carry load by their capacity.
  */
 import type {TargetLife} from '../../model/fleet.js';
-import type {KeyRange, OwnedRange} from '../../model/key-ownership.js';
+import {lastKey, type KeyRange, type OwnedRange} from '../../model/key-ownership.js';
 import {meanLifeS, type KeyCount} from './key-heat.js';
 
 /** A target that may own keys. */
@@ -19,7 +19,7 @@
 };
 
 /** Part of its capacity from which a target is relieved; below it, waiting is short and a move would only cost. */
-const busyShare = 0.55;
+const busyShare = 0.45;
 
 /** Difference of relative load from which a move is worth its pause. */
 const leastDifference = 0.35;
@@ -180,13 +180,16 @@
 	return ((hottest.load * coldCapacity) - (coldest.load * hotCapacity)) / (hotCapacity + coldCapacity);
 }
 
-/** Finds the piece whose load is nearest to the wanted one. */
+/** How much worse a piece is for each share of all keys that it holds; keys that change hands are priced and start cold. */
+const keyShareCost = 4;
+
+/** Finds the piece whose load is nearest to the wanted one, with few keys. */
 function choosePiece(level: Level, wanted: number): CountedRange | undefined {
 	let best: CountedRange | undefined;
 	for (const range of level.pieces) {
 		for (const piece of pieces(range, wanted)) {
 			const isFit = piece.load >= leastRelief && piece.load <= wanted * largestPiece;
-			if (isFit && (!best || Math.abs(piece.load - wanted) < Math.abs(best.load - wanted))) {
+			if (isFit && (!best || pieceCost(piece, wanted) < pieceCost(best, wanted))) {
 				best = piece;
 			}
 		}
@@ -195,6 +198,10 @@
 	return best;
 }
 
+function pieceCost({first, last, load}: CountedRange, wanted: number): number {
+	return (Math.abs(load - wanted) / wanted) + (keyShareCost * (last - first + 1) / (lastKey + 1));
+}
+
 /** Contiguous pieces of about the wanted load: one from the start of the range and one from each key that overshot. */
 function pieces(range: CountedRange, wanted: number): CountedRange[] {
 	const found: CountedRange[] = [];
--- a/src/decisions/ownership/service-keys.ts
+++ b/src/decisions/ownership/service-keys.ts
@@ -34,7 +34,7 @@
 const writeRetryMs = 150;
 
 /** Interval in which load is balanced, in milliseconds. */
-const balanceMs = 400;
+const balanceMs = 250;
 
 /** Keys of a new service are divided once no further target has come for this time, in milliseconds. */
 const settleMs = 1500;
--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -25,6 +25,7 @@
 	NotAuthorized = 'not_authorized',
 	BadSettings = 'bad_settings',
 	HistoryLost = 'history_lost',
+	WatchInterrupted = 'watch_interrupted',
 	LeaseEnded = 'lease_ended',
 	MalformedDocument = 'malformed_document',
 	FenceRejected = 'fence_rejected',
@@ -162,6 +163,15 @@
 	override name = 'OperatorRefusalError';
 }
 
+/** A waiting watch was ended by its own daemon; the store is not in trouble. */
+export class WatchInterruptedError extends RouterError {
+	override name = 'WatchInterruptedError';
+
+	constructor(reason: string) {
+		super(ErrorCode.WatchInterrupted, `The watch was ended: ${reason}.`, 'Watch again.');
+	}
+}
+
 /** The store no longer has the changes since a revision. */
 export class HistoryLostError extends RouterError {
 	override name = 'HistoryLostError';
--- a/src/platform/platform-store.ts
+++ b/src/platform/platform-store.ts
@@ -6,7 +6,7 @@
 	CoordinationStore, StoreChange, StoreChanges, StoredItem, StoreLease, StoreListing, StoreTransaction,
 } from '../model/coordination-store.js';
 import {
-	ConflictError, HistoryLostError, LeaseEndedError, StoreAmbiguousError, StoreUnavailableError,
+	ConflictError, HistoryLostError, LeaseEndedError, StoreAmbiguousError, StoreUnavailableError, WatchInterruptedError,
 } from '../model/errors.js';
 import {ConnectionPool} from '../transport/connection-pool.js';
 import {
@@ -26,6 +26,7 @@
 export class PlatformStore implements CoordinationStore {
 	private readonly pool = new ConnectionPool();
 	private abortWatch: ((reason: string) => void) | undefined;
+	private interruption: string | undefined;
 	private calls = 0;
 
 	constructor(private readonly address: string) {}
@@ -55,9 +56,7 @@
 
 	async watch(prefix: string, after: number, waitMs: number): Promise<StoreChanges> {
 		const query = new URLSearchParams({prefix, after: String(after), waitMs: String(waitMs)});
-		const answer = await this.call({method: 'GET', path: `${wirePaths.storeWatch}?${query.toString()}`, timeoutMs: waitMs + watchSlackMs}, abort => {
-			this.abortWatch = abort;
-		});
+		const answer = await this.waitForChanges({method: 'GET', path: `${wirePaths.storeWatch}?${query.toString()}`, timeoutMs: waitMs + watchSlackMs});
 		if (answer.status === 410) {
 			throw new HistoryLostError(after);
 		}
@@ -114,6 +113,7 @@
 	}
 
 	interruptWatch(reason: string): void {
+		this.interruption = reason;
 		this.abortWatch?.(reason);
 	}
 
@@ -122,6 +122,20 @@
 		this.pool.close();
 	}
 
+	private async waitForChanges(call: JsonCall): Promise<JsonAnswer> {
+		this.interruption = undefined;
+		try {
+			return await this.call(call, abort => {
+				this.abortWatch = abort;
+			});
+		} catch (error) {
+			const reason = this.interruption as string | undefined;
+			throw reason === undefined ? error : new WatchInterruptedError(reason);
+		} finally {
+			this.abortWatch = undefined;
+		}
+	}
+
 	private async readPage(prefix: string, after: string | undefined): Promise<{items: WireItem[]; hasMore: boolean; storeRevision: number}> {
 		const query = new URLSearchParams({prefix, ...(after !== undefined && {after})});
 		return parse(await this.call({method: 'GET', path: `${wirePaths.storeRange}?${query.toString()}`, timeoutMs: callLimitMs}));
--- /dev/null
+++ b/src/services/platform-metrics-service.ts
@@ -0,0 +1,98 @@
+/**
+ * Service "metrics" on the users' platform: counters and latency histograms as text on an address of its own.
+ */
+import {createServer} from 'node:http';
+import process from 'node:process';
+import type {Service, ServiceSchema} from 'moleculer';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import type {CallerRequest, Outcome} from '../model/forwarding.js';
+
+/** Bounds of the latency histogram in seconds, around the objectives of the users' sheets. */
+const latencyBounds = [0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6];
+
+/** Path of the metrics. */
+const metricsPath = '/metrics';
+
+/** Milliseconds in a second. */
+const secondMs = 1000;
+
+/** Values that are read when the metrics are asked for. */
+export type MetricSources = {
+	inFlight(): number;
+	storeCalls(): number;
+	targetConnections(): number;
+	isLeader(): boolean;
+	configurationVersion(): number;
+	isStoreReachable(): boolean;
+};
+
+/** Metrics of one daemon. */
+export class PlatformMetrics {
+	readonly registry = new Registry();
+	private readonly requests = new Counter({
+		name: 'eelgrasswheel_requests_total', help: 'Requests by route, outcome and reason.', labelNames: ['route', 'outcome', 'reason'], registers: [this.registry],
+	});
+
+	private readonly latency = new Histogram({
+		name: 'eelgrasswheel_request_seconds', help: 'Time from the arrival of a request to its final answer.', labelNames: ['route', 'outcome'], buckets: latencyBounds, registers: [this.registry],
+	});
+
+	constructor(sources: MetricSources) {
+		this.addGauge('requests_in_flight', 'Requests without a final answer.', () => sources.inFlight());
+		this.addGauge('store_calls', 'Calls to the platform\'s store since the start.', () => sources.storeCalls());
+		this.addGauge('target_connections_opened', 'Connections to targets that were opened since the start.', () => sources.targetConnections());
+		this.addGauge('leader', '1 while this daemon leads the keyed services.', () => Number(sources.isLeader()));
+		this.addGauge('configuration_version', 'Version of the configuration in force.', () => sources.configurationVersion());
+		this.addGauge('store_reachable', '1 while the platform\'s store answers.', () => Number(sources.isStoreReachable()));
+		this.addGauge('resident_bytes', 'Memory of the process.', () => process.memoryUsage.rss());
+	}
+
+	/** Notes a final answer. */
+	note(request: CallerRequest, outcome: Outcome): void {
+		const route = outcome.route?.name ?? 'none';
+		this.requests.inc({route, outcome: outcome.kind, reason: outcome.reason ?? 'none'});
+		this.latency.observe({route, outcome: outcome.kind}, (performance.now() - request.receivedAt) / secondMs);
+	}
+
+	private addGauge(name: string, help: string, read: () => number): void {
+		const gauge = new Gauge({
+			name: `eelgrasswheel_${name}`, help, registers: [this.registry], collect() {
+				gauge.set(read());
+			},
+		});
+	}
+}
+
+/** Creates the service. */
+export function createPlatformMetricsService(metrics: PlatformMetrics, {ip, port}: {ip: string; port: number}): ServiceSchema {
+	const server = createServer((request, response) => {
+		if (request.url !== metricsPath) {
+			response.writeHead(404);
+			response.end();
+			return;
+		}
+
+		void metrics.registry.metrics().then(text => {
+			response.writeHead(200, {'content-type': metrics.registry.contentType});
+			response.end(text);
+		});
+	});
+	return {
+		name: 'metrics',
+		async started(this: Service) {
+			return new Promise<void>((resolve, reject) => {
+				server.once('error', reject);
+				server.listen({host: ip, port}, () => {
+					server.off('error', reject);
+					resolve();
+				});
+			});
+		},
+		stopped() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+}
--- a/standins/memory-coordination-store.ts
+++ b/standins/memory-coordination-store.ts
@@ -5,7 +5,7 @@
 	CoordinationStore, StoreChange, StoreChanges, StoredItem, StoreLease, StoreListing, StoreTransaction,
 } from '../src/model/coordination-store.js';
 import {
-	ConflictError, HistoryLostError, LeaseEndedError, StoreAmbiguousError, StoreUnavailableError,
+	ConflictError, HistoryLostError, LeaseEndedError, StoreAmbiguousError, StoreUnavailableError, WatchInterruptedError,
 } from '../src/model/errors.js';
 
 /** How the store treats calls. */
@@ -223,8 +223,9 @@
 			const timer = setTimeout(settle, waitMs);
 			this.store.onChange(settle);
 			this.interrupt = reason => {
-				settle();
-				reject(new StoreUnavailableError(reason));
+				clearTimeout(timer);
+				this.store.offChange(settle);
+				reject(new WatchInterruptedError(reason));
 			};
 		});
 	}
--- /dev/null
+++ b/standins/platform-store-server.ts
@@ -0,0 +1,124 @@
+/**
+ * The stand-in of the platform's store behind its wire: JSON over HTTP.
+ */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {ConflictError, HistoryLostError, LeaseEndedError} from '../src/model/errors.js';
+import type {StoreChange, StoredItem, StoreTransaction} from '../src/model/coordination-store.js';
+import {wirePaths} from '../src/platform/wire.js';
+import {listenJson, sendJson} from './json-http.js';
+import type {MemoryCoordinationStore, MemoryStoreClient} from './memory-coordination-store.js';
+
+type WireTransaction = {
+	expect: StoreTransaction['expected'];
+	puts: StoreTransaction['puts'];
+	remove: string[];
+};
+
+/** Serves a store on loopback. */
+export class PlatformStoreServer {
+	private server: Server | undefined;
+
+	constructor(private readonly store: MemoryCoordinationStore) {}
+
+	async listen(port: number): Promise<void> {
+		this.server = await listenJson(port, async (request, response, body) => {
+			await this.handle(request, response, body);
+		});
+	}
+
+	close(): void {
+		this.server?.close();
+		this.server?.closeAllConnections();
+	}
+
+	private async handle(request: IncomingMessage, response: ServerResponse, body: unknown): Promise<void> {
+		const url = new URL(request.url ?? '/', 'http://store');
+		try {
+			await this.answer(url, response, body, this.store.clientOf());
+		} catch (error) {
+			sendJson(response, statusOf(error), {});
+		}
+	}
+
+	private async answer(url: URL, response: ServerResponse, body: unknown, client: MemoryStoreClient): Promise<void> {
+		const query = (name: string): string => url.searchParams.get(name) ?? '';
+		const storeRevision = this.store.revision;
+		const [base = '', lease = ''] = splitLease(url.pathname);
+		switch (base) {
+			case wirePaths.storeItem: {
+				const item = await client.read(query('key'));
+				sendJson(response, item ? 200 : 404, item ? {...encode(item), storeRevision} : {});
+				return;
+			}
+
+			case wirePaths.storeRange: {
+				const {items} = await client.list(query('prefix'));
+				sendJson(response, 200, {items: items.map(item => encode(item)), hasMore: false, storeRevision});
+				return;
+			}
+
+			case wirePaths.storeWatch: {
+				const {changes, revision} = await client.watch(query('prefix'), Number(query('after')), Number(query('waitMs')));
+				sendJson(response, 200, {events: changes.map(change => encode(change)), storeRevision: revision});
+				return;
+			}
+
+			case wirePaths.storeTransaction: {
+				sendJson(response, 200, {revision: await client.write(decode(body as WireTransaction))});
+				return;
+			}
+
+			case wirePaths.storeLease: {
+				const granted = await client.openLease((body as {ttlMs: number}).ttlMs);
+				sendJson(response, 200, {lease: granted.id, ttlMs: granted.durationMs});
+				return;
+			}
+
+			case wirePaths.storeLeaseRenewal: {
+				await client.renewLease(Number(lease));
+				sendJson(response, 200, {});
+				return;
+			}
+
+			case wirePaths.storeLeaseEnd: {
+				await client.endLease(Number(lease));
+				sendJson(response, 200, {});
+				return;
+			}
+
+			default: {
+				sendJson(response, 404, {});
+			}
+		}
+	}
+}
+
+function splitLease(path: string): string[] {
+	const match = /^(?<base>.*)\/(?<lease>\d+)$/v.exec(path);
+	return match?.groups ? [match.groups.base ?? '', match.groups.lease ?? ''] : [path];
+}
+
+function statusOf(error: unknown): number {
+	if (error instanceof ConflictError) {
+		return 412;
+	}
+
+	if (error instanceof HistoryLostError) {
+		return 410;
+	}
+
+	return error instanceof LeaseEndedError ? 404 : 503;
+}
+
+function encode({key, value, revision}: StoredItem | StoreChange): Record<string, unknown> {
+	return value === undefined ? {key, revision, tombstone: true} : {key, revision, value: Buffer.from(value).toString('base64')};
+}
+
+function decode({expect, puts, remove}: WireTransaction): StoreTransaction {
+	return {
+		expected: expect,
+		puts: puts.map(put => ({...put, value: Buffer.from(put.value, 'base64').toString('utf8')})),
+		removals: remove,
+	};
+}
--- /dev/null
+++ b/standins/platform-target-server.ts
@@ -0,0 +1,113 @@
+/**
+ * Stand-in of a target on the platform: it answers requests with a seal and holds keys.
+ */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {FenceRejectedError} from '../src/model/errors.js';
+import {TargetState} from '../src/model/fleet.js';
+import {WireHeader, wireKeys, wirePaths} from '../src/platform/wire.js';
+import {listenJson, sendJson} from './json-http.js';
+import {KeyHolder} from './key-holder.js';
+import type {MemoryCoordinationStore} from './memory-coordination-store.js';
+
+/** Settings of a target. */
+export type PlatformTargetOptions = {
+	id: string;
+	service: string;
+	port: number;
+	workMs: number;
+	isKeyed: boolean;
+	/** Called when a request begins to run. */
+	onRun(target: string, requestId: string, key: number): void;
+};
+
+type WireOrder = {from: number; target: number; fence: number; holdMs: number};
+
+/** One target on loopback. */
+export class PlatformTargetServer {
+	readonly holder: KeyHolder;
+	private server: Server | undefined;
+	private sequence = 0;
+
+	constructor(private readonly options: PlatformTargetOptions, private readonly store: MemoryCoordinationStore) {
+		this.holder = new KeyHolder({id: options.id, bornAt: Date.now(), address: `127.0.0.1:${options.port}`});
+	}
+
+	async listen(): Promise<void> {
+		this.server = await listenJson(this.options.port, async (request, response, body) => {
+			await this.handle(request, response, body);
+		});
+		this.announce(TargetState.Ready);
+	}
+
+	/** Writes the entry of the target. */
+	announce(state: TargetState): void {
+		this.sequence += 1;
+		const {id, service} = this.options;
+		const {address, bornAt} = this.holder.life;
+		this.store.put(`${wireKeys.targets}${id}`, JSON.stringify({
+			service, address, zone: 'zone-a', version: 'v1', slots: 3, state, warmupLeftMs: 0, sequence: this.sequence, born: bornAt,
+		}));
+	}
+
+	/** Ends at once; the entry stays until it is removed. */
+	close(): void {
+		this.holder.isDead = true;
+		this.server?.close();
+		this.server?.closeAllConnections();
+	}
+
+	removeEntry(): void {
+		this.store.delete(`${wireKeys.targets}${this.options.id}`);
+	}
+
+	private async handle(request: IncomingMessage, response: ServerResponse, body: unknown): Promise<void> {
+		const {from: first, target: last, fence, holdMs} = (body ?? {}) as WireOrder;
+		const order = {range: {first, last}, fence, timeoutMs: 0};
+		switch (request.url ?? '') {
+			case wirePaths.grant: {
+				this.grant(response, {...order, holdMs});
+				return;
+			}
+
+			case wirePaths.release: {
+				sendJson(response, 200, {}, {[WireHeader.Handover]: this.holder.release(order)});
+				return;
+			}
+
+			case '/health': {
+				sendJson(response, 200, {}, {[WireHeader.Target]: this.options.id});
+				return;
+			}
+
+			default: {
+				await this.run(request, response);
+			}
+		}
+	}
+
+	private grant(response: ServerResponse, grant: Parameters<KeyHolder['grant']>[0]): void {
+		try {
+			this.holder.grant(grant, performance.now());
+			sendJson(response, 200, {});
+		} catch (error) {
+			sendJson(response, error instanceof FenceRejectedError ? 409 : 400, {});
+		}
+	}
+
+	private async run(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const {id, isKeyed, workMs, onRun} = this.options;
+		const key = Number(request.headers[WireHeader.Key] ?? 0);
+		const requestId = String(request.headers[WireHeader.RequestId] ?? '');
+		const isExpected = request.headers[WireHeader.ExpectedTarget] === id;
+		if (!isExpected || (isKeyed && !this.holder.isHolding(key))) {
+			sendJson(response, 421, {}, {[WireHeader.NotRun]: '1', [WireHeader.Target]: id});
+			return;
+		}
+
+		onRun(id, requestId, key);
+		await new Promise(resolve => {
+			setTimeout(resolve, workMs);
+		});
+		sendJson(response, 200, {target: id}, {[WireHeader.RequestId]: requestId, [WireHeader.Seal]: `${id}.${requestId}`});
+	}
+}
--- /dev/null
+++ b/tests/decisions/fleet-view.test.ts
@@ -0,0 +1,162 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import test from 'ava';
+import {FleetSync} from '../../src/decisions/fleet/fleet-sync.js';
+import {FleetView} from '../../src/decisions/fleet/fleet-view.js';
+import {RouteIndex} from '../../src/decisions/routing/route-index.js';
+import {LogEvent} from '../../src/model/events.js';
+import {TargetState, type Target} from '../../src/model/fleet.js';
+import type {Route, RouteConfiguration} from '../../src/model/route-configuration.js';
+import {decodeTarget} from '../../src/platform/documents.js';
+import {MemoryCoordinationStore, StoreFault} from '../../standins/memory-coordination-store.js';
+
+function route(name: string, prefix: string, shares = [{service: 'one', weight: 1}]): Route {
+	return {
+		name, host: 'host', prefix, shares, isIdempotent: true, timeoutMs: 1, targetLatencyMs: 1, priority: 1, maxAttempts: 1,
+	};
+}
+
+function configurationOf(version: number, routes: Route[] = []): RouteConfiguration {
+	const rule = (name: string) => ({
+		name, healthPath: '/health', maxConnections: 1, isKeyed: false, keyWarmUpMs: 0,
+	});
+	return {
+		version,
+		routes,
+		services: new Map([['one', rule('one')], ['two', rule('two')]]),
+		limits: {
+			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		},
+	};
+}
+
+function entryOf(state: string, born = 1): string {
+	return JSON.stringify({
+		service: 'one', address: '10.0.0.1:80', zone: 'zone', version: 'v1', slots: 3, state, warmupLeftMs: 0, sequence: 1, born,
+	});
+}
+
+test('should take the route with the longest prefix', t => {
+	const index = new RouteIndex(configurationOf(1, [route('short', '/a/'), route('long', '/a/b/')]));
+	t.is(index.routeOf('HOST:80', '/a/b/c')?.name, 'long');
+	t.is(index.routeOf('host', '/a/c')?.name, 'short');
+	t.is(index.routeOf('host', '/a'), undefined);
+	t.is(index.routeOf('other', '/a/c'), undefined);
+});
+
+test('should deal requests by weight over any span', t => {
+	const index = new RouteIndex(configurationOf(1, [route('split', '/a/', [{service: 'one', weight: 90}, {service: 'two', weight: 10}])]));
+	const services = Array.from({length: 100}, () => index.nextService('host', '/a/x')?.name);
+	t.is(services.filter(name => name === 'two').length, 10);
+	t.is(services.slice(0, 50).filter(name => name === 'two').length, 5);
+});
+
+test('should never go back to an older configuration', t => {
+	const view = new FleetView();
+	t.true(view.applyConfiguration(configurationOf(5)));
+	t.false(view.applyConfiguration(configurationOf(3)));
+	t.is(view.configuration?.version, 5);
+});
+
+type Setup = {
+	store: MemoryCoordinationStore;
+	view: FleetView;
+	events: LogEvent[];
+	tick(ms: number): Promise<unknown>;
+};
+
+async function withSync(play: (setup: Setup) => Promise<void>): Promise<void> {
+	const clock = FakeTimers.install({now: 1_800_000_000_000, toFake: ['setTimeout', 'clearTimeout', 'Date', 'performance']});
+	const store = new MemoryCoordinationStore();
+	const view = new FleetView();
+	const events: LogEvent[] = [];
+	const sync = new FleetSync(store.clientOf(), view, {
+		configurationKey: 'op/config',
+		targetsPrefix: 'servers/',
+		decodeConfiguration: text => configurationOf(Number(text)),
+		decodeTarget,
+	}, {
+		record(event) {
+			events.push(event);
+		},
+	});
+	try {
+		void sync.run();
+		await play({
+			store, view, events, tick: async ms => clock.tickAsync(ms),
+		});
+	} finally {
+		sync.stop();
+		clock.uninstall();
+	}
+}
+
+const ids = (targets: Target[]): string[] => targets.map(({id}) => id);
+
+test.serial('should follow targets that come, drain and go', async t => {
+	await withSync(async ({store, view, tick}) => {
+		store.put('servers/a', entryOf('ready'));
+		await tick(100);
+		t.deepEqual(ids(view.readyTargets('one')), ['a']);
+		store.put('servers/a', entryOf('draining'));
+		await tick(500);
+		t.deepEqual(ids(view.readyTargets('one')), []);
+		t.is(view.listedTarget('a')?.state, TargetState.Draining);
+		store.delete('servers/a');
+		await tick(500);
+		t.is(view.listedTarget('a'), undefined);
+	});
+});
+
+test.serial('should take an entry that cannot be understood for no target and say so once', async t => {
+	await withSync(async ({store, view, events, tick}) => {
+		store.put('servers/a', entryOf('ready'));
+		store.put('servers/b', entryOf('ready'));
+		await tick(2500);
+		store.put('servers/a', '{"state": "asleep"}');
+		await tick(500);
+		store.put('servers/a', '{"state": "asleep again"}');
+		await tick(500);
+		t.deepEqual(ids(view.readyTargets('one')), ['b']);
+		t.is(events.filter(event => event === LogEvent.DocumentRejected).length, 1);
+	});
+});
+
+test.serial('should read everything again when the history is lost', async t => {
+	await withSync(async ({store, view, tick}) => {
+		store.put('op/config', '1');
+		store.put('servers/a', entryOf('ready'));
+		await tick(2500);
+		store.put('op/config', '2');
+		store.delete('servers/a');
+		store.put('servers/b', entryOf('ready'));
+		store.compact();
+		await tick(2500);
+		t.is(view.configuration?.version, 2);
+		t.deepEqual(ids(view.readyTargets('one')), ['b']);
+	});
+});
+
+test.serial('should go on using targets whose entries lapsed while the store was away, until they had time to return', async t => {
+	await withSync(async ({store, view, tick}) => {
+		store.put('servers/a', entryOf('ready'));
+		await tick(3000);
+		store.fault = StoreFault.Down;
+		store.delete('servers/a');
+		await tick(9000);
+		store.fault = StoreFault.None;
+		await tick(800);
+		t.deepEqual(ids(view.readyTargets('one')), ['a']);
+		await tick(3000);
+		t.deepEqual(ids(view.readyTargets('one')), []);
+	});
+});
+
+test.serial('should stop using a target at once whose entry is removed in the calm', async t => {
+	await withSync(async ({store, view, tick}) => {
+		store.put('servers/a', entryOf('ready'));
+		await tick(4000);
+		store.delete('servers/a');
+		await tick(400);
+		t.deepEqual(ids(view.readyTargets('one')), []);
+	});
+});
--- /dev/null
+++ b/tests/decisions/forwarder.test.ts
@@ -0,0 +1,297 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import test from 'ava';
+import {FleetView} from '../../src/decisions/fleet/fleet-view.js';
+import {Forwarder} from '../../src/decisions/forwarding/forwarder.js';
+import {TargetLoads} from '../../src/decisions/forwarding/target-loads.js';
+import {initialAssignment} from '../../src/decisions/ownership/assignment-draft.js';
+import {Cancellation} from '../../src/model/cancellation.js';
+import {TargetState, type Target} from '../../src/model/fleet.js';
+import {
+	AttemptEnd, OutcomeKind, OutcomeReason, type Attempt, type AttemptResult, type CallerRequest, type Outcome,
+} from '../../src/model/forwarding.js';
+import type {RouteConfiguration} from '../../src/model/route-configuration.js';
+
+const configuration: RouteConfiguration = {
+	version: 1,
+	routes: [
+		{
+			name: 'read', host: 'host', prefix: '/read/', shares: [{service: 'plain', weight: 1}], isIdempotent: true, timeoutMs: 1000, targetLatencyMs: 300, priority: 1, maxAttempts: 2,
+		},
+		{
+			name: 'order', host: 'host', prefix: '/order/', shares: [{service: 'plain', weight: 1}], isIdempotent: false, timeoutMs: 1000, targetLatencyMs: 300, priority: 0, maxAttempts: 3,
+		},
+		{
+			name: 'record', host: 'host', prefix: '/record/', shares: [{service: 'keyed', weight: 1}], isIdempotent: true, timeoutMs: 1000, targetLatencyMs: 300, priority: 1, maxAttempts: 2,
+		},
+	],
+	services: new Map([
+		['plain', {
+			name: 'plain', healthPath: '/health', maxConnections: 100, isKeyed: false, keyWarmUpMs: 0,
+		}],
+		['keyed', {
+			name: 'keyed', healthPath: '/health', maxConnections: 100, isKeyed: true, keyWarmUpMs: 0,
+		}],
+	]),
+	limits: {
+		maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+	},
+};
+
+function target(id: string, service: string): Target {
+	return {
+		id, bornAt: 1, address: `${id}:1`, service, availabilityZone: 'zone', softwareVersion: 'v1', slots: 3, state: TargetState.Ready, warmUpLeftMs: 0,
+	};
+}
+
+/** Result of a try, after a time in milliseconds. */
+type Step = Partial<AttemptResult> & {end: AttemptEnd; afterMs?: number};
+
+type Setup = {
+	forwarder: Forwarder;
+	view: FleetView;
+	loads: TargetLoads;
+	attempts: Attempt[];
+};
+
+const answered: Step = {end: AttemptEnd.Answered, answer: {status: 200, headers: {}}, body: new Uint8Array([1])};
+const failed: Step = {end: AttemptEnd.Answered, answer: {status: 500, headers: {}}, body: new Uint8Array([2])};
+
+function setUp(steps: Step[], targetCount = 3, retryReserve = 60): Setup {
+	const view = new FleetView();
+	view.applyConfiguration(configuration);
+	for (let index = 0; index < targetCount; index += 1) {
+		view.applyTarget(target(`plain-${index}`, 'plain'));
+	}
+
+	const owner = target('keyed-0', 'keyed');
+	view.applyTarget(owner);
+	view.applyAssignment({assignment: initialAssignment('keyed', [owner]), revision: 1});
+	const loads = new TargetLoads();
+	const attempts: Attempt[] = [];
+	const forwarder = new Forwarder({
+		availabilityZone: 'zone',
+		view,
+		loads,
+		transport: {
+			async send(_request, attempt) {
+				const step = steps[attempts.length] ?? answered;
+				attempts.push(attempt);
+				await new Promise(resolve => {
+					setTimeout(resolve, Math.min(step.afterMs ?? 10, attempt.timeoutMs));
+				});
+				return step;
+			},
+		},
+		log: {record: () => undefined},
+		retryRatio: 0.2,
+		retryReserve,
+		random: () => 0.5,
+		noteKey: () => undefined,
+	});
+	return {
+		forwarder, view, loads, attempts,
+	};
+}
+
+function callerRequest(path: string, changes: Partial<CallerRequest> = {}): CallerRequest {
+	return {
+		method: 'GET',
+		path,
+		host: 'host',
+		headers: [],
+		requestId: 'request-1',
+		key: 7,
+		budgetMs: 800,
+		receivedAt: performance.now(),
+		body: undefined,
+		cancellation: new Cancellation(),
+		beginStream() {
+			throw new Error('Answers are small.');
+		},
+		abortStream: () => undefined,
+		...changes,
+	};
+}
+
+type Expected = {kind: OutcomeKind; reason?: OutcomeReason; tries: number; status?: number};
+
+const cases: Array<{title: string; path: string; steps: Step[]; expected: Expected; targets?: number; retryReserve?: number}> = [
+	{
+		title: 'pass an answer on', path: '/read/a', steps: [answered], expected: {kind: OutcomeKind.Answered, tries: 1, status: 200},
+	},
+	{
+		title: 'know no other host or prefix', path: '/unknown/a', steps: [], expected: {kind: OutcomeKind.NoRoute, reason: OutcomeReason.NoRoute, tries: 0},
+	},
+	{
+		title: 'try another target after a refusal', path: '/order/a', steps: [{end: AttemptEnd.Refused}, answered], expected: {kind: OutcomeKind.Answered, tries: 2, status: 200},
+	},
+	{
+		title: 'say that an order did not run when every try was refused',
+		path: '/order/a',
+		steps: [{end: AttemptEnd.Refused}, {end: AttemptEnd.Refused}, {end: AttemptEnd.Refused}],
+		expected: {kind: OutcomeKind.NotRun, reason: OutcomeReason.AttemptsUsed, tries: 3},
+	},
+	{
+		title: 'never repeat an order that may have run',
+		path: '/order/a',
+		steps: [{end: AttemptEnd.Ambiguous}, answered],
+		expected: {kind: OutcomeKind.Unknown, reason: OutcomeReason.AttemptsUsed, tries: 1},
+	},
+	{
+		title: 'never call an order not run after an ambiguous try',
+		path: '/order/a',
+		steps: [{end: AttemptEnd.Refused}, {end: AttemptEnd.Ambiguous}],
+		expected: {kind: OutcomeKind.Unknown, reason: OutcomeReason.AttemptsUsed, tries: 2},
+	},
+	{
+		title: 'repeat a read whose answer was lost', path: '/read/a', steps: [{end: AttemptEnd.Ambiguous}, answered], expected: {kind: OutcomeKind.Answered, tries: 2, status: 200},
+	},
+	{
+		title: 'repeat a read that a target failed', path: '/read/a', steps: [failed, answered], expected: {kind: OutcomeKind.Answered, tries: 2, status: 200},
+	},
+	{
+		title: 'pass on the failure of an order', path: '/order/a', steps: [failed], expected: {kind: OutcomeKind.Answered, tries: 1, status: 500},
+	},
+	{
+		title: 'pass on the last failure of a read', path: '/read/a', steps: [failed, failed], expected: {kind: OutcomeKind.Answered, tries: 2, status: 500},
+	},
+	{
+		title: 'go to another target when no byte left',
+		path: '/order/a',
+		steps: [{end: AttemptEnd.NotSent}, {end: AttemptEnd.NotSent}, answered],
+		expected: {kind: OutcomeKind.Answered, tries: 3, status: 200},
+	},
+	{
+		title: 'tell an unanswered order from one that did not run',
+		path: '/order/a',
+		steps: [{end: AttemptEnd.Ambiguous, isTimeout: true, afterMs: 5000}],
+		expected: {kind: OutcomeKind.TimedOut, reason: OutcomeReason.Timeout, tries: 1},
+	},
+	{
+		title: 'refuse at once without targets', path: '/read/a', steps: [], targets: 0, expected: {kind: OutcomeKind.NotRun, reason: OutcomeReason.NoTarget, tries: 0},
+	},
+	{
+		title: 'not repeat beyond the shared budget',
+		path: '/read/a',
+		steps: [{end: AttemptEnd.Ambiguous}, answered],
+		retryReserve: 0,
+		expected: {kind: OutcomeKind.Unknown, reason: OutcomeReason.RetryBudgetSpent, tries: 1},
+	},
+	{
+		title: 'ask the owner of a key again that refuses with a short queue', path: '/record/a', steps: [{end: AttemptEnd.Refused}, answered], expected: {kind: OutcomeKind.Answered, tries: 2, status: 200},
+	},
+	{
+		title: 'ask again where a key was misdirected', path: '/record/a', steps: [{end: AttemptEnd.Misdirected}, answered], expected: {kind: OutcomeKind.Answered, tries: 2, status: 200},
+	},
+];
+
+for (const {title, path, steps, expected, targets, retryReserve} of cases) {
+	test.serial(`should ${title}`, async t => {
+		const clock = FakeTimers.install({now: 1_800_000_000_000, toFake: ['setTimeout', 'clearTimeout', 'Date', 'performance']});
+		try {
+			const {forwarder, attempts} = setUp(steps, targets, retryReserve);
+			const outcome = forwarder.forward(callerRequest(path));
+			await clock.tickAsync(3000);
+			const {kind, reason, answer} = await outcome;
+			t.is(kind, expected.kind);
+			t.is(kind === OutcomeKind.Answered ? undefined : reason, expected.reason);
+			t.is(answer?.status, expected.status);
+			t.is(attempts.length, expected.tries);
+		} finally {
+			clock.uninstall();
+		}
+	});
+}
+
+async function withClock<Result>(play: (tick: (ms: number) => Promise<unknown>) => Promise<Result>): Promise<Result> {
+	const clock = FakeTimers.install({now: 1_800_000_000_000, toFake: ['setTimeout', 'clearTimeout', 'Date', 'performance']});
+	try {
+		return await play(async ms => clock.tickAsync(ms));
+	} finally {
+		clock.uninstall();
+	}
+}
+
+test.serial('should hand on no more time than the caller and the route have left', async t => {
+	const budget = await withClock(async tick => {
+		const {forwarder, attempts} = setUp([{end: AttemptEnd.Refused, afterMs: 100}, answered]);
+		const outcome = forwarder.forward(callerRequest('/read/a', {budgetMs: 600}));
+		await tick(1000);
+		await outcome;
+		return attempts.map(({budgetMs}) => Math.round(budgetMs));
+	});
+	t.deepEqual(budget, [600, 500]);
+});
+
+test.serial('should wait for the new owner of a moving key and not send before', async t => {
+	const {outcome, tries} = await withClock(async tick => {
+		const {forwarder, view, attempts} = setUp([answered]);
+		const known = view.assignments.get('keyed');
+		const [range] = known?.assignment.ranges ?? [];
+		if (!known || !range) {
+			throw new Error('The key has no owner.');
+		}
+
+		const moving = {...known.assignment, ranges: [{...range, previous: [{id: 'old', bornAt: 1, address: 'old:1'}]}]};
+		view.applyAssignment({assignment: moving, revision: 2});
+		const sending = forwarder.forward(callerRequest('/record/a'));
+		await tick(150);
+		const before = attempts.length;
+		view.applyAssignment({assignment: known.assignment, revision: 3});
+		await tick(100);
+		return {outcome: await sending, tries: [before, attempts.length]};
+	});
+	t.is(outcome.kind, OutcomeKind.Answered);
+	t.deepEqual(tries, [0, 1]);
+});
+
+test.serial('should refuse at once while the hold of a lost owner runs out', async t => {
+	const outcome = await withClock(async (): Promise<Outcome> => {
+		const {forwarder, view} = setUp([]);
+		const known = view.assignments.get('keyed');
+		const [range] = known?.assignment.ranges ?? [];
+		if (!known || !range) {
+			throw new Error('The key has no owner.');
+		}
+
+		view.applyAssignment({assignment: {...known.assignment, ranges: [{...range, previous: [{id: 'old', bornAt: 1, address: 'old:1'}], isBlocked: true}]}, revision: 2});
+		return forwarder.forward(callerRequest('/record/a'));
+	});
+	t.is(outcome.kind, OutcomeKind.NotRun);
+	t.is(outcome.reason, OutcomeReason.OwnerLost);
+});
+
+test.serial('should refuse at once what cannot be answered in time', async t => {
+	const outcome = await withClock(async () => {
+		const {forwarder, loads, view} = setUp([], 1);
+		for (const loaded of view.readyTargets('plain')) {
+			loads.hear('peer', {inFlight: {[loaded.id]: 60}, samples: {[loaded.id]: [10, 2000]}});
+		}
+
+		return forwarder.forward(callerRequest('/read/a'));
+	});
+	t.is(outcome.kind, OutcomeKind.NotRun);
+	t.is(outcome.reason, OutcomeReason.Overloaded);
+});
+
+test.serial('should end a read whose caller left, but let an order run on', async t => {
+	const cancelled = await withClock(async tick => {
+		const results: boolean[] = [];
+		for (const path of ['/read/a', '/order/a']) {
+			const {forwarder, attempts} = setUp([{...answered, afterMs: 100}]);
+			const request = callerRequest(path);
+			const outcome = forwarder.forward(request);
+			// eslint-disable-next-line no-await-in-loop -- one case after the other.
+			await tick(10);
+			request.cancellation.cancel();
+			results.push(attempts[0]?.cancellation.isCancelled ?? false);
+			// eslint-disable-next-line no-await-in-loop -- one case after the other.
+			await tick(200);
+			// eslint-disable-next-line no-await-in-loop -- one case after the other.
+			await outcome;
+		}
+
+		return results;
+	});
+	t.deepEqual(cancelled, [true, false]);
+});
--- /dev/null
+++ b/tests/platform/documents.test.ts
@@ -0,0 +1,113 @@
+import {readFile} from 'node:fs/promises';
+import test from 'ava';
+import {MalformedDocumentError} from '../../src/model/errors.js';
+import {TargetState} from '../../src/model/fleet.js';
+import {decodeConfiguration, decodeTarget} from '../../src/platform/documents.js';
+import {parseSettings} from '../../src/platform/settings.js';
+import {readCallerHeaders} from '../../src/platform/target-protocol.js';
+
+const entry = {
+	service: 'service', address: '10.0.0.1:80', zone: 'zone-a', version: 'v1', slots: 3, state: 'ready', warmupLeftMs: 0, sequence: 4, born: 1_800_000_000_000,
+};
+
+const configuration = {
+	version: 7,
+	resources: [
+		{
+			resourceType: 'routes',
+			metadata: {name: 'split'},
+			spec: {
+				host: 'Host.example', prefix: '/a/', kind: 'safe', timeoutMs: 800, targetLatencyMs: 300, priority: 2, trafficSplit: [{service: 'one', weight: 90}, {service: 'two', weight: 10}], maxAttempts: 2,
+			},
+		},
+		{
+			resourceType: 'routes',
+			metadata: {name: 'order'},
+			spec: {
+				host: 'host.example', prefix: '/b/', kind: 'unsafe', timeoutMs: 1000, targetLatencyMs: 400, priority: 1, service: 'two', maxAttempts: 3,
+			},
+		},
+		{
+			resourceType: 'services', metadata: {name: 'one'}, spec: {
+				healthPath: '/health', maxConnections: 110, sharded: true, warmS: 3,
+			},
+		},
+		{resourceType: 'services', metadata: {name: 'two'}, spec: {healthPath: '/health', maxConnections: 90}},
+		{
+			resourceType: 'limits',
+			metadata: {},
+			spec: {
+				maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+			},
+		},
+	],
+};
+
+test('should decode a configuration into routes, services and limits', t => {
+	const decoded = decodeConfiguration(JSON.stringify(configuration));
+	t.is(decoded.version, 7);
+	t.deepEqual(decoded.routes.map(({name, host, isIdempotent, shares}) => ({
+		name, host, isIdempotent, shares,
+	})), [
+		{
+			name: 'split', host: 'host.example', isIdempotent: true, shares: [{service: 'one', weight: 90}, {service: 'two', weight: 10}],
+		},
+		{
+			name: 'order', host: 'host.example', isIdempotent: false, shares: [{service: 'two', weight: 1}],
+		},
+	]);
+	t.deepEqual([...decoded.services.values()].map(({name, isKeyed, keyWarmUpMs}) => ({name, isKeyed, keyWarmUpMs})), [
+		{name: 'one', isKeyed: true, keyWarmUpMs: 3000},
+		{name: 'two', isKeyed: false, keyWarmUpMs: 0},
+	]);
+	t.is(decoded.limits.idleTimeoutMs, 15_000);
+});
+
+test('should decode the entry of a target, whose id is in its key alone', t => {
+	const target = decodeTarget('servers/i-1', JSON.stringify(entry));
+	t.is(target.id, 'i-1');
+	t.is(target.bornAt, entry.born);
+	t.is(target.state, TargetState.Ready);
+});
+
+const malformedEntries: Array<{title: string; text: string}> = [
+	{title: 'bytes that are no JSON', text: '\u0000\u0001'},
+	{title: 'a list', text: '[]'},
+	{title: 'no service', text: JSON.stringify({...entry, service: undefined})},
+	{title: 'an unknown state', text: JSON.stringify({...entry, state: 'asleep'})},
+	{title: 'slots of another type', text: JSON.stringify({...entry, slots: '3'})},
+	{title: 'no time of birth', text: JSON.stringify({...entry, born: undefined})},
+	{title: 'a birth that is no whole number', text: JSON.stringify({...entry, born: 1.5})},
+	{title: 'an address without a port', text: JSON.stringify({...entry, address: '10.0.0.1'})},
+];
+
+for (const {title, text} of malformedEntries) {
+	test(`should reject the entry of a target with ${title}`, t => {
+		t.throws(() => decodeTarget('servers/i-1', text), {instanceOf: MalformedDocumentError});
+	});
+}
+
+test('should report every fault of the settings at once', t => {
+	const error = t.throws(() => parseSettings('{"daemon": 5, "callerAddress": "somewhere"}'), {instanceOf: MalformedDocumentError});
+	t.true((error?.faults.length ?? 0) > 10);
+	t.true(error?.faults.includes('settings.daemon: expected a text that is not empty, found 5'));
+	t.true(error?.faults.some(fault => fault.startsWith('settings.callerAddress: expected IP:PORT')));
+});
+
+test('should ignore settings that it does not know', async t => {
+	const template = await readFile('deploy/settings.template.json', 'utf8');
+	const values = new Map([['listen.front', '"10.0.0.1:1"'], ['listen.readyAddress', '"10.0.0.1:2"'], ['platform.address', '"10.0.0.2:3"'], ['internalPorts', '[7000, 7010]'], ['nodeName', '"front-1"'], ['zone', '"zone-a"'], ['ip', '"10.0.0.1"']]);
+	const text = template.replaceAll(/\{\{([\w.]+)\|json\}\}/gv, (_, name: string) => values.get(name) ?? '5000');
+	const settings = parseSettings(text.replace('{', '{"unknown": 1, '));
+	t.is(settings.daemon, 'front-1');
+	t.deepEqual(settings.peerPorts, [7000, 7010]);
+});
+
+test('should read what a caller says and pass on end-to-end headers alone', t => {
+	const headers = readCallerHeaders([
+		'Host', 'h', 'Attempt-Id', 'a-1', 'Time-Budget-Ms', '800', 'Shard-Key', '77', 'Connection', 'keep-alive, X-Hop', 'X-Hop', '1', 'Target-Instance', 'forged', 'Content-Length', '3', 'X-Own', 'v',
+	]);
+	t.deepEqual(headers, {
+		passed: ['Host', 'h', 'Attempt-Id', 'a-1', 'Shard-Key', '77', 'X-Own', 'v'], requestId: 'a-1', key: 77, budgetMs: 800,
+	});
+});
