fix(gateway): see that a caller left while its connection waited to be accepted; send a proper status line

Cause: the runtime accepts one connection in each turn of the loop. Answers to malformed requests had a status line without reason. Ruled out: a stalled loop (at most 110 ms) and waits in the daemon (the request was read 8 ms after its connection was accepted). Change: the first request of a connection lets two turns pass, in which the end of its caller is read; half-closed connections count as left.

--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -5,9 +5,10 @@
  * errors of the protocol wait for the answers before them; see docs/style-conflicts.md.
  */
 import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
+	createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import type {Service, ServiceBroker, ServiceSchema} from 'moleculer';
 import {BadRequestError, RouterError} from '../model/errors.js';
 import {LogEvent, type EventLog} from '../model/events.js';
@@ -71,6 +72,8 @@
 	pending: Set<Cancellation>;
 	/** Answer to a malformed request, sent after those before it. */
 	lastAnswer: string | undefined;
+	/** True until the first request was read. */
+	isFresh: boolean;
 };
 
 /** Creates the service. */
@@ -121,10 +124,12 @@
 			void this.handle(request, response);
 		});
 		this.server.on('connection', socket => {
-			this.connections.set(socket, {pending: new Set(), lastAnswer: undefined});
-			socket.once('close', () => {
-				this.leave(socket);
-			});
+			this.connections.set(socket, {pending: new Set(), lastAnswer: undefined, isFresh: true});
+			for (const event of ['end', 'close']) {
+				socket.once(event, () => {
+					this.leave(socket);
+				});
+			}
 		});
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			this.refuseMalformed(error, socket as Socket);
@@ -217,10 +222,26 @@
 				response.destroy();
 			},
 		};
+		await this.seeEarlyEnd(request.socket);
 		const outcome = await this.broker.call<Outcome, CallerRequest>('dispatcher.forward', caller);
 		return {caller, outcome};
 	}
 
+	/**
+	 * A connection may have waited to be accepted until its caller left. Its end is read one turn of the loop after the
+	 * request, so that the first request of a connection lets two turns pass.
+	 */
+	private async seeEarlyEnd(socket: Socket): Promise<void> {
+		const connection = this.connections.get(socket);
+		if (!connection?.isFresh) {
+			return;
+		}
+
+		connection.isFresh = false;
+		await nextTurn();
+		await nextTurn();
+	}
+
 	private answer(response: ServerResponse, outcome: Outcome, connection: Connection | undefined): void {
 		// Requests behind this one on the connection still get their answers.
 		const isLast = (connection?.pending.size ?? 0) <= 1;
@@ -295,7 +316,7 @@
 		const status = malformedStatus(error.code);
 		this.options.log.record(LogEvent.RequestMalformed, {status, detail: error.message});
 		const connection = this.connections.get(socket);
-		const answer = `HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`;
+		const answer = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`;
 		if (!connection) {
 			socket.end(answer);
 			return;
--- /dev/null
+++ b/tests/http/platform-gateway.test.ts
@@ -0,0 +1,143 @@
+import {connect, type AddressInfo, type Server} from 'node:net';
+import {Worker} from 'node:worker_threads';
+import test, {type ExecutionContext} from 'ava';
+import {ServiceBroker, type Context} from 'moleculer';
+import {OutcomeKind, type CallerRequest, type Outcome} from '../../src/model/forwarding.js';
+import {readCallerHeaders} from '../../src/platform/target-protocol.js';
+import {createPlatformGatewayService} from '../../src/services/platform-gateway-service.js';
+
+/** Time in which the dispatcher of the test answers, in milliseconds. */
+const answerMs = 20;
+
+type Setup = {
+	port: number;
+	forwarded: Array<{path: string; isCancelled: boolean}>;
+	outcomes: Outcome[];
+};
+
+async function withGateway(t: ExecutionContext, play: (setup: Setup) => Promise<void>): Promise<void> {
+	const broker = new ServiceBroker({
+		logger: false, internalServices: false, skipProcessEventRegistration: true, dependencyInterval: 1,
+	});
+	const forwarded: Setup['forwarded'] = [];
+	const outcomes: Outcome[] = [];
+	broker.createService({
+		name: 'dispatcher',
+		actions: {
+			async forward(context: Context<CallerRequest>): Promise<Outcome> {
+				forwarded.push({path: context.params.path, isCancelled: context.params.cancellation.isCancelled});
+				await new Promise(resolve => {
+					setTimeout(resolve, answerMs);
+				});
+				return {kind: OutcomeKind.Answered, answer: {status: 200, headers: {}}, body: new TextEncoder().encode(context.params.path)};
+			},
+		},
+	});
+	const service = broker.createService(createPlatformGatewayService({
+		ip: '127.0.0.1',
+		port: 0,
+		log: {record: () => undefined},
+		readHeaders: readCallerHeaders,
+		limits: () => ({
+			maxHeaderBytes: 2000, maxBodyBytes: 100, headerTimeoutMs: 300, idleTimeoutMs: 5000,
+		}),
+		onOutcome(_request, outcome) {
+			outcomes.push(outcome);
+		},
+	}));
+	await broker.start();
+	const {gateway} = service as unknown as {gateway: {server: Server}};
+	try {
+		await play({port: (gateway.server.address() as AddressInfo).port, forwarded, outcomes});
+	} finally {
+		await broker.stop();
+	}
+
+	t.pass();
+}
+
+/** Sends bytes and returns what came until the connection ended, or until the wanted text was seen. */
+async function exchange(port: number, text: string, until?: RegExp): Promise<string> {
+	return new Promise((resolve, reject) => {
+		let received = '';
+		const socket = connect(port, '127.0.0.1', () => {
+			socket.write(text);
+		});
+		socket.on('data', data => {
+			received += data.toString();
+			if (until?.test(received)) {
+				socket.destroy();
+			}
+		});
+		socket.on('error', reject);
+		socket.on('close', () => {
+			resolve(received);
+		});
+	});
+}
+
+const malformed: Array<{title: string; text: string; status: number}> = [
+	{title: 'two lengths', text: 'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab', status: 400},
+	{title: 'a length and chunks together', text: 'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n', status: 400},
+	{title: 'no host', text: 'GET /a HTTP/1.1\r\n\r\n', status: 400},
+	{title: 'bytes that are no request', text: '\u0001\u0002\u0003\r\n\r\n', status: 400},
+	{title: 'headers that are too large', text: `GET /a HTTP/1.1\r\nHost: h\r\nX: ${'x'.repeat(3000)}\r\n\r\n`, status: 431},
+	{title: 'a body that is too large', text: `POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n${'x'.repeat(101)}`, status: 413},
+	{title: 'headers that never end', text: 'GET /a HTTP/1.1\r\nHost: h\r\n', status: 408},
+];
+
+for (const {title, text, status} of malformed) {
+	test(`should answer ${status} to ${title}, close the connection and send nothing on`, async t => {
+		await withGateway(t, async ({port, forwarded}) => {
+			const received = await exchange(port, text);
+			t.regex(received, new RegExp(String.raw`^HTTP/1\.1 ${status} `, 'v'));
+			t.deepEqual(forwarded, []);
+		});
+	});
+}
+
+test('should answer pipelined requests in order', async t => {
+	await withGateway(t, async ({port}) => {
+		const received = await exchange(port, 'GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n', /\/2$/v);
+		t.true(received.indexOf('/1') < received.indexOf('/2'));
+		t.is(received.match(/HTTP\/1\.1 200/gv)?.length, 2);
+	});
+});
+
+test('should answer a request before it refuses what follows on the connection', async t => {
+	await withGateway(t, async ({port}) => {
+		const received = await exchange(port, 'GET /1 HTTP/1.1\r\nHost: h\r\n\r\n\u0001\u0002\r\n\r\n');
+		t.regex(received, /^HTTP\/1\.1 200 [\s\S]*\/1HTTP\/1\.1 400 /v);
+	});
+});
+
+test('should know that a caller left while its connection waited to be accepted', async t => {
+	await withGateway(t, async ({port, forwarded, outcomes}) => {
+		const shared = new Int32Array(new SharedArrayBuffer(4));
+		const client = new Worker(String.raw`
+			const {workerData} = require('node:worker_threads');
+			const socket = require('node:net').connect(workerData.port, '127.0.0.1', () => {
+				socket.end('GET /late HTTP/1.1\r\nHost: h\r\n\r\n', () => {
+					Atomics.store(workerData.shared, 0, 1);
+					Atomics.notify(workerData.shared, 0);
+				});
+			});
+			socket.on('error', () => {});
+		`, {eval: true, workerData: {port, shared}});
+		const ended = new Promise(resolve => {
+			client.once('exit', resolve);
+		});
+		// The loop stands still until the caller has left.
+		Atomics.wait(shared, 0, 0);
+		await ended;
+		for (let turn = 0; turn < 100 && forwarded.length === 0; turn += 1) {
+			// eslint-disable-next-line no-await-in-loop -- turns of the loop.
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+
+		t.deepEqual(forwarded, [{path: '/late', isCancelled: true}]);
+		t.true(outcomes.length <= 1);
+	});
+});
