--- a/tests/decisions/forwarder.test.ts
+++ b/tests/decisions/forwarder.test.ts
@@ -178,7 +178,10 @@
 		expected: {kind: OutcomeKind.Unknown, reason: OutcomeReason.RetryBudgetSpent, tries: 1},
 	},
 	{
-		title: 'ask the owner of a key again that refuses with a short queue', path: '/record/a', steps: [{end: AttemptEnd.Refused}, answered], expected: {kind: OutcomeKind.Answered, tries: 2, status: 200},
+		title: 'ask the owner of a key again that refuses with a short queue',
+		path: '/record/a',
+		steps: [{end: AttemptEnd.Refused}, answered],
+		expected: {kind: OutcomeKind.Answered, tries: 2, status: 200},
 	},
 	{
 		title: 'ask again where a key was misdirected', path: '/record/a', steps: [{end: AttemptEnd.Misdirected}, answered], expected: {kind: OutcomeKind.Answered, tries: 2, status: 200},
--- a/tests/platform/documents.test.ts
+++ b/tests/platform/documents.test.ts
@@ -17,7 +17,14 @@
 			resourceType: 'routes',
 			metadata: {name: 'split'},
 			spec: {
-				host: 'Host.example', prefix: '/a/', kind: 'safe', timeoutMs: 800, targetLatencyMs: 300, priority: 2, trafficSplit: [{service: 'one', weight: 90}, {service: 'two', weight: 10}], maxAttempts: 2,
+				host: 'Host.example',
+				prefix: '/a/',
+				kind: 'safe',
+				timeoutMs: 800,
+				targetLatencyMs: 300,
+				priority: 2,
+				trafficSplit: [{service: 'one', weight: 90}, {service: 'two', weight: 10}],
+				maxAttempts: 2,
 			},
 		},
 		{
@@ -96,7 +103,15 @@
 
 test('should ignore settings that it does not know', async t => {
 	const template = await readFile('deploy/settings.template.json', 'utf8');
-	const values = new Map([['listen.front', '"10.0.0.1:1"'], ['listen.readyAddress', '"10.0.0.1:2"'], ['platform.address', '"10.0.0.2:3"'], ['internalPorts', '[7000, 7010]'], ['nodeName', '"front-1"'], ['zone', '"zone-a"'], ['ip', '"10.0.0.1"']]);
+	const values = new Map([
+		['listen.front', '"10.0.0.1:1"'],
+		['listen.readyAddress', '"10.0.0.1:2"'],
+		['platform.address', '"10.0.0.2:3"'],
+		['internalPorts', '[7000, 7010]'],
+		['nodeName', '"front-1"'],
+		['zone', '"zone-a"'],
+		['ip', '"10.0.0.1"'],
+	]);
 	const text = template.replaceAll(/\{\{([\w.]+)\|json\}\}/gv, (_, name: string) => values.get(name) ?? '5000');
 	const settings = parseSettings(text.replace('{', '{"unknown": 1, '));
 	t.is(settings.daemon, 'front-1');
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,12 +1,14 @@
 /** Layers and the layers below them that they may import. */
 const allowedImports = {
 	model: [],
-	platform: ['model'],
+	transport: ['model'],
+	platform: ['transport', 'model'],
+	published: ['model'],
 	targets: ['model'],
 	peers: ['model'],
 	decisions: ['model'],
-	services: ['decisions', 'platform', 'targets', 'peers', 'model'],
-	daemon: ['services', 'decisions', 'platform', 'targets', 'peers', 'model'],
+	services: ['decisions', 'targets', 'peers', 'model'],
+	daemon: ['services', 'decisions', 'platform', 'published', 'transport', 'targets', 'peers', 'model'],
 	cli: ['decisions', 'peers', 'model'],
 };
 
