perf(deploy): leave the unused variants of the kernel library out of the bundle

The kernel library loads every transporter, cacher, logger and exporter that it knows, with their dependencies. A test runs the bundler and checks what the bundle holds and how the program ends on wrong settings.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,10 +1,35 @@
 /**
- * Bundles the daemon into one file under target/: a process on the platform has few descriptors for files.
+ * Bundles the daemon into one file under target/, or under the folder that is given: a process on the platform has few
+ * descriptors for files.
  */
 import {rm} from 'node:fs/promises';
+import process from 'node:process';
 import {build} from 'esbuild';
 
-const outputFolder = 'target';
+const outputFolder = process.argv[2] ?? 'target';
+
+/** Folders of the kernel library whose variants are chosen by options that the daemon leaves at "none". */
+const variantFolders = /\/moleculer\/src\/(?:cachers|loggers|metrics\/reporters|middlewares|serializers|tracing\/exporters|transporters|validators)$/v;
+
+/** Variants that the library loads or extends in any case. */
+const neededVariants = new Set(['./base', './json']);
+
+/** Packages that only the unused variants and the library's own loader of service files call. */
+const unusedPackages = /^(?:fastest-validator|glob|node-fetch|recursive-watch)$/;
+
+/**
+ * Leaves the unused variants of the kernel library out of the bundle: loaded, they take 6 MB in each process.
+ */
+const unusedVariants = {
+	name: 'unused-variants',
+	setup({onResolve, onLoad}) {
+		const empty = {path: 'empty', namespace: 'unused'};
+		onResolve({filter: /^\.\//}, ({path, importer, resolveDir}) =>
+			variantFolders.test(resolveDir) && importer.endsWith('/index.js') && !neededVariants.has(path) ? empty : undefined);
+		onResolve({filter: unusedPackages}, () => empty);
+		onLoad({filter: /.*/, namespace: 'unused'}, () => ({contents: 'module.exports = {};'}));
+	},
+};
 
 await rm(outputFolder, {recursive: true, force: true});
 await build({
@@ -17,7 +42,8 @@
 	target: 'node20',
 	minify: true,
 	keepNames: false,
-	alias: {undici: './deploy/undici-client.cjs'},
+	alias: {moleculer: './deploy/service-broker.cjs', undici: './deploy/undici-client.cjs'},
+	plugins: [unusedVariants],
 	// Optional parts of the kernel library that are not installed and not used.
 	external: [
 		'amqplib',
--- a/src/services/platform-kernel.ts
+++ b/src/services/platform-kernel.ts
@@ -41,6 +41,7 @@
 		logger: false,
 		internalServices: false,
 		internalMiddlewares: false,
+		validator: false,
 		dependencyInterval: dependencyMs,
 		skipProcessEventRegistration: true,
 		// Contexts never leave the process, so that a count names them well enough; random ids cost more than a call.
--- /dev/null
+++ b/tests/platform/bundle.test.ts
@@ -0,0 +1,49 @@
+import {execFile} from 'node:child_process';
+import {
+	mkdtemp, readFile, rm, writeFile,
+} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import test from 'ava';
+import {settingsVariable} from '../../src/platform/settings.js';
+
+type Ending = {code: number; errors: string};
+
+async function run(parameters: string[], environment: Record<string, string> = {}): Promise<Ending> {
+	return new Promise(resolve => {
+		execFile(process.execPath, parameters, {env: {...process.env, ...environment}}, (error, _output, errors) => {
+			resolve({code: Number(error?.code ?? 0), errors});
+		});
+	});
+}
+
+let folder = '';
+let program = '';
+
+test.before(async () => {
+	folder = await mkdtemp(path.join(tmpdir(), 'eelgrasswheel-bundle-'));
+	await run(['deploy/bundle.mjs', path.join(folder, 'target')]);
+	program = path.join(folder, 'target', 'eelgrasswheeld.mjs');
+});
+
+test.after.always(async () => {
+	await rm(folder, {recursive: true, force: true});
+});
+
+for (const part of ['zipkin', 'kafkajs', 'xn--', 'globstar']) {
+	test(`should leave what the daemon does not use out of the bundle: ${part}`, async t => {
+		const text = await readFile(program, 'utf8');
+		t.false(text.includes(part));
+	});
+}
+
+test('should end with exit code 2 and a line for each fault of the settings', async t => {
+	const settings = path.join(folder, 'settings.json');
+	await writeFile(settings, JSON.stringify({daemon: 7, availabilityZone: 'zone'}));
+	const {code, errors} = await run([program], {[settingsVariable]: settings});
+	t.is(code, 2);
+	t.regex(errors, /daemon/v);
+	t.regex(errors, /storeAddress/v);
+	t.true(errors.trim().split('\n').length > 5);
+});
