feat(membership): let one daemon of each availability zone watch the store and speak for the others

Change: ZoneHubs names the watching daemon and the hub of a zone by what was heard; FleetSync follows updates, asks at a gap, and counts from when it fell behind; updates are divided between revisions; load is added up by zone.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -11,10 +11,15 @@
 /** Folders of the kernel library whose variants are chosen by options that the daemon leaves at "none". */
 const variantFolders = /\/moleculer\/src\/(?:cachers|loggers|metrics\/reporters|middlewares|serializers|tracing\/exporters|transporters|validators)$/v;
 
+/** Filters of the bundler, which knows no `v` flag either. */
+// eslint-disable-next-line require-unicode-regexp
+const filters = {relative: /^\.\//, all: /.*/};
+
 /** Variants that the library loads or extends in any case. */
 const neededVariants = new Set(['./base', './json']);
 
-/** Packages that only the unused variants and the library's own loader of service files call. */
+/** Packages that only the unused variants and the library's own loader of service files call; the bundler knows no `v` flag. */
+// eslint-disable-next-line require-unicode-regexp
 const unusedPackages = /^(?:fastest-validator|glob|node-fetch|recursive-watch)$/;
 
 /**
@@ -24,10 +29,10 @@
 	name: 'unused-variants',
 	setup({onResolve, onLoad}) {
 		const empty = {path: 'empty', namespace: 'unused'};
-		onResolve({filter: /^\.\//}, ({path, importer, resolveDir}) =>
+		onResolve({filter: filters.relative}, ({path, importer, resolveDir}) =>
 			variantFolders.test(resolveDir) && importer.endsWith('/index.js') && !neededVariants.has(path) ? empty : undefined);
 		onResolve({filter: unusedPackages}, () => empty);
-		onLoad({filter: /.*/, namespace: 'unused'}, () => ({contents: 'module.exports = {};'}));
+		onLoad({filter: filters.all, namespace: 'unused'}, () => ({contents: 'module.exports = {};'}));
 	},
 };
 
--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -7,6 +7,7 @@
 import {FleetView} from '../decisions/fleet/fleet-view.js';
 import {Membership} from '../decisions/fleet/membership.js';
 import {PeerExchange, type PeerMessage} from '../decisions/fleet/peer-exchange.js';
+import {ZoneHubs} from '../decisions/fleet/zone-hubs.js';
 import {Forwarder} from '../decisions/forwarding/forwarder.js';
 import {TargetLoads} from '../decisions/forwarding/target-loads.js';
 import {KeyLeader} from '../decisions/ownership/key-leader.js';
@@ -54,6 +55,7 @@
 	private readonly transport = new TargetTransport(new PlatformTargetProtocol());
 	private readonly view = new FleetView();
 	private readonly sync: FleetSync;
+	private readonly exchange: PeerExchange;
 	private readonly membership: Membership;
 	private readonly peers: DatagramPeers<PeerMessage>;
 	private readonly leader: KeyLeader;
@@ -65,15 +67,16 @@
 	constructor(private readonly settings: PlatformSettings, private readonly log: EventLog) {
 		const {daemon, availabilityZone, ip, peerPorts: [port]} = settings;
 		this.store = new PlatformStore(settings.storeAddress);
-		this.sync = new FleetSync(this.store, this.view, {
-			configurationKey: wireKeys.configuration, targetsPrefix: wireKeys.targets, decodeConfiguration, decodeTarget,
-		}, log);
+		this.sync = this.createSync();
 		const member: Member = {
 			daemon, availabilityZone, ip, port,
 		};
-		this.membership = new Membership(member, this.store, log);
+		this.membership = new Membership(member, this.store, log, () => {
+			this.sync.noteStoreAnswer();
+		});
 		const loads = new TargetLoads();
 		const exchange = this.createExchange(loads);
+		this.exchange = exchange;
 		this.peers = new DatagramPeers(message => {
 			exchange.hear(message);
 		}, detail => {
@@ -156,12 +159,29 @@
 		}
 	}
 
+	private createSync(): FleetSync {
+		return new FleetSync(this.store, this.view, {
+			configurationKey: wireKeys.configuration, targetsPrefix: wireKeys.targets, decodeConfiguration, decodeTarget,
+		}, {
+			log: this.log,
+			relay: {
+				isFollowing: () => this.exchange.isFollowing(),
+				publish: update => {
+					this.exchange.publish(update);
+				},
+			},
+		});
+	}
+
 	private createExchange(loads: TargetLoads): PeerExchange {
+		const {daemon, availabilityZone} = this.settings;
 		return new PeerExchange({
-			daemon: this.settings.daemon,
+			daemon,
+			availabilityZone,
 			view: this.view,
 			loads,
 			sync: this.sync,
+			hubs: new ZoneHubs({daemon, availabilityZone}, this.view),
 			sender: {
 				send: (message, members) => {
 					this.peers.send(message, members);
--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -1,7 +1,7 @@
 /**
- * Keeps the view in step with the store by one watch over all keys.
+ * Keeps the view in step with the store: by one watch over all keys, or by the updates of another daemon that watches.
  */
-import type {CoordinationStore, StoreChange} from '../../model/coordination-store.js';
+import type {CoordinationStore, StoreChange, StoreUpdate} from '../../model/coordination-store.js';
 import {HistoryLostError, RouterError, WatchInterruptedError} from '../../model/errors.js';
 import {LogEvent, type EventLog} from '../../model/events.js';
 import type {Target} from '../../model/fleet.js';
@@ -21,8 +21,31 @@
 	decodeTarget(key: string, text: string): Target;
 };
 
-/** Longest wait of a watch in milliseconds; peers announce newer revisions sooner. */
-const watchWaitMs = 8000;
+/** Passes changes on between daemons, so that few of them watch the store. */
+export type UpdateRelay = {
+	/** True while another daemon passes on what it reads. */
+	isFollowing(): boolean;
+	/** Passes changes on to the daemons that follow this one. */
+	publish(update: StoreUpdate): void;
+};
+
+/** A daemon that reads everything itself. */
+const noRelay: UpdateRelay = {
+	isFollowing: () => false,
+	publish() {
+		// Nobody follows.
+	},
+};
+
+/** What the synchronization works with. */
+export type FleetSyncOptions = {
+	log: EventLog;
+	/** Without one, the daemon reads everything itself. */
+	relay?: UpdateRelay;
+};
+
+/** Longest wait of a watch in milliseconds; with the slack of the call, it bounds how long a silent connection goes unnoticed. */
+const watchWaitMs = 3000;
 
 /** Pause between two watches in milliseconds, in which changes gather. */
 const gatherMs = 300;
@@ -38,21 +61,29 @@
 
 /** Runs until it is stopped. */
 export class FleetSync {
+	private readonly log: EventLog;
+	private readonly relay: UpdateRelay;
 	private isStopped = false;
 	private isInTouch = false;
 	private hasListed = false;
 	private readonly malformed = new Map<string, number>();
 	private newestHeard = 0;
-	private heardAt = 0;
+	private behindSince = 0;
+	/** True if updates of another daemon do not bring what peers know. */
+	private mustAsk = false;
+	private endIdle: (() => void) | undefined;
 
 	constructor(
 		private readonly store: CoordinationStore,
 		private readonly view: FleetView,
 		private readonly documents: PlatformDocuments,
-		private readonly log: EventLog,
-	) {}
+		{log, relay = noRelay}: FleetSyncOptions,
+	) {
+		this.log = log;
+		this.relay = relay;
+	}
 
-	/** True while the store answers. */
+	/** True unless the store did not answer the last call. */
 	get isStoreReachable(): boolean {
 		return this.isInTouch;
 	}
@@ -71,26 +102,71 @@
 
 	stop(): void {
 		this.isStopped = true;
+		this.endIdle?.();
 		this.store.interruptWatch('the synchronization stops');
 	}
 
 	/** Notes the revision that a peer has seen; a watch that stays behind it is begun anew. */
 	hearRevision(revision: number, now = performance.now()): void {
-		if (revision > this.newestHeard) {
-			this.newestHeard = revision;
-			this.heardAt = now;
+		if (this.newestHeard <= this.view.revision) {
+			this.behindSince = now;
 		}
+
+		this.newestHeard = Math.max(this.newestHeard, revision);
 	}
 
-	/** Called regularly; ends a watch that does not bring what peers know. */
+	/** Called regularly; ends a watch, or the waiting for updates, that does not bring what peers know. */
 	tick(now = performance.now()): void {
-		if (this.newestHeard > this.view.revision && now - this.heardAt > behindMs) {
-			this.heardAt = now;
+		if (this.newestHeard > this.view.revision && now - this.behindSince > behindMs) {
+			this.behindSince = now;
+			this.askNow();
 			this.store.interruptWatch(`peers know revision ${this.newestHeard}`);
 		}
+
+		if (!this.relay.isFollowing()) {
+			this.endIdle?.();
+		}
+	}
+
+	/** Takes changes that another daemon has read; what is missing before them is asked for. */
+	take({after, changes, revision}: StoreUpdate): void {
+		if (!this.hasListed) {
+			return;
+		}
+
+		if (after > this.view.revision) {
+			this.askNow();
+			return;
+		}
+
+		for (const change of changes) {
+			if (change.revision > this.view.revision) {
+				this.apply(change);
+			}
+		}
+
+		this.view.revision = Math.max(this.view.revision, revision);
+	}
+
+	/** Notes that the store answered this daemon, though not on a watch. */
+	noteStoreAnswer(): void {
+		if (this.hasListed) {
+			this.noteSuccess();
+		}
+	}
+
+	private askNow(): void {
+		this.mustAsk = true;
+		this.endIdle?.();
 	}
 
 	private async step(): Promise<void> {
+		if (this.hasListed && this.relay.isFollowing() && !this.mustAsk) {
+			await this.idle();
+			return;
+		}
+
+		this.mustAsk = false;
 		try {
 			await (this.hasListed ? this.watch() : this.list());
 		} catch (error) {
@@ -108,6 +184,13 @@
 		}
 	}
 
+	private async idle(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.endIdle = resolve;
+		});
+		this.endIdle = undefined;
+	}
+
 	private async list(): Promise<void> {
 		const {items, revision} = await this.store.list('');
 		this.noteSuccess();
@@ -122,14 +205,12 @@
 	}
 
 	private async watch(): Promise<void> {
-		const {changes, revision} = await this.store.watch('', this.view.revision, watchWaitMs);
+		const after = this.view.revision;
+		const {changes, revision} = await this.store.watch('', after, watchWaitMs);
 		this.noteSuccess();
-		for (const change of changes) {
-			this.apply(change);
-		}
-
-		this.view.revision = Math.max(this.view.revision, revision);
+		this.take({after, changes, revision});
 		if (changes.length > 0) {
+			this.relay.publish({after, changes, revision});
 			await pause(gatherMs);
 		}
 	}
--- a/src/decisions/fleet/membership.ts
+++ b/src/decisions/fleet/membership.ts
@@ -23,7 +23,13 @@
 	private isBusy = false;
 	private isLeft = false;
 
-	constructor(private readonly member: Member, private readonly store: CoordinationStore, private readonly log: EventLog) {}
+	/** @param onAnswer called whenever the store has answered */
+	constructor(
+		private readonly member: Member,
+		private readonly store: CoordinationStore,
+		private readonly log: EventLog,
+		private readonly onAnswer: () => void,
+	) {}
 
 	/** Called regularly. */
 	tick(now = performance.now()): void {
@@ -47,6 +53,7 @@
 		try {
 			await (this.lease === undefined ? this.enter() : this.renew(this.lease));
 			this.nextCallAt = performance.now() + renewalMs;
+			this.onAnswer();
 		} catch (error) {
 			if (!(error instanceof RouterError)) {
 				throw error;
--- a/src/decisions/fleet/peer-exchange.ts
+++ b/src/decisions/fleet/peer-exchange.ts
@@ -1,20 +1,36 @@
 /**
- * What daemons tell each other: load of targets, the newest revision, and keys that were asked for.
+ * What daemons tell each other: load of targets, changes of the store, the newest revision, and keys that were asked for.
+ *
+ * A daemon talks to all daemons of its own availability zone; between availability zones, hubs talk for the others.
  */
+import type {StoreUpdate} from '../../model/coordination-store.js';
 import type {Member} from '../../model/fleet.js';
 import type {LoadReport, TargetLoads} from '../forwarding/target-loads.js';
 import type {FleetSync} from './fleet-sync.js';
 import type {FleetView, KnownAssignment} from './fleet-view.js';
+import {splitUpdate} from './store-update.js';
+import type {ZoneHubs} from './zone-hubs.js';
+import {ZoneLoad} from './zone-load.js';
 
 /** A message between daemons. */
 export type PeerMessage = {
 	daemon: string;
+	availabilityZone: string;
+	/** Revision of the store up to which the sender knows everything. */
 	revision: number;
-	load: LoadReport;
+	isStoreReachable: boolean;
+	/** Load that the sender puts on targets. */
+	load?: LoadReport;
+	/** Load that all daemons of the sender's availability zone put on targets. */
+	zoneLoad?: LoadReport;
+	/** Changes that the sender has read from the store. */
+	update?: StoreUpdate;
 	/** Keys that were asked for since the last message, by service; only the leader gets them. */
 	keys?: Record<string, number[]>;
 	/** Owners that the leader has just written. */
 	assignment?: KnownAssignment;
+	/** True if a hub passes the message on to its own availability zone. */
+	isForwarded?: boolean;
 };
 
 /** Sends messages to peers. */
@@ -25,6 +41,9 @@
 /** Least interval of load reports in milliseconds; requests take longer. */
 const reportMs = 50;
 
+/** Time that one receiver adds to the interval of reports, in milliseconds, so that the messages of a daemon are bounded. */
+const reportStepMs = 5;
+
 /** Interval of reports while nothing changes, in milliseconds. */
 const quietReportMs = 400;
 
@@ -34,21 +53,28 @@
 /** Most keys of a service that are told at once; the rest is left out, which keeps the shares. */
 const keyLimit = 2000;
 
+/** Largest update in one message, in bytes of its values; a datagram takes 65,507 bytes with quotes escaped. */
+const updateLimitBytes = 40_000;
+
 /** What the exchange needs. */
 export type PeerExchangeOptions = {
 	daemon: string;
+	availabilityZone: string;
 	view: FleetView;
 	loads: TargetLoads;
 	sync: FleetSync;
+	hubs: ZoneHubs;
 	sender: PeerSender;
 	/** Takes keys that were asked for, at the leader. */
 	noteKeys(service: string, keys: readonly number[]): void;
 };
 
-/** Sends and takes reports. */
+/** Sends and takes messages. */
 export class PeerExchange {
 	private keys = new Map<string, number[]>();
+	private readonly zoneLoad = new ZoneLoad();
 	private reportedAt = 0;
+	private zoneReportedAt = 0;
 	private keysReportedAt = 0;
 	private lastInFlight = '';
 
@@ -66,26 +92,44 @@
 	/** Called regularly. */
 	tick(now = performance.now()): void {
 		this.reportLoad(now);
+		this.reportZoneLoad(now);
 		this.reportKeys(now);
+		this.options.hubs.prune();
+	}
+
+	/** True if another daemon of the availability zone passes changes of the store on. */
+	isFollowing(now = performance.now()): boolean {
+		const {hubs, sync, daemon} = this.options;
+		const watcher = hubs.watcher(sync.isStoreReachable, now);
+		return watcher !== undefined && watcher !== daemon;
+	}
+
+	/** Passes changes of the store on to the daemons that do not watch it. */
+	publish(update: StoreUpdate): void {
+		const neighbours = this.options.hubs.neighbourMembers();
+		for (const part of splitUpdate(update, updateLimitBytes)) {
+			this.send({update: part}, neighbours);
+		}
 	}
 
 	/** Tells peers the owners that were just written; they learn them from the store as well, but later. */
 	announce(assignment: KnownAssignment): void {
-		const {sender, daemon, view, loads} = this.options;
-		const load = {inFlight: loads.inFlightNow(), samples: {}};
-		sender.send({
-			daemon, revision: view.revision, load, assignment,
-		}, this.peers());
+		const {hubs} = this.options;
+		this.send({assignment}, [...hubs.neighbourMembers(), ...hubs.remoteMembers(performance.now())]);
 	}
 
-	hear(message: PeerMessage): void {
-		const {loads, sync, view, noteKeys, daemon} = this.options;
+	hear(message: PeerMessage, now = performance.now()): void {
+		const {sync, view, noteKeys, daemon} = this.options;
 		if (message.daemon === daemon) {
 			return;
 		}
 
-		loads.hear(message.daemon, message.load);
-		sync.hearRevision(message.revision);
+		this.hearLoads(message, now);
+		if (message.update) {
+			sync.take(message.update);
+		}
+
+		sync.hearRevision(message.revision, now);
 		if (message.assignment) {
 			view.applyAssignment(message.assignment);
 		}
@@ -93,14 +137,48 @@
 		for (const [service, keys] of Object.entries(message.keys ?? {})) {
 			noteKeys(service, keys);
 		}
+
+		this.forward(message, now);
+	}
+
+	private hearLoads({daemon, availabilityZone, isStoreReachable, load, zoneLoad}: PeerMessage, now: number): void {
+		const {loads, hubs} = this.options;
+		const isNeighbour = availabilityZone === this.options.availabilityZone;
+		if (isNeighbour) {
+			hubs.noteNeighbour(daemon, isStoreReachable, now);
+			if (load) {
+				loads.hear(daemon, load, now);
+				this.zoneLoad.note(daemon, load, now);
+			}
+
+			return;
+		}
+
+		if (zoneLoad) {
+			hubs.noteContact(availabilityZone, daemon, now);
+			loads.hear(`zone ${availabilityZone}`, zoneLoad, now);
+		}
+	}
+
+	/** A message of another availability zone reaches the whole own one through its hub. */
+	private forward(message: PeerMessage, now: number): void {
+		const {availabilityZone, hubs, sender} = this.options;
+		const isForAll = message.zoneLoad !== undefined || message.assignment !== undefined;
+		const isForeign = message.availabilityZone !== availabilityZone;
+		if (!isForAll || !isForeign || message.isForwarded === true || !hubs.isHub(now)) {
+			return;
+		}
+
+		sender.send({...message, isForwarded: true}, hubs.neighbourMembers());
 	}
 
 	private reportLoad(now: number): void {
-		if (now - this.reportedAt < reportMs) {
+		const {loads, hubs, daemon} = this.options;
+		const neighbours = hubs.neighbourMembers();
+		if (now - this.reportedAt < Math.max(reportMs, neighbours.length * reportStepMs)) {
 			return;
 		}
 
-		const {loads, sender, view, daemon} = this.options;
 		const inFlight = JSON.stringify(loads.inFlightNow());
 		if (inFlight === this.lastInFlight && now - this.reportedAt < quietReportMs) {
 			return;
@@ -108,7 +186,20 @@
 
 		this.reportedAt = now;
 		this.lastInFlight = inFlight;
-		sender.send({daemon, revision: view.revision, load: loads.report()}, this.peers());
+		const load = loads.report();
+		this.zoneLoad.note(daemon, load, now);
+		this.send({load}, neighbours);
+	}
+
+	private reportZoneLoad(now: number): void {
+		const {hubs, view} = this.options;
+		const intervalMs = Math.max(reportMs, view.members.size * reportStepMs / 2);
+		if (now - this.zoneReportedAt < intervalMs || !hubs.isHub(now)) {
+			return;
+		}
+
+		this.zoneReportedAt = now;
+		this.send({zoneLoad: this.zoneLoad.take(now)}, hubs.remoteMembers(now));
 	}
 
 	private reportKeys(now: number): void {
@@ -117,7 +208,7 @@
 		}
 
 		this.keysReportedAt = now;
-		const {view, daemon, sender, noteKeys} = this.options;
+		const {view, daemon, noteKeys} = this.options;
 		const {keys} = this;
 		this.keys = new Map();
 		if (view.leader?.daemon === daemon) {
@@ -130,14 +221,18 @@
 
 		const leader = view.members.get(view.leader?.daemon ?? '');
 		if (leader) {
-			const load = {inFlight: this.options.loads.inFlightNow(), samples: {}};
-			sender.send({
-				daemon, revision: view.revision, load, keys: Object.fromEntries(keys),
-			}, [leader]);
+			this.send({keys: Object.fromEntries(keys)}, [leader]);
 		}
 	}
 
-	private peers(): Member[] {
-		return [...this.options.view.members.values()].filter(({daemon}) => daemon !== this.options.daemon);
+	private send(content: Partial<PeerMessage>, members: readonly Member[]): void {
+		if (members.length === 0) {
+			return;
+		}
+
+		const {daemon, availabilityZone, view, sync, sender} = this.options;
+		sender.send({
+			daemon, availabilityZone, revision: view.revision, isStoreReachable: sync.isStoreReachable, ...content,
+		}, members);
 	}
 }
--- /dev/null
+++ b/src/decisions/fleet/store-update.ts
@@ -0,0 +1,47 @@
+/**
+ * Division of a large update into parts that fit into one message each.
+ */
+import type {StoreChange, StoreUpdate} from '../../model/coordination-store.js';
+
+/**
+ * Divides an update between revisions. A revision whose changes are too large for one message is left out: its receivers
+ * see the gap before the next part and read the store themselves.
+ */
+export function splitUpdate({after, changes, revision}: StoreUpdate, limitBytes: number): StoreUpdate[] {
+	const parts: StoreUpdate[] = [];
+	let part: StoreUpdate = {after, changes: [], revision: after};
+	let bytes = 0;
+	for (const group of groupByRevision(changes)) {
+		const groupRevision = group[0]?.revision ?? revision;
+		const groupBytes = group.reduce((sum, {value}) => sum + (value?.length ?? 0), 0);
+		if (bytes + groupBytes > limitBytes) {
+			parts.push(part);
+			const start = groupBytes > limitBytes ? groupRevision : part.revision;
+			part = {after: start, changes: [], revision: start};
+			bytes = 0;
+		}
+
+		if (groupBytes <= limitBytes) {
+			part.changes.push(...group);
+			part.revision = groupRevision;
+			bytes += groupBytes;
+		}
+	}
+
+	parts.push({...part, revision: Math.max(part.revision, revision)});
+	return parts.filter((each, index) => each.changes.length > 0 || index === parts.length - 1);
+}
+
+function groupByRevision(changes: readonly StoreChange[]): StoreChange[][] {
+	const groups: StoreChange[][] = [];
+	for (const change of changes) {
+		const last = groups.at(-1);
+		if (last?.[0]?.revision === change.revision) {
+			last.push(change);
+		} else {
+			groups.push([change]);
+		}
+	}
+
+	return groups;
+}
--- /dev/null
+++ b/src/decisions/fleet/zone-load.ts
@@ -0,0 +1,46 @@
+/**
+ * Load that the daemons of one availability zone put on targets, added up for the other availability zones.
+ */
+import type {LoadReport} from '../forwarding/target-loads.js';
+
+/** Time after which a daemon's report no longer counts, in milliseconds. */
+const reportLifeMs = 1500;
+
+type HeardLoad = {
+	heardAt: number;
+	inFlight: Record<string, number>;
+};
+
+/** Adds reports up. */
+export class ZoneLoad {
+	private readonly heard = new Map<string, HeardLoad>();
+	private samples: LoadReport['samples'] = {};
+
+	/** Notes the report of a daemon. */
+	note(daemon: string, {inFlight, samples}: LoadReport, now: number): void {
+		this.heard.set(daemon, {heardAt: now, inFlight});
+		for (const [target, [count, sumMs]] of Object.entries(samples)) {
+			const [knownCount, knownSumMs] = this.samples[target] ?? [0, 0];
+			this.samples[target] = [knownCount + count, knownSumMs + sumMs];
+		}
+	}
+
+	/** Returns the load of all daemons, with the answers since the last call. */
+	take(now: number): LoadReport {
+		const inFlight: Record<string, number> = {};
+		for (const [daemon, load] of this.heard) {
+			if (now - load.heardAt > reportLifeMs) {
+				this.heard.delete(daemon);
+				continue;
+			}
+
+			for (const [target, count] of Object.entries(load.inFlight)) {
+				inFlight[target] = (inFlight[target] ?? 0) + count;
+			}
+		}
+
+		const {samples} = this;
+		this.samples = {};
+		return {inFlight, samples};
+	}
+}
--- a/src/model/coordination-store.ts
+++ b/src/model/coordination-store.ts
@@ -30,6 +30,12 @@
 	revision: number;
 };
 
+/** Changes that follow a revision, as one daemon passes them on to another. */
+export type StoreUpdate = StoreChanges & {
+	/** Revision up to which the receiver has to know everything. */
+	after: number;
+};
+
 /** An all-or-nothing write; a revision of 0 expects that the key does not exist. */
 export type StoreTransaction = {
 	expected: Array<{key: string; revision: number}>;
--- a/standins/keyed-fleet.ts
+++ b/standins/keyed-fleet.ts
@@ -56,7 +56,7 @@
 			targetsPrefix: 'targets/',
 			decodeConfiguration: () => configuration,
 			decodeTarget: (_key, text) => JSON.parse(text) as Target,
-		}, log);
+		}, {log});
 		this.leader = new KeyLeader({
 			daemon: name,
 			store: this.client,
--- a/tests/decisions/fleet-view.test.ts
+++ b/tests/decisions/fleet-view.test.ts
@@ -75,8 +75,10 @@
 		decodeConfiguration: text => configurationOf(Number(text)),
 		decodeTarget,
 	}, {
-		record(event) {
-			events.push(event);
+		log: {
+			record(event) {
+				events.push(event);
+			},
 		},
 	});
 	try {
--- a/tests/platform/bundle.test.ts
+++ b/tests/platform/bundle.test.ts
@@ -31,9 +31,13 @@
 	await rm(folder, {recursive: true, force: true});
 });
 
+async function readProgram(): Promise<string> {
+	return readFile(program, 'utf8');
+}
+
 for (const part of ['zipkin', 'kafkajs', 'xn--', 'globstar']) {
 	test(`should leave what the daemon does not use out of the bundle: ${part}`, async t => {
-		const text = await readFile(program, 'utf8');
+		const text = await readProgram();
 		t.false(text.includes(part));
 	});
 }
