fix(forwarding): bound the connections to each target by the daemon's share

Ruled out: resets by targets that end. Change: the pool keeps no more connections than the share, lent ones included; a target at which a daemon has as many requests as its share counts as full.

--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -182,7 +182,7 @@
 		const now = performance.now();
 		const targets = view.readyTargets(passage.service.name, now);
 		const candidate = chooseTarget(loads, {
-			targets, tried: passage.tried, route: passage.route, availabilityZone, random, now,
+			targets, tried: passage.tried, route: passage.route, availabilityZone, connectionLimit: this.connectionLimit(passage.service), random, now,
 			warmUpLeft: id => view.warmUpLeft(id, now),
 		});
 		if (!candidate) {
@@ -215,7 +215,7 @@
 			return this.waitForOwner(passage, OutcomeReason.KeyMoving, retryAfter.moving);
 		}
 
-		const expectation = this.options.loads.expect(target, view.warmUpLeft(target.id));
+		const expectation = this.options.loads.expect(target, {warmUpLeftMs: view.warmUpLeft(target.id), connectionLimit: this.connectionLimit(service)});
 		if (!passage.mayHaveRun && cannotServe(expectation, passage)) {
 			return this.giveUp(passage, OutcomeReason.Overloaded, returnDelay(expectation));
 		}
@@ -345,7 +345,7 @@
 	/** Another target may have room; the only owner of a key is asked again unless its queue is full. */
 	private refused(passage: Passage, target: Target, result: AttemptResult): Outcome | undefined {
 		if (passage.service.isKeyed) {
-			const {isFull} = this.options.loads.expect(target, 0);
+			const {isFull} = this.options.loads.expect(target);
 			return this.goOn(passage, result, !isFull && passage.arrivals < refusalLimit);
 		}
 
--- a/src/decisions/forwarding/target-choice.ts
+++ b/src/decisions/forwarding/target-choice.ts
@@ -31,6 +31,8 @@
 	tried: ReadonlySet<string>;
 	route: Route;
 	availabilityZone: string;
+	/** Connections that this daemon may have to each target. */
+	connectionLimit: number;
 	now: number;
 	warmUpLeft(id: string): number;
 	random(): number;
@@ -61,7 +63,8 @@
 }
 
 function rate(loads: TargetLoads, target: Target, input: ChoiceInput): Candidate {
-	const expectation = loads.expect(target, input.warmUpLeft(target.id), input.now);
+	const {connectionLimit, now} = input;
+	const expectation = loads.expect(target, {warmUpLeftMs: input.warmUpLeft(target.id), connectionLimit, now});
 	const {targetLatencyMs} = input.route;
 	const remoteMs = target.availabilityZone === input.availabilityZone ? 0 : targetLatencyMs * remoteShare;
 	const failureMs = expectation.failureShare * targetLatencyMs * failureCost;
--- a/src/decisions/forwarding/target-loads.ts
+++ b/src/decisions/forwarding/target-loads.ts
@@ -66,10 +66,19 @@
 	inFlight: number;
 	failureShare: number;
 	isEjected: boolean;
-	/** True if the target would refuse another request. */
+	/** True if the target would refuse another request, or reset the connection that it takes. */
 	isFull: boolean;
 };
 
+/** What an expectation depends on besides the load. */
+export type ExpectationOptions = {
+	/** Time until the target has warmed up, in milliseconds. */
+	warmUpLeftMs?: number;
+	/** Connections that this daemon may have to the target; each carries one request at a time. */
+	connectionLimit?: number;
+	now?: number;
+};
+
 /** Learns from answers; knows nothing of sockets. */
 export class TargetLoads {
 	private readonly records = new Map<string, TargetRecord>();
@@ -134,15 +143,16 @@
 		return ejectionMs;
 	}
 
-	expect(target: Target, warmUpLeftMs: number, now = performance.now()): Expectation {
+	expect(target: Target, {warmUpLeftMs = 0, connectionLimit = Infinity, now = performance.now()}: ExpectationOptions = {}): Expectation {
 		const record = this.record(target.id);
 		const inFlight = this.inFlight(target.id);
 		const base = this.learnedServiceMs(target) * (warmUpLeftMs > 0 ? warmUpFactor : 1);
 		const [oldest = now] = record.pending;
 		const serviceMs = Math.max(base, (now - oldest) * pendingShare);
 		const finishMs = serviceMs * Math.max(1, (inFlight + 1) / target.slots);
+		const isQueueFull = now < record.fullUntil && inFlight >= record.fullAt;
 		return {
-			finishMs, inFlight, failureShare: record.failureShare, isEjected: now < record.ejectedUntil, isFull: now < record.fullUntil && inFlight >= record.fullAt,
+			finishMs, inFlight, failureShare: record.failureShare, isEjected: now < record.ejectedUntil, isFull: isQueueFull || record.pending.size >= connectionLimit,
 		};
 	}
 
--- a/src/transport/connection-pool.ts
+++ b/src/transport/connection-pool.ts
@@ -3,8 +3,8 @@
  */
 import {HttpConnection} from './http-connection.js';
 
-/** Idle connections that are kept for each server. */
-const idleLimit = 16;
+/** Connections to a server that are kept for callers that name no limit. */
+const defaultLimit = 16;
 
 /**
  * Lends connections, the most recently used one first, so that the rest can expire.
@@ -19,6 +19,11 @@
 		return this.opened;
 	}
 
+	/** Connections to a server that wait for an exchange. */
+	idleCount(address: string): number {
+		return this.idle.get(address)?.length ?? 0;
+	}
+
 	/** Connections to a server that are in use. */
 	inUse(address: string): number {
 		return this.lent.get(address) ?? 0;
@@ -39,12 +44,12 @@
 		return new HttpConnection(address);
 	}
 
-	/** Takes a connection back after a whole exchange. */
-	giveBack(connection: HttpConnection): void {
+	/** Takes a connection back after a whole exchange; it is kept while there are fewer than `limit`, lent ones included. */
+	giveBack(connection: HttpConnection, limit = defaultLimit): void {
 		this.noteReturn(connection.address);
 		const connections = this.idle.get(connection.address) ?? [];
 		this.idle.set(connection.address, connections);
-		if (!connection.isReusable || connections.length >= idleLimit) {
+		if (!connection.isReusable || connections.length + this.inUse(connection.address) >= limit) {
 			connection.destroy();
 			return;
 		}
--- a/src/transport/target-exchange.ts
+++ b/src/transport/target-exchange.ts
@@ -155,7 +155,7 @@
 
 		// The library frees the connection after this callback.
 		setImmediate(() => {
-			this.pool.giveBack(this.connection);
+			this.pool.giveBack(this.connection, this.attempt.connectionLimit);
 		});
 		this.settle(this.wholeAnswer());
 	}
--- a/tests/decisions/forwarder.test.ts
+++ b/tests/decisions/forwarder.test.ts
@@ -298,3 +298,25 @@
 	});
 	t.deepEqual(cancelled, [true, false]);
 });
+
+test.serial('should have no more requests at a target than its share of the connections there', async t => {
+	const clock = FakeTimers.install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
+	try {
+		const requestCount = 30;
+		const {forwarder, attempts} = setUp(Array.from({length: requestCount}, () => ({...answered, afterMs: 200})));
+		const outcomes = Array.from({length: requestCount}, async () => forwarder.forward(callerRequest('/read/x')));
+		await clock.tickAsync(100);
+		// The service takes 100 connections for 12 daemons and one that may join.
+		const share = 7;
+		const tries = ['plain-0', 'plain-1', 'plain-2'].map(id => attempts.filter(attempt => attempt.target.id === id).length);
+		t.deepEqual(tries, [share, share, share]);
+
+		await clock.tickAsync(1000);
+		const settled = await Promise.all(outcomes);
+		const kinds = settled.map(({kind}) => kind);
+		t.is(kinds.filter(kind => kind === OutcomeKind.Answered).length, share * 3);
+		t.is(kinds.filter(kind => kind === OutcomeKind.NotRun).length, requestCount - (share * 3));
+	} finally {
+		clock.uninstall();
+	}
+});
