feat(cli): explain a failed request from the logs of the daemons

Change: "eelgrasswheel explain request ID [FILE...]" reads logs from files or standard input and prints the lines of the request with what was logged within 3 s about its key, its targets, its daemon and the leader. Ruled out: asking a running daemon, which may be gone when the question comes.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -2,7 +2,9 @@
  * Commands of the command line.
  */
 import {randomUUID} from 'node:crypto';
-import {writeFile} from 'node:fs/promises';
+import {readFile, writeFile} from 'node:fs/promises';
+import process from 'node:process';
+import {text as readText} from 'node:stream/consumers';
 import {baseShardOfKey} from '../decisions/shard-hash.js';
 import {ownerOf, type Assignment} from '../model/assignment.js';
 import {ErrorCode} from '../model/errors.js';
@@ -14,6 +16,9 @@
 import type {ControlConnection} from './control-connection.js';
 import {readIntent} from './intent-file.js';
 import {columns, type Output} from './output.js';
+import {
+	describeFields, parseLogLine, requestStory, type LogLine,
+} from './request-story.js';
 
 /** What a command works with. */
 export type CommandContext = {
@@ -40,6 +45,7 @@
 	restore: async (operands, context) => submitLeaving(operands, context, IntentKind.Restore),
 	status: showStatus,
 	'assignment show': showAssignment,
+	'explain request': explainRequest,
 	explain,
 	'report burn': reportBurn,
 };
@@ -210,3 +216,30 @@
 function printPlan(plan: Plan, output: Output): void {
 	output.result(plan, [`plan ${plan.id} (${plan.state}), computed from configuration ${plan.baseConfigurationVersion}`, ...plan.summary]);
 }
+
+/** Reads logs of daemons from files, or from the standard input, and prints what explains a request. */
+async function explainRequest(operands: string[], {output}: CommandContext): Promise<void> {
+	const request = operand(operands, 'a REQUEST-ID');
+	const lines = await readLogs(operands.slice(1));
+	const story = requestStory(lines, request);
+	if (story.length === 0) {
+		const next = 'Look at the logs of all daemons around that time; one in fifty served requests is logged, and LinesDropped tells of lines beyond the bound.';
+		throw new CommandFailure(ErrorCode.BadRequest, `No line names the request ${request}.`, next, ExitCode.Failed);
+	}
+
+	const rows = story.map(line => [new Date(line.time).toISOString(), line.daemon, line.fields.request === request ? '*' : '', line.name, describeFields(line)]);
+	output.result(story, columns(rows));
+}
+
+async function readLogs(files: string[]): Promise<LogLine[]> {
+	const texts = files.length === 0 || files[0] === '-' ? [await readText(process.stdin)] : await Promise.all(files.map(async file => readLog(file)));
+	return texts.flatMap(text => text.split('\n')).map(line => parseLogLine(line)).filter(line => line !== undefined);
+}
+
+async function readLog(file: string): Promise<string> {
+	try {
+		return await readFile(file, 'utf8');
+	} catch (error) {
+		throw usage(`The log ${file} cannot be read: ${error instanceof Error ? error.message : String(error)}.`);
+	}
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -24,6 +24,7 @@
     status                      version in force, leaders and health of every daemon
     assignment show SERVICE     owners, epochs and moves of a service
     explain SERVICE [KEY]       why a key is where it is, and what was done
+    explain request ID [FILE]   what the logs in files, or on standard input, tell of a request
     report burn [--html FILE]   error budget used by customer, service and class
 
   Options
