--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -1,6 +1,7 @@
 /**
  * What a daemon believes of the configuration, the targets, its peers and the owners of keys.
  */
+import type {Cancellation} from '../../model/cancellation.js';
 import {
 	isSameLife, TargetState, type Member, type Target,
 } from '../../model/fleet.js';
@@ -26,9 +27,6 @@
 	revision: number;
 };
 
-/** Called after a part of the view has changed. */
-export type ViewListener = () => void;
-
 /** Time for which a removed target is remembered, in milliseconds; beyond the longest hold of keys. */
 const removedMemoryMs = 15_000;
 
@@ -44,7 +42,7 @@
 	private readonly removed = new Map<string, RemovedTarget>();
 	private readonly byService = new Map<string, Target[]>();
 	private readonly warmAt = new Map<string, number>();
-	private readonly assignmentListeners = new Set<ViewListener>();
+	private readonly assignmentListeners = new Set<() => void>();
 	/** Until this time, targets that were removed without a notice are still used. */
 	private lenientUntil = 0;
 
@@ -152,12 +150,26 @@
 		this.notifyAssignments();
 	}
 
-	onAssignment(listener: ViewListener): void {
-		this.assignmentListeners.add(listener);
-	}
-
-	offAssignment(listener: ViewListener): void {
-		this.assignmentListeners.delete(listener);
+	/** Waits for a change of any assignment, or until the request is cancelled; false if neither came in time. */
+	async assignmentChange(cancellation: Cancellation, waitMs: number): Promise<boolean> {
+		return new Promise<boolean>(resolve => {
+			const settle = (isChanged: boolean): void => {
+				clearTimeout(timer);
+				this.assignmentListeners.delete(onChange);
+				cancellation.unsubscribe(onChange);
+				resolve(isChanged);
+			};
+
+			const onChange = (): void => {
+				settle(true);
+			};
+
+			const timer = setTimeout(() => {
+				settle(false);
+			}, Math.max(0, waitMs));
+			this.assignmentListeners.add(onChange);
+			cancellation.subscribe(onChange);
+		});
 	}
 
 	/** Forgets targets that were removed long ago. */
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -2,7 +2,7 @@
  * Takes a caller's request to a target that may run it, and decides what the caller is told if there is none.
  */
 import {Cancellation} from '../../model/cancellation.js';
-import {LogEvent, type EventLog, type LogFields} from '../../model/events.js';
+import {LogEvent, type EventLog} from '../../model/events.js';
 import {isSameLife, type Target} from '../../model/fleet.js';
 import {
 	AttemptEnd, OutcomeKind, OutcomeReason, type AttemptResult, type CallerRequest, type Outcome, type RequestTransport,
@@ -11,6 +11,9 @@
 import type {Route, ServiceRule} from '../../model/route-configuration.js';
 import type {FleetView} from '../fleet/fleet-view.js';
 import {RetryBudget} from '../retry-budget.js';
+import {
+	cannotServe, describe, isServerFailure, remainingMs, type Passage,
+} from './passage.js';
 import {chooseTarget} from './target-choice.js';
 import type {Expectation, TargetLoads} from './target-loads.js';
 
@@ -65,25 +68,6 @@
 	noteKey(service: string, key: number): void;
 };
 
-/** State of one request. */
-type Passage = {
-	request: CallerRequest;
-	route: Route;
-	service: ServiceRule;
-	/** Monotonic time at which the caller or the route gives up. */
-	deadlineAt: number;
-	tried: Set<string>;
-	/** Tries that reached a target. */
-	arrivals: number;
-	unsent: number;
-	misdirected: number;
-	/** True once a try may have run. */
-	mayHaveRun: boolean;
-	lastDetail: string;
-	/** Last answer that the target gave although it failed. */
-	failure: AttemptResult | undefined;
-};
-
 /** Forwards requests; one instance for each daemon. */
 export class Forwarder {
 	private readonly budgets = new Map<string, {budget: RetryBudget; reserve: number}>();
@@ -146,7 +130,7 @@
 				return this.abandon(passage);
 			}
 
-			if (remaining(passage) < leastUsefulMs) {
+			if (remainingMs(passage) < leastUsefulMs) {
 				return this.giveUp(passage, OutcomeReason.Timeout, 0);
 			}
 
@@ -224,42 +208,15 @@
 	}
 
 	private async waitForOwner(passage: Passage, reason: OutcomeReason, retryAfterMs: number): Promise<Outcome | undefined> {
-		const waitMs = Math.min(moveWaitMs, remaining(passage) - leastUsefulMs);
-		const isChanged = await this.assignmentChange(passage.request.cancellation, waitMs);
+		const waitMs = Math.min(moveWaitMs, remainingMs(passage) - leastUsefulMs);
+		const isChanged = await this.options.view.assignmentChange(passage.request.cancellation, waitMs);
 		return isChanged ? undefined : this.giveUp(passage, reason, retryAfterMs);
 	}
 
-	/** Waits for a change of any assignment; false if there was none in time. */
-	private async assignmentChange(cancellation: Cancellation, waitMs: number): Promise<boolean> {
-		const {view} = this.options;
-		return new Promise<boolean>(resolve => {
-			const settle = (isChanged: boolean): void => {
-				clearTimeout(timer);
-				view.offAssignment(onChange);
-				cancellation.unsubscribe(onCancel);
-				resolve(isChanged);
-			};
-
-			const onChange = (): void => {
-				settle(true);
-			};
-
-			const onCancel = (): void => {
-				settle(true);
-			};
-
-			const timer = setTimeout(() => {
-				settle(false);
-			}, Math.max(0, waitMs));
-			view.onAssignment(onChange);
-			cancellation.subscribe(onCancel);
-		});
-	}
-
 	private async send(passage: Passage, target: Target): Promise<AttemptResult> {
 		const {loads, transport} = this.options;
 		const key = loads.begin(target);
-		const timeoutMs = remaining(passage);
+		const timeoutMs = remainingMs(passage);
 		const cancellation = new Cancellation();
 		const onCallerLeft = (): void => {
 			// Work that may not be repeated goes on to its end.
@@ -358,7 +315,7 @@
 		if (!passage.service.isKeyed) {
 			passage.tried.add(target.id);
 		} else if (passage.misdirected < misdirectedLimit) {
-			await this.assignmentChange(passage.request.cancellation, Math.min(misdirectedWaitMs * passage.misdirected, remaining(passage)));
+			await this.options.view.assignmentChange(passage.request.cancellation, Math.min(misdirectedWaitMs * passage.misdirected, remainingMs(passage)));
 		}
 
 		return this.goOn(passage, result, passage.misdirected < misdirectedLimit);
@@ -441,31 +398,7 @@
 	}
 }
 
-/** True if the target would refuse the request, or answer it too late. */
-function cannotServe({isFull, finishMs}: Expectation, passage: Passage): boolean {
-	return isFull || finishMs > remaining(passage);
-}
-
 /** Half of the backlog has gone when the caller comes back. */
 function returnDelay({finishMs}: Expectation): number {
 	return Math.max(retryAfter.moving, finishMs / 2);
 }
-
-function remaining({deadlineAt}: Passage): number {
-	return deadlineAt - performance.now();
-}
-
-function isServerFailure({answer}: AttemptResult): boolean {
-	return (answer?.status ?? 0) >= 500;
-}
-
-function describe(passage: Passage): LogFields {
-	return {
-		request: passage.request.requestId,
-		route: passage.route.name,
-		service: passage.service.name,
-		key: passage.request.key,
-		arrivals: passage.arrivals,
-		leftMs: Math.round(remaining(passage)),
-	};
-}
--- a/src/decisions/ownership/hold-policy.ts
+++ b/src/decisions/ownership/hold-policy.ts
@@ -30,7 +30,7 @@
 	constructor(private readonly limits: HoldLimits) {}
 
 	/** Hold of a grant that is sent now. Long holds keep keys in service while the store is away. */
-	holdMs(proofAgeMs: number): number {
+	holdDurationMs(proofAgeMs: number): number {
 		return this.isTrouble(proofAgeMs) ? this.limits.holdLimitMs : Math.min(shortHoldMs, this.limits.holdLimitMs);
 	}
 
@@ -38,13 +38,13 @@
 		return proofAgeMs > troubleProofAgeMs;
 	}
 
-	renewalMs(holdMs: number): number {
-		return Math.min(holdMs, shortHoldMs) / renewalsPerHold;
+	renewalMs(holdDurationMs: number): number {
+		return Math.min(holdDurationMs, shortHoldMs) / renewalsPerHold;
 	}
 
 	/** Latest end of a hold whose grant cannot arrive after `arrivalAt`. */
-	latestEnd(arrivalAt: number, holdMs: number): number {
-		return arrivalAt + (holdMs * clockFactor) + marginMs;
+	latestEnd(arrivalAt: number, holdDurationMs: number): number {
+		return arrivalAt + (holdDurationMs * clockFactor) + marginMs;
 	}
 
 	/** Latest end of any hold that earlier leaders granted, for a leader that takes over at `takenAt`. */
--- a/src/decisions/ownership/service-keys.ts
+++ b/src/decisions/ownership/service-keys.ts
@@ -1,9 +1,9 @@
 /**
- * The leader's work for one keyed service: decides owners, writes them and gives the orders that follow.
+ * The leader's work for one keyed service: decides owners and writes them; `RangeOrders` gives the orders that follow.
  */
 import type {CoordinationStore} from '../../model/coordination-store.js';
 import {
-	ConflictError, FenceRejectedError, RouterError, StoreAmbiguousError, StoreUnavailableError,
+	ConflictError, RouterError, StoreAmbiguousError, StoreUnavailableError, type FenceRejectedError,
 } from '../../model/errors.js';
 import {LogEvent, type EventLog} from '../../model/events.js';
 import {isSameLife, type Target, type TargetLife} from '../../model/fleet.js';
@@ -18,17 +18,9 @@
 import {balanceKeys, type OwnerCandidate} from './key-balance.js';
 import {KeyHeat} from './key-heat.js';
 import type {Leadership} from './leadership.js';
+import {RangeOrders} from './range-orders.js';
 import {RangeState} from './range-state.js';
-import {lifeKey, type TargetTrust} from './target-trust.js';
-
-/** Time limit of a grant in milliseconds; targets answer within a few, links add some. */
-export const grantLimitMs = 300;
-
-/** Time limit of a release in milliseconds; running work of usual length ends within it. */
-const releaseLimitMs = 900;
-
-/** Pause after an order without an answer, in milliseconds. */
-const orderRetryMs = 60;
+import type {TargetTrust} from './target-trust.js';
 
 /** Pause after a failed write in milliseconds. */
 const writeRetryMs = 150;
@@ -72,11 +64,16 @@
 	private nextBalanceAt = 0;
 	private readonly settling = {count: 0, since: 0};
 	private writes = 0;
-	/** Latest end of holds that earlier leaders may have granted. */
-	private readonly inheritedUntil: number;
+	private readonly rangeOrders: RangeOrders;
 
 	constructor(public rule: ServiceRule, private readonly options: ServiceKeysOptions, takenAt: number) {
-		this.inheritedUntil = options.policy.latestInheritedEnd(takenAt, grantLimitMs);
+		this.rangeOrders = new RangeOrders({
+			...options,
+			rule: () => this.rule,
+			onFenceRejected: error => {
+				this.raiseFence(error);
+			},
+		}, takenAt);
 	}
 
 	/** Called regularly while leadership is proved. */
@@ -92,7 +89,7 @@
 		}
 
 		for (const state of this.states) {
-			this.drive(state, now);
+			this.rangeOrders.drive(state, now);
 		}
 	}
 
@@ -301,120 +298,6 @@
 			.map(target => ({life: lifeOf(target), capacity: target.slots * secondMs / loads.learnedServiceMs(target)}));
 	}
 
-	/** Gives the orders that the written owners of a range call for. */
-	private drive(state: RangeState, now: number): void {
-		for (const life of state.range.previous) {
-			if (!state.isCleared(life)) {
-				this.clear(state, life, now);
-			}
-		}
-
-		if (state.isFree) {
-			this.grant(state, now);
-		}
-	}
-
-	/** Makes sure that a previous life holds the range no more. */
-	private clear(state: RangeState, life: TargetLife, now: number): void {
-		const {log, trust} = this.options;
-		const key = lifeKey(life);
-		const until = Math.max(state.holds.get(key) ?? 0, this.hasBeenGranted(state, life) ? 0 : this.inheritedUntil);
-		if (this.hasEnded(life) || now > until) {
-			state.cleared.add(key);
-			log.record(LogEvent.HoldRanOut, {...this.describe(state), target: life.id, hasEnded: this.hasEnded(life)});
-			return;
-		}
-
-		if (trust.isSuspected(life)) {
-			state.unreachable.add(key);
-			this.question(life, now);
-			return;
-		}
-
-		if (now >= (state.nextReleaseAt.get(key) ?? 0)) {
-			state.nextReleaseAt.set(key, Infinity);
-			void this.release(state, life);
-		}
-	}
-
-	/** True if the life answered a grant of this term, so that older grants of the range are void. */
-	private hasBeenGranted(state: RangeState, life: TargetLife): boolean {
-		return state.confirmed.has(lifeKey(life));
-	}
-
-	private hasEnded(life: TargetLife): boolean {
-		const listed = this.options.view.listedTarget(life.id);
-		return this.options.trust.hasEnded(life) || (listed !== undefined && listed.bornAt > life.bornAt);
-	}
-
-	private async release(state: RangeState, life: TargetLife): Promise<void> {
-		const {orders, log} = this.options;
-		const {range} = state;
-		const key = lifeKey(life);
-		try {
-			const handover = await orders.release(life, {range, fence: range.fence, timeoutMs: releaseLimitMs});
-			this.noteAnswer(life);
-			state.handover = range.previous.length === 1 ? handover : undefined;
-			state.cleared.add(key);
-			log.record(LogEvent.RangeReleased, {...this.describe(state), target: life.id, handover: handover !== undefined});
-		} catch (error) {
-			this.noteFailure(life, error, 'release');
-			state.unreachable.add(key);
-			state.nextReleaseAt.set(key, performance.now() + orderRetryMs);
-		}
-	}
-
-	private grant(state: RangeState, now: number): void {
-		const {leadership, policy, trust} = this.options;
-		const {owner} = state.range;
-		if (trust.isSuspected(owner)) {
-			this.question(owner, now);
-			return;
-		}
-
-		const proofAgeMs = leadership.proofAgeMs();
-		const holdMs = policy.holdMs(proofAgeMs);
-		const isExtension = policy.isTrouble(proofAgeMs) && state.grantedHoldMs < holdMs;
-		if (state.isGranting || (now < state.nextGrantAt && !isExtension) || this.hasEnded(owner)) {
-			return;
-		}
-
-		state.isGranting = true;
-		state.noteHold(owner, policy.latestEnd(now + grantLimitMs, holdMs));
-		void this.sendGrant(state, holdMs);
-	}
-
-	private async sendGrant(state: RangeState, holdMs: number): Promise<void> {
-		const {orders, policy, log} = this.options;
-		const {range, handover} = state;
-		const isFirst = state.grantedAt === undefined;
-		try {
-			await orders.grant(range.owner, {
-				range, fence: range.fence, holdMs, handover, timeoutMs: grantLimitMs,
-			});
-			state.grantedAt = performance.now();
-			state.grantedHoldMs = holdMs;
-			state.nextGrantAt = state.grantedAt + policy.renewalMs(holdMs);
-			state.confirmed.add(lifeKey(range.owner));
-			this.noteAnswer(range.owner);
-			if (isFirst) {
-				log.record(LogEvent.RangeGranted, {
-					...this.describe(state), target: range.owner.id, holdMs, handover: handover !== undefined,
-				});
-			}
-		} catch (error) {
-			state.nextGrantAt = performance.now() + orderRetryMs;
-			if (error instanceof FenceRejectedError) {
-				this.raiseFence(error);
-				return;
-			}
-
-			this.noteFailure(range.owner, error, 'grant');
-		} finally {
-			state.isGranting = false;
-		}
-	}
-
 	/** A target knows a higher fence than the assignment: every range gets one above it with the next write. */
 	private raiseFence(error: FenceRejectedError): void {
 		this.options.log.record(LogEvent.OrderFailed, {service: this.rule.name, detail: error.message});
@@ -425,63 +308,6 @@
 		}
 	}
 
-	/** Asks a suspected target who it is. */
-	private question(life: TargetLife, now: number): void {
-		if (this.options.trust.takeQuestion(life, now)) {
-			void this.ask(life);
-		}
-	}
-
-	private async ask(life: TargetLife): Promise<void> {
-		const {orders, trust, log} = this.options;
-		try {
-			const id = await orders.identify(life, this.rule.healthPath, grantLimitMs);
-			if (id === life.id) {
-				this.noteAnswer(life);
-				return;
-			}
-
-			if (id !== undefined) {
-				trust.noteEnded(life, performance.now());
-			}
-		} catch (error) {
-			if (!(error instanceof RouterError)) {
-				throw error;
-			}
-
-			trust.noteNoAnswer(life);
-			log.record(LogEvent.OrderFailed, {
-				service: this.rule.name, order: 'identify', target: life.id, detail: error.message,
-			});
-		}
-	}
-
-	private noteAnswer(life: TargetLife): void {
-		if (this.options.trust.noteAnswer(life)) {
-			this.options.log.record(LogEvent.TargetTrusted, {service: this.rule.name, target: life.id});
-		}
-	}
-
-	private noteFailure(life: TargetLife, error: unknown, order: string): void {
-		if (!(error instanceof RouterError)) {
-			throw error;
-		}
-
-		const {trust, log} = this.options;
-		log.record(LogEvent.OrderFailed, {
-			service: this.rule.name, order, target: life.id, detail: error.message,
-		});
-		if (trust.noteFailure(life)) {
-			log.record(LogEvent.TargetSuspected, {service: this.rule.name, target: life.id});
-		}
-	}
-
-	private describe({range}: RangeState): Record<string, string | number> {
-		return {
-			service: this.rule.name, first: range.first, last: range.last, fence: range.fence,
-		};
-	}
-
 	private nextWriteId(): string {
 		this.writes += 1;
 		return `${this.options.daemon}/${this.options.leadership.revision}/${this.writes}`;
--- a/src/model/key-orders.ts
+++ b/src/model/key-orders.ts
@@ -14,7 +14,7 @@
 
 /** Lets a target serve a range for a time that counts from the arrival of the order. */
 export type KeyGrant = KeyOrder & {
-	holdMs: number;
+	holdDurationMs: number;
 	/** Token of the last holder, which keeps the keys warm. */
 	handover?: string;
 };
--- a/src/platform/key-orders.ts
+++ b/src/platform/key-orders.ts
@@ -13,10 +13,10 @@
 export class PlatformKeyOrders implements KeyOrders {
 	private readonly pool = new ConnectionPool();
 
-	async grant(target: TargetLife, {range, fence, holdMs, handover, timeoutMs}: KeyGrant): Promise<void> {
+	async grant(target: TargetLife, {range, fence, holdDurationMs, handover, timeoutMs}: KeyGrant): Promise<void> {
 		// The wire calls the last key of the range "target".
 		const body = {
-			from: range.first, target: range.last, fence, holdMs, ...(handover !== undefined && {handover}),
+			from: range.first, target: range.last, fence, holdMs: holdDurationMs, ...(handover !== undefined && {handover}),
 		};
 		const answer = await this.send(target, wirePaths.grant, body, timeoutMs);
 		if (answer.status === 409) {
--- a/standins/key-holder.ts
+++ b/standins/key-holder.ts
@@ -40,7 +40,7 @@
 		return Math.max(0, ...this.fences.filter(({first, last}) => key >= first && key <= last).map(({fence}) => fence));
 	}
 
-	grant({range, fence, holdMs}: KeyGrant, arrivedAt: number): void {
+	grant({range, fence, holdDurationMs}: KeyGrant, arrivedAt: number): void {
 		if (this.fences.some(seen => overlaps(seen, range) && seen.fence > fence)) {
 			throw new FenceRejectedError(this.life.id, fence);
 		}
@@ -49,7 +49,7 @@
 		this.fences.push({...range, fence});
 		this.fences = this.fences.slice(-500);
 		this.holds = this.holds.flatMap(hold => subtract(hold, range));
-		this.holds.push({...range, fence, until: arrivedAt + holdMs});
+		this.holds.push({...range, fence, until: arrivedAt + holdDurationMs});
 	}
 
 	release({range, fence}: KeyOrder): string {
--- a/standins/platform-target-server.ts
+++ b/standins/platform-target-server.ts
@@ -61,11 +61,11 @@
 	}
 
 	private async handle(request: IncomingMessage, response: ServerResponse, body: unknown): Promise<void> {
-		const {from: first, target: last, fence, holdMs} = (body ?? {}) as WireOrder;
+		const {from: first, target: last, fence, holdMs: holdDurationMs} = (body ?? {}) as WireOrder;
 		const order = {range: {first, last}, fence, timeoutMs: 0};
 		switch (request.url ?? '') {
 			case wirePaths.grant: {
-				this.grant(response, {...order, holdMs});
+				this.grant(response, {...order, holdDurationMs});
 				return;
 			}
 
