fix(cli): tell of other leaders only what the request's own daemon saw

Change: LeaderChanged counts for the daemons that logged the request; LeadershipTaken for all. Ruled out: a shorter span around the request, which would lose the release and grant of its key.

--- a/src/cli/request-story.ts
+++ b/src/cli/request-story.ts
@@ -11,11 +11,11 @@
 
 /** Events that concern everything a daemon does. */
 const daemonEvents = new Set<number>([
-	LogEvent.DaemonStarted, LogEvent.DaemonStopping, LogEvent.StoreLost, LogEvent.StoreRegained, LogEvent.ConfigurationInForce, LogEvent.LinesDropped,
+	LogEvent.DaemonStarted, LogEvent.DaemonStopping, LogEvent.StoreLost, LogEvent.StoreRegained, LogEvent.ConfigurationInForce, LogEvent.LeaderChanged, LogEvent.LinesDropped,
 ]);
 
 /** Events that concern all daemons. */
-const fleetEvents = new Set<number>([LogEvent.LeaderChanged, LogEvent.LeadershipTaken]);
+const fleetEvents = new Set<number>([LogEvent.LeadershipTaken]);
 
 /** A line of the log. */
 export type LogLine = {
