fix(membership): let another daemon watch when a watch is silent, and reach zones whose hub's entry lapsed

The leader, first by name in its zone, was cut off from the store without a reset. Its watch was interrupted every half second because peers knew newer revisions, and an interruption did not count as a failure: it went on saying that it reached the store, logged no StoreLost in ten seconds, and its neighbours went on following it. When its entry lapsed, the hubs of other zones had no address for the daemon that spoke for its zone and sent nothing there, so that nobody in it heard of newer revisions. Change: a watch that does not bring what peers know makes the store count as out of reach until it answers again; a daemon without an entry is no contact.

--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -1,7 +1,9 @@
 /**
  * Keeps the view in step with the store: by one watch over all keys, or by the updates of another daemon that watches.
  */
-import type {CoordinationStore, StoreChange, StoreUpdate} from '../../model/coordination-store.js';
+import type {
+	CoordinationStore, StoreChange, StoreChanges, StoreUpdate,
+} from '../../model/coordination-store.js';
 import {HistoryLostError, RouterError, WatchInterruptedError} from '../../model/errors.js';
 import {LogEvent, type EventLog} from '../../model/events.js';
 import type {Target} from '../../model/fleet.js';
@@ -64,6 +66,7 @@
 	private readonly log: EventLog;
 	private readonly relay: UpdateRelay;
 	private isStopped = false;
+	private isWatching = false;
 	private isInTouch = false;
 	private hasListed = false;
 	private readonly malformed = new Map<string, number>();
@@ -71,6 +74,8 @@
 	private behindSince = 0;
 	/** True if updates of another daemon do not bring what peers know. */
 	private mustAsk = false;
+	/** True from a watch that did not bring what peers know until the store answers again. */
+	private isWatchSilent = false;
 	private endIdle: (() => void) | undefined;
 
 	constructor(
@@ -83,9 +88,9 @@
 		this.relay = relay;
 	}
 
-	/** True unless the store did not answer the last call. */
+	/** True unless the store did not answer the last call, or a watch did not bring what peers know. */
 	get isStoreReachable(): boolean {
-		return this.isInTouch;
+		return this.isInTouch && !this.isWatchSilent;
 	}
 
 	/** True once everything was read. */
@@ -120,7 +125,7 @@
 		if (this.newestHeard > this.view.revision && now - this.behindSince > behindMs) {
 			this.behindSince = now;
 			this.askNow();
-			this.store.interruptWatch(`peers know revision ${this.newestHeard}`);
+			this.interruptWatch();
 		}
 
 		if (!this.relay.isFollowing()) {
@@ -155,6 +160,16 @@
 		}
 	}
 
+	/** A connection to the store may be silent without a reset; another daemon is to watch meanwhile. */
+	private interruptWatch(): void {
+		if (this.isWatching && !this.isWatchSilent) {
+			this.isWatchSilent = true;
+			this.log.record(LogEvent.StoreLost, {revision: this.view.revision, detail: `a watch is silent while peers know revision ${this.newestHeard}`});
+		}
+
+		this.store.interruptWatch(`peers know revision ${this.newestHeard}`);
+	}
+
 	private askNow(): void {
 		this.mustAsk = true;
 		this.endIdle?.();
@@ -206,7 +221,7 @@
 
 	private async watch(): Promise<void> {
 		const after = this.view.revision;
-		const {changes, revision} = await this.store.watch('', after, watchWaitMs);
+		const {changes, revision} = await this.waitForChanges(after);
 		this.noteSuccess();
 		this.take({after, changes, revision});
 		if (changes.length > 0) {
@@ -215,6 +230,15 @@
 		}
 	}
 
+	private async waitForChanges(after: number): Promise<StoreChanges> {
+		this.isWatching = true;
+		try {
+			return await this.store.watch('', after, watchWaitMs);
+		} finally {
+			this.isWatching = false;
+		}
+	}
+
 	private removeUnlisted(listed: Set<string>): void {
 		for (const {id} of this.view.listedTargets()) {
 			if (!listed.has(`${this.documents.targetsPrefix}${id}`)) {
@@ -321,6 +345,11 @@
 	}
 
 	private noteSuccess(): void {
+		if (this.isWatchSilent) {
+			this.isWatchSilent = false;
+			this.log.record(LogEvent.StoreRegained, {revision: this.view.revision});
+		}
+
 		if (this.isInTouch) {
 			return;
 		}
--- a/src/decisions/fleet/zone-hubs.ts
+++ b/src/decisions/fleet/zone-hubs.ts
@@ -73,8 +73,8 @@
 				return false;
 			}
 
-			const contact = this.contacts.get(member.availabilityZone);
-			return contact === undefined || now - contact.heardAt > silenceMs || contact.daemon === member.daemon;
+			const contact = this.contact(member.availabilityZone, now);
+			return contact === undefined || contact === member.daemon;
 		});
 	}
 
@@ -86,4 +86,11 @@
 			}
 		}
 	}
+
+	/** The daemon that speaks for another availability zone; one whose entry has lapsed has no address any more, though it speaks. */
+	private contact(availabilityZone: string, now: number): string | undefined {
+		const contact = this.contacts.get(availabilityZone);
+		const isKnown = contact !== undefined && now - contact.heardAt <= silenceMs && this.view.members.has(contact.daemon);
+		return isKnown ? contact.daemon : undefined;
+	}
 }
--- a/standins/memory-coordination-store.ts
+++ b/standins/memory-coordination-store.ts
@@ -23,6 +23,9 @@
 /** Time after which a caller takes a lost reply for lost, in milliseconds. */
 const lostReplyMs = 300;
 
+/** Time beyond its own wait after which a caller takes a watch for lost, in milliseconds. */
+const silentWatchMs = 1000;
+
 type Entry = StoredItem & {lease: number | undefined};
 
 type Lease = {
@@ -160,6 +163,8 @@
 export class MemoryStoreClient implements CoordinationStore {
 	/** True while the daemon cannot reach the store. */
 	isCut = false;
+	/** True while the connection of the watch is silent, though open. */
+	isWatchSilent = false;
 	private interrupt: ((reason: string) => void) | undefined;
 
 	constructor(private readonly store: MemoryCoordinationStore) {}
@@ -195,6 +200,10 @@
 	async watch(prefix: string, after: number, waitMs: number): Promise<StoreChanges> {
 		await pause(answerMs);
 		this.expectReachable();
+		if (this.isWatchSilent) {
+			await this.silence(waitMs + silentWatchMs);
+		}
+
 		if (this.store.changesAfter(prefix, after).length === 0) {
 			await this.nextChange(waitMs);
 		}
@@ -211,6 +220,19 @@
 		this.interruptWatch('closed');
 	}
 
+	/** Ends only by an interruption, or when the caller takes the watch for lost. */
+	private async silence(limitMs: number): Promise<void> {
+		return new Promise<void>((_resolve, reject) => {
+			const timer = setTimeout(() => {
+				reject(new StoreUnavailableError('silent'));
+			}, limitMs);
+			this.interrupt = reason => {
+				clearTimeout(timer);
+				reject(new WatchInterruptedError(reason));
+			};
+		});
+	}
+
 	private async nextChange(waitMs: number): Promise<void> {
 		return new Promise<void>((resolve, reject) => {
 			const settle = (): void => {
--- a/tests/decisions/peer-exchange.test.ts
+++ b/tests/decisions/peer-exchange.test.ts
@@ -1,7 +1,9 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
 import fc from 'fast-check';
+import {FleetView} from '../../src/decisions/fleet/fleet-view.js';
 import {splitUpdate} from '../../src/decisions/fleet/store-update.js';
+import {ZoneHubs} from '../../src/decisions/fleet/zone-hubs.js';
 import type {StoreChange} from '../../src/model/coordination-store.js';
 import {StoreFault} from '../../standins/memory-coordination-store.js';
 import {datagramBytes, RelayedFleet, target} from '../../standins/relayed-fleet.js';
@@ -73,6 +75,43 @@
 	});
 }
 
+test.serial('should not wait for a daemon whose watch is silent while changes go on', async t => {
+	await withFleet(async (fleet, tick) => {
+		const silent = fleet.daemon('one-1');
+		silent.client.isWatchSilent = true;
+		// Its entry lapses as well, because its renewals get no answer either.
+		for (let count = 0; count < 12; count += 1) {
+			fleet.store.put(`targets/change-${count}`, '');
+			// eslint-disable-next-line no-await-in-loop -- time passes in steps.
+			await tick(400);
+		}
+
+		t.false(silent.sync.isStoreReachable);
+		fleet.store.delete('eelgrasswheel/members/one-1');
+		await tick(2000);
+		fleet.store.put('targets/new', '');
+		await tick(400);
+		t.deepEqual(fleet.unaware('new').filter(daemon => daemon !== 'one-1'), []);
+	});
+});
+
+test.serial('should reach the other availability zone though the entry of its hub has lapsed', async t => {
+	await withFleet(async (fleet, tick) => {
+		const hub = fleet.daemon('two-1');
+		hub.client.isCut = true;
+		fleet.store.delete('eelgrasswheel/members/two-1');
+		await tick(2000);
+		for (const {loads, member} of fleet.daemons) {
+			if (member.availabilityZone === 'one') {
+				loads.begin(target('a'));
+			}
+		}
+
+		await tick(1000);
+		t.is(fleet.daemon('two-3').loads.inFlight('a'), 3);
+	});
+});
+
 test.serial('should ask the store for a change that is too large for a message, while further changes come', async t => {
 	await withFleet(async (fleet, tick) => {
 		fleet.store.put('targets/large', 'x'.repeat(datagramBytes * 2));
@@ -122,6 +161,32 @@
 	});
 });
 
+const contacts: Array<{title: string; members: string[]; heardMsAgo: number | undefined; expected: string[]}> = [
+	{title: 'the daemon that spoke for it lately', members: ['two-1', 'two-2'], heardMsAgo: 500, expected: ['two-1']},
+	{title: 'all daemons when none spoke', members: ['two-1', 'two-2'], heardMsAgo: undefined, expected: ['two-1', 'two-2']},
+	{title: 'all daemons when none spoke lately', members: ['two-1', 'two-2'], heardMsAgo: 1500, expected: ['two-1', 'two-2']},
+	{title: 'all daemons when the entry of the one that spoke has lapsed', members: ['two-2', 'two-3'], heardMsAgo: 500, expected: ['two-2', 'two-3']},
+];
+
+for (const {title, members, heardMsAgo, expected} of contacts) {
+	test(`should talk to another availability zone by way of ${title}`, t => {
+		const view = new FleetView();
+		for (const daemon of ['one-1', ...members]) {
+			view.members.set(daemon, {
+				daemon, availabilityZone: daemon.slice(0, 3), ip: daemon, port: 1,
+			});
+		}
+
+		const now = 10_000;
+		const hubs = new ZoneHubs({daemon: 'one-1', availabilityZone: 'one'}, view);
+		if (heardMsAgo !== undefined) {
+			hubs.noteContact('two', 'two-1', now - heardMsAgo);
+		}
+
+		t.deepEqual(hubs.remoteMembers(now).map(({daemon}) => daemon), expected);
+	});
+}
+
 const change = (revision: number, bytes: number): StoreChange => ({key: `key-${revision}`, value: 'x'.repeat(bytes), revision});
 
 const updates: Array<{title: string; changes: StoreChange[]; parts: Array<[number, number[], number]>}> = [
