test(membership): format the cases of contacts

Cause: the linter's layout rules. Change: layout only; the bundled daemon is the same to the byte (sha256 before and after).

--- a/tests/decisions/peer-exchange.test.ts
+++ b/tests/decisions/peer-exchange.test.ts
@@ -162,10 +162,18 @@
 });
 
 const contacts: Array<{title: string; members: string[]; heardMsAgo: number | undefined; expected: string[]}> = [
-	{title: 'the daemon that spoke for it lately', members: ['two-1', 'two-2'], heardMsAgo: 500, expected: ['two-1']},
-	{title: 'all daemons when none spoke', members: ['two-1', 'two-2'], heardMsAgo: undefined, expected: ['two-1', 'two-2']},
-	{title: 'all daemons when none spoke lately', members: ['two-1', 'two-2'], heardMsAgo: 1500, expected: ['two-1', 'two-2']},
-	{title: 'all daemons when the entry of the one that spoke has lapsed', members: ['two-2', 'two-3'], heardMsAgo: 500, expected: ['two-2', 'two-3']},
+	{
+		title: 'the daemon that spoke for it lately', members: ['two-1', 'two-2'], heardMsAgo: 500, expected: ['two-1'],
+	},
+	{
+		title: 'all daemons when none spoke', members: ['two-1', 'two-2'], heardMsAgo: undefined, expected: ['two-1', 'two-2'],
+	},
+	{
+		title: 'all daemons when none spoke lately', members: ['two-1', 'two-2'], heardMsAgo: 1500, expected: ['two-1', 'two-2'],
+	},
+	{
+		title: 'all daemons when the entry of the one that spoke has lapsed', members: ['two-2', 'two-3'], heardMsAgo: 500, expected: ['two-2', 'two-3'],
+	},
 ];
 
 for (const {title, members, heardMsAgo, expected} of contacts) {
