feat(configuration): serve downloads, and let a broken part cost only itself

Ruled out: taking only `download` into the list, because the next unknown kind would take every route away again. Change: each resource is decoded by itself. A kind that is not known is handled as unsafe; a field that cannot be read gets a default that keeps every promise; a route that does not say where it goes refuses with 503 instead of 404 or an older service. Faults are logged once, with route and field. Tests in tests/platform/documents.test.ts, with a property over documents with one broken part; they did not compile or failed before.

--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -17,8 +17,8 @@
 export type PlatformDocuments = {
 	configurationKey: string;
 	targetsPrefix: string;
-	/** Throws `MalformedDocumentError`. */
-	decodeConfiguration(text: string): RouteConfiguration;
+	/** Throws `MalformedDocumentError` if nothing of it can be used. */
+	decodeConfiguration(text: string, earlier: RouteConfiguration | undefined): RouteConfiguration;
 	/** Throws `MalformedDocumentError`. */
 	decodeTarget(key: string, text: string): Target;
 };
@@ -307,9 +307,16 @@
 	}
 
 	private applyConfiguration(value: string, revision: number): void {
-		const configuration = this.documents.decodeConfiguration(value);
-		if (this.view.applyConfiguration(configuration)) {
-			this.log.record(LogEvent.ConfigurationInForce, {version: configuration.version, revision, routes: configuration.routes.length});
+		const earlier = this.view.configuration;
+		const configuration = this.documents.decodeConfiguration(value, earlier);
+		if (!this.view.applyConfiguration(configuration)) {
+			return;
+		}
+
+		const {version, routes, faults} = configuration;
+		this.log.record(LogEvent.ConfigurationInForce, {version, revision, routes: routes.length});
+		for (const detail of faults.filter(fault => !earlier?.faults.includes(fault))) {
+			this.log.record(LogEvent.DocumentRejected, {key: this.documents.configurationKey, revision, detail});
 		}
 	}
 
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -90,11 +90,15 @@
 
 		const path = request.path.split('?', 1)[0] ?? '';
 		const route = index.routeOf(request.host, path);
-		const service = index.nextService(request.host, path);
-		if (!route || !service) {
+		if (!route) {
 			return {kind: OutcomeKind.NoRoute, reason: OutcomeReason.NoRoute};
 		}
 
+		const service = index.nextService(request.host, path);
+		if (!service) {
+			return {kind: OutcomeKind.NotRun, reason: OutcomeReason.RouteUnreadable, retryAfterMs: retryAfter.starting};
+		}
+
 		this.inFlight += 1;
 		try {
 			return {...await this.carry(this.begin(request, route, service)), route};
--- a/src/model/route-configuration.ts
+++ b/src/model/route-configuration.ts
@@ -14,6 +14,7 @@
 	host: string;
 	/** Begins and ends with a slash. */
 	prefix: string;
+	/** Empty if the document does not say readably where the requests go. */
 	shares: ServiceShare[];
 	/** True if a request may run more than once. */
 	isIdempotent: boolean;
@@ -47,10 +48,17 @@
 	idleTimeoutMs: number;
 };
 
+/** Limits before the first configuration. */
+export const initialLimits: CallerLimits = {
+	maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+};
+
 /** One version of the configuration. */
 export type RouteConfiguration = {
 	version: number;
 	routes: Route[];
 	services: Map<string, ServiceRule>;
 	limits: CallerLimits;
+	/** Parts of the document that could not be understood, each with its place. */
+	faults: string[];
 };
--- a/src/platform/document-reader.ts
+++ b/src/platform/document-reader.ts
@@ -31,19 +31,32 @@
 		this.fields = value;
 	}
 
-	text(name: string): string {
+	/** True if this reader, or one that shares its faults, found a fault. */
+	get hasFaults(): boolean {
+		return this.faults.length > 0;
+	}
+
+	get foundFaults(): readonly string[] {
+		return this.faults;
+	}
+
+	noteFault(detail: string): void {
+		this.faults.push(`${this.path}: ${detail}`);
+	}
+
+	text(name: string, fallback = ''): string {
 		const value = this.fields[name];
-		return typeof value === 'string' && value !== '' ? value : this.fault(name, 'a text that is not empty', '');
+		return typeof value === 'string' && value !== '' ? value : this.fault(name, 'a text that is not empty', fallback);
 	}
 
-	whole(name: string, minimum = 0): number {
+	whole(name: string, minimum = 0, fallback = minimum): number {
 		const value = this.fields[name];
-		return Number.isSafeInteger(value) && (value as number) >= minimum ? value as number : this.fault(name, `a whole number from ${minimum}`, minimum);
+		return Number.isSafeInteger(value) && (value as number) >= minimum ? value as number : this.fault(name, `a whole number from ${minimum}`, fallback);
 	}
 
-	number(name: string, minimum = 0): number {
+	number(name: string, minimum = 0, fallback = minimum): number {
 		const value = this.fields[name];
-		return typeof value === 'number' && Number.isFinite(value) && value >= minimum ? value : this.fault(name, `a number from ${minimum}`, minimum);
+		return typeof value === 'number' && Number.isFinite(value) && value >= minimum ? value : this.fault(name, `a number from ${minimum}`, fallback);
 	}
 
 	oneOf<Choice extends string>(name: string, choices: readonly Choice[]): Choice {
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -2,8 +2,8 @@
  * Documents that the operator and the targets write to the platform's store.
  */
 import {TargetState, type Target} from '../model/fleet.js';
-import type {
-	CallerLimits, Route, RouteConfiguration, ServiceRule, ServiceShare,
+import {
+	initialLimits, type CallerLimits, type Route, type RouteConfiguration, type ServiceRule, type ServiceShare,
 } from '../model/route-configuration.js';
 import {DocumentReader} from './document-reader.js';
 import {wireKeys} from './wire.js';
@@ -11,43 +11,86 @@
 /** Milliseconds in a second. */
 const secondMs = 1000;
 
+/** Kinds of routes, and whether their requests may run more than once. */
+const routeKinds: ReadonlyMap<string, boolean> = new Map([
+	['safe', true],
+	['unsafe', false],
+	// Safe requests with large answers.
+	['download', true],
+]);
+
+/** Time limit of a route whose own cannot be read, in milliseconds; the longest of the users' short kinds of requests. */
+const defaultTimeoutMs = 1000;
+
+/** Rank of a route whose own cannot be read. */
+const leastUrgentPriority = 9;
+
 /**
- * Decodes the operator's configuration.
+ * Decodes the operator's configuration. A part that cannot be understood costs only itself and is named in `faults`.
  *
- * @throws {MalformedDocumentError}
+ * @param earlier configuration in force; says which requests a route that has become unreadable may concern
+ * @throws {MalformedDocumentError} if the document has no list of resources or no version
  */
-export function decodeConfiguration(text: string): RouteConfiguration {
+export function decodeConfiguration(text: string, earlier?: RouteConfiguration): RouteConfiguration {
 	const reader = DocumentReader.parse('configuration', text);
-	const routes: Route[] = [];
-	const services = new Map<string, ServiceRule>();
-	let limits: CallerLimits | undefined;
-	for (const [index, value] of reader.list('resources').entries()) {
-		const resource = reader.entry(index, value);
-		const specification = resource.object('spec');
-		switch (resource.oneOf('resourceType', ['routes', 'services', 'limits'])) {
-			case 'routes': {
-				routes.push(decodeRoute(resource.object('metadata').text('name'), specification));
-				break;
-			}
+	const version = reader.whole('version');
+	const resources = reader.list('resources');
+	reader.finish();
+	const configuration: RouteConfiguration = {
+		version, routes: [], services: new Map(), limits: earlier?.limits ?? initialLimits, faults: [],
+	};
+	for (const [index, value] of resources.entries()) {
+		addResource(configuration, value, {name: nameOf(value) ?? `#${index}`, earlier});
+	}
 
-			case 'services': {
-				const name = resource.object('metadata').text('name');
-				services.set(name, decodeService(name, specification));
-				break;
+	return configuration;
+}
+
+type ResourceContext = {
+	/** Name in the document, or its place if it has none. */
+	name: string;
+	earlier: RouteConfiguration | undefined;
+};
+
+function addResource(configuration: RouteConfiguration, value: unknown, {name, earlier}: ResourceContext): void {
+	const reader = new DocumentReader(name, value);
+	const specification = reader.object('spec');
+	const type = reader.text('resourceType');
+	switch (type) {
+		case 'routes': {
+			const route = decodeRoute(name, specification, earlier?.routes.find(known => known.name === name));
+			if (route) {
+				configuration.routes.push(route);
 			}
 
-			case 'limits': {
-				limits = decodeLimits(specification);
-				break;
+			break;
+		}
+
+		case 'services': {
+			configuration.services.set(name, decodeService(name, specification, earlier?.services.get(name)));
+			break;
+		}
+
+		case 'limits': {
+			const limits = decodeLimits(specification);
+			if (!reader.hasFaults) {
+				configuration.limits = limits;
 			}
+
+			break;
+		}
+
+		default: {
+			reader.noteFault(`the resource type ${type} is unknown`);
 		}
 	}
 
-	const configuration = {
-		version: reader.whole('version'), routes, services, limits: limits ?? decodeLimits(reader.object('limits')),
-	};
-	reader.finish();
-	return configuration;
+	configuration.faults.push(...reader.foundFaults);
+}
+
+function nameOf(resource: unknown): string | undefined {
+	const name = (resource as {metadata?: {name?: unknown}} | undefined)?.metadata?.name;
+	return typeof name === 'string' && name !== '' ? name : undefined;
 }
 
 /**
@@ -75,17 +118,34 @@
 	return target;
 }
 
-function decodeRoute(name: string, reader: DocumentReader): Route {
+/**
+ * Decodes a route. Where it goes must be readable: requests are refused otherwise, because the services of an earlier
+ * version may no longer run them. Other fields have defaults that keep every promise.
+ */
+function decodeRoute(name: string, reader: DocumentReader, earlier: Route | undefined): Route | undefined {
+	const host = reader.text('host').toLowerCase() || earlier?.host;
+	const prefix = reader.text('prefix') || earlier?.prefix;
+	if (!host || !prefix) {
+		return undefined;
+	}
+
+	const shares = decodeShares(reader);
+	const isReadable = !reader.hasFaults;
+	const kind = reader.text('kind');
+	if (!routeKinds.has(kind)) {
+		reader.noteFault(`the kind ${kind} is unknown, so that no request is repeated`);
+	}
+
 	return {
 		name,
-		host: reader.text('host').toLowerCase(),
-		prefix: reader.text('prefix'),
-		shares: decodeShares(reader),
-		isIdempotent: reader.oneOf('kind', ['safe', 'unsafe']) === 'safe',
-		timeoutMs: reader.number('timeoutMs', 1),
-		targetLatencyMs: reader.number('targetLatencyMs'),
-		priority: reader.whole('priority'),
-		maxAttempts: reader.whole('maxAttempts', 1),
+		host,
+		prefix,
+		shares: isReadable ? shares : [],
+		isIdempotent: routeKinds.get(kind) ?? false,
+		timeoutMs: reader.number('timeoutMs', 1, earlier?.timeoutMs ?? defaultTimeoutMs),
+		targetLatencyMs: reader.number('targetLatencyMs', 0, earlier?.targetLatencyMs ?? defaultTimeoutMs),
+		priority: reader.whole('priority', 0, earlier?.priority ?? leastUrgentPriority),
+		maxAttempts: reader.whole('maxAttempts', 1, 1),
 	};
 }
 
@@ -100,11 +160,11 @@
 	});
 }
 
-function decodeService(name: string, reader: DocumentReader): ServiceRule {
+function decodeService(name: string, reader: DocumentReader, earlier: ServiceRule | undefined): ServiceRule {
 	return {
 		name,
-		healthPath: reader.text('healthPath'),
-		maxConnections: reader.whole('maxConnections', 1),
+		healthPath: reader.text('healthPath', earlier?.healthPath ?? '/'),
+		maxConnections: reader.whole('maxConnections', 1, earlier?.maxConnections ?? 1),
 		isKeyed: reader.isTrue('sharded'),
 		keyWarmUpMs: reader.has('warmS') ? reader.number('warmS') * secondMs : 0,
 	};
--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -16,7 +16,7 @@
 import {
 	OutcomeKind, type CallerRequest, type Outcome,
 } from '../model/forwarding.js';
-import type {CallerLimits} from '../model/route-configuration.js';
+import {initialLimits, type CallerLimits} from '../model/route-configuration.js';
 import {openBody} from './request-body.js';
 
 /** Headers of a caller that the gateway needs; an adapter reads them. */
@@ -42,11 +42,6 @@
 /** Headers beyond this size are refused by the parser, in bytes; the configured limit is lower. */
 const parserHeaderBytes = 65_536;
 
-/** Limits before the first configuration. */
-const initialLimits: CallerLimits = {
-	maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-};
-
 /** Interval in which slow senders are looked for, in milliseconds. */
 const slowSenderCheckMs = 500;
 
--- a/standins/keyed-fleet.ts
+++ b/standins/keyed-fleet.ts
@@ -30,6 +30,7 @@
 	limits: {
 		maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
 	},
+	faults: [],
 };
 
 /** One daemon's part. */
--- a/tests/decisions/fleet-view.test.ts
+++ b/tests/decisions/fleet-view.test.ts
@@ -26,6 +26,7 @@
 		limits: {
 			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
 		},
+		faults: [],
 	};
 }
 
--- a/tests/decisions/forwarder.test.ts
+++ b/tests/decisions/forwarder.test.ts
@@ -35,6 +35,7 @@
 	limits: {
 		maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
 	},
+	faults: [],
 };
 
 function target(id: string, service: string): Target {
--- a/tests/platform/documents.test.ts
+++ b/tests/platform/documents.test.ts
@@ -1,5 +1,6 @@
 import {readFile} from 'node:fs/promises';
 import test from 'ava';
+import fc from 'fast-check';
 import {MalformedDocumentError} from '../../src/model/errors.js';
 import {TargetState} from '../../src/model/fleet.js';
 import {decodeConfiguration, decodeTarget} from '../../src/platform/documents.js';
@@ -70,6 +71,76 @@
 	t.is(decoded.limits.idleTimeoutMs, 15_000);
 });
 
+type Resource = {resourceType: string; metadata: Record<string, unknown>; spec: Record<string, unknown>};
+
+/** The configuration with changed fields of the first route. */
+function withRoute(specification: Record<string, unknown>): string {
+	const [route, ...others] = configuration.resources as Resource[];
+	return JSON.stringify({...configuration, resources: [{...route, spec: {...route?.spec, ...specification}}, ...others]});
+}
+
+const kinds = [
+	{kind: 'safe', isIdempotent: true, faults: 0},
+	{kind: 'unsafe', isIdempotent: false, faults: 0},
+	{kind: 'download', isIdempotent: true, faults: 0},
+	{kind: 'of the future', isIdempotent: false, faults: 1},
+	{kind: undefined, isIdempotent: false, faults: 2},
+];
+
+for (const {kind, isIdempotent, faults} of kinds) {
+	test(`should serve a route of the kind ${kind ?? 'that is missing'}`, t => {
+		const decoded = decodeConfiguration(withRoute({kind}));
+		t.is(decoded.routes[0]?.isIdempotent, isIdempotent);
+		t.is(decoded.routes[0]?.shares.length, 2);
+		t.is(decoded.faults.length, faults);
+	});
+}
+
+const brokenRoutes: Array<{title: string; specification: Record<string, unknown>; expected: Record<string, unknown> | undefined}> = [
+	{title: 'no host', specification: {host: undefined}, expected: {host: 'host.example', prefix: '/a/', shares: []}},
+	{title: 'no prefix', specification: {prefix: 7}, expected: {host: 'host.example', prefix: '/a/', shares: []}},
+	{title: 'no service', specification: {trafficSplit: undefined}, expected: {host: 'host.example', prefix: '/a/', shares: []}},
+	{title: 'a part of its traffic without weight', specification: {trafficSplit: [{service: 'one'}]}, expected: {shares: []}},
+	{title: 'no time limit', specification: {timeoutMs: 'soon'}, expected: {timeoutMs: 800}},
+	{title: 'no objective', specification: {targetLatencyMs: -1}, expected: {targetLatencyMs: 300}},
+	{title: 'no priority', specification: {priority: null}, expected: {priority: 2}},
+	{title: 'no bound of attempts', specification: {maxAttempts: 0}, expected: {maxAttempts: 1}},
+];
+
+for (const {title, specification, expected} of brokenRoutes) {
+	test(`should keep the other parts of a configuration in which a route has ${title}`, t => {
+		const earlier = decodeConfiguration(JSON.stringify(configuration));
+		const decoded = decodeConfiguration(withRoute(specification), earlier);
+		t.like(decoded.routes[0], expected!);
+		t.deepEqual(decoded.routes[1], earlier.routes[1]);
+		t.true(decoded.faults.length > 0);
+		t.true(decoded.faults.every(fault => fault.startsWith('split')));
+	});
+}
+
+test('should take no second route away with any broken part', t => {
+	const earlier = decodeConfiguration(JSON.stringify(configuration));
+	fc.assert(fc.property(fc.jsonValue(), fc.constantFrom('resourceType', 'metadata', 'spec'), fc.boolean(), (value, field, isKnown) => {
+		const [route, ...others] = configuration.resources as Resource[];
+		const text = JSON.stringify({...configuration, resources: [{...route, [field]: value}, ...others]});
+		const decoded = decodeConfiguration(text, isKnown ? earlier : undefined);
+		t.deepEqual(decoded.routes.find(({name}) => name === 'order'), earlier.routes[1]);
+		t.deepEqual([...decoded.services.keys()].filter(name => name === 'one' || name === 'two'), ['one', 'two']);
+	}), {seed: 1, numRuns: 300});
+});
+
+const rejectedConfigurations = [
+	{title: 'no version', text: JSON.stringify({...configuration, version: undefined})},
+	{title: 'no list of resources', text: JSON.stringify({...configuration, resources: {}})},
+	{title: 'no object', text: 'null'},
+];
+
+for (const {title, text} of rejectedConfigurations) {
+	test(`should reject a configuration with ${title}`, t => {
+		t.throws(() => decodeConfiguration(text), {instanceOf: MalformedDocumentError});
+	});
+}
+
 test('should decode the entry of a target, whose id is in its key alone', t => {
 	const target = decodeTarget('servers/i-1', JSON.stringify(entry));
 	t.is(target.id, 'i-1');
