fix(transport): discard a paused answer without ending the daemon

Cause: while a slow caller pauses an answer that ends with its connection, the HTTP library finishes its parser when the socket closes or is reset, and asserts that it is not paused. The assertion is raised in an event of the socket, so that it ends the process: `assert(!this.paused)` at Parser.finish. Found by a test of answers without end. Ruled out: lost replies of the store and late datagrams; their errors are typed and caught. Change: connections are discarded with an error, and a reset has a code of its own, so that the library takes neither for an end. Both cases always meant a broken answer here. Conclusion: answers that are broken off while callers are slow cost one answer, not a daemon.

--- a/src/transport/http-connection.ts
+++ b/src/transport/http-connection.ts
@@ -16,6 +16,9 @@
 /** How long the library itself waits for a connection; callers set shorter limits of their own. */
 const connectLimitMs = 3000;
 
+/** Code of a reset as the library sees it: it takes `ECONNRESET` for a possible end of an answer, and then fails on a paused one. */
+const resetCode = 'RESET';
+
 /** A connection that is opened by its first exchange. */
 export class HttpConnection {
 	private readonly client: Client;
@@ -58,7 +61,8 @@
 		}
 
 		this.isClosed = true;
-		this.socket?.destroy();
+		// Without an error, the library would try to finish the answer, which throws while it is paused.
+		this.socket?.destroy(new Error('The connection is discarded.'));
 		void this.client.destroy();
 	}
 
@@ -73,8 +77,12 @@
 		}, connectLimitMs);
 		let isOpen = false;
 		// This listener comes before the library's, which takes a reset for the end of an answer without a length.
-		socket.on('error', error => {
+		socket.on('error', (error: NodeJS.ErrnoException) => {
 			this.hasFailed = true;
+			if (error.code === 'ECONNRESET') {
+				error.code = resetCode;
+			}
+
 			clearTimeout(limit);
 			if (!isOpen) {
 				callback(error, null);
--- /dev/null
+++ b/tests/platform/endless-answers.test.ts
@@ -0,0 +1,232 @@
+import {Writable} from 'node:stream';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import test from 'ava';
+import {Cancellation} from '../../src/model/cancellation.js';
+import {TargetState} from '../../src/model/fleet.js';
+import {AttemptEnd, type AttemptResult, type CallerRequest} from '../../src/model/forwarding.js';
+import {PlatformTargetProtocol} from '../../src/platform/target-protocol.js';
+import {ConnectionPool} from '../../src/transport/connection-pool.js';
+import {callJson, CallFailure} from '../../src/transport/json-call.js';
+import {TargetTransport} from '../../src/transport/target-transport.js';
+
+/** Time limit of calls in milliseconds; every call fails, however long it takes. */
+const callLimitMs = 300;
+
+/** Time in which the buffers of a stream that nobody reads fill up, in milliseconds. */
+const fillMs = 50;
+
+/** Bytes that a target may get rid of before nobody reads on: the answer that is held, and the buffers of two sockets. */
+const takenLimitBytes = 16_777_216;
+
+const requestId = 'attempt-1';
+const success = `HTTP/1.1 200 OK\r\nAttempt-Id: ${requestId}\r\nResponse-Seal: s\r\n`;
+const refusal = 'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n';
+const misdirection = 'HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\n';
+const block = 'x'.repeat(16_384);
+
+type EndlessAnswer = {
+	title: string;
+	start: string;
+	/** Written again and again until the connection is closed. */
+	repeated: string;
+	end: AttemptEnd;
+};
+
+const answers: EndlessAnswer[] = [
+	{
+		title: 'a status line', start: 'HTTP/1.1 200 ', repeated: block, end: AttemptEnd.Ambiguous,
+	},
+	{
+		title: 'a header', start: `${success}X-Long: `, repeated: block, end: AttemptEnd.Ambiguous,
+	},
+	{
+		title: 'headers', start: success, repeated: 'X-More: value\r\n'.repeat(500), end: AttemptEnd.Ambiguous,
+	},
+	{
+		title: 'provisional answers', start: '', repeated: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(100), end: AttemptEnd.Ambiguous,
+	},
+	{
+		title: 'bytes that are no answer', start: '', repeated: '\u0001'.repeat(1000), end: AttemptEnd.Ambiguous,
+	},
+	{
+		title: 'a body without a length', start: `${success}Connection: close\r\n\r\n`, repeated: block, end: AttemptEnd.Streamed,
+	},
+	{
+		title: 'a body of great length', start: `${success}Content-Length: 900000000000\r\n\r\n`, repeated: block, end: AttemptEnd.Streamed,
+	},
+	{
+		title: 'chunks', start: `${success}Transfer-Encoding: chunked\r\n\r\n`, repeated: `4000\r\n${block}\r\n`, end: AttemptEnd.Streamed,
+	},
+	{
+		title: 'the size of a chunk', start: `${success}Transfer-Encoding: chunked\r\n\r\n`, repeated: '0'.repeat(1000), end: AttemptEnd.Ambiguous,
+	},
+	{
+		title: 'the extension of a chunk', start: `${success}Transfer-Encoding: chunked\r\n\r\n5;a=`, repeated: block, end: AttemptEnd.Ambiguous,
+	},
+	{
+		title: 'trailers', start: `${success}Transfer-Encoding: chunked\r\n\r\n0\r\n`, repeated: 'X-More: value\r\n'.repeat(500), end: AttemptEnd.Ambiguous,
+	},
+	{
+		title: 'the body of a refusal', start: `${refusal}Transfer-Encoding: chunked\r\n\r\n`, repeated: `4000\r\n${block}\r\n`, end: AttemptEnd.Refused,
+	},
+	{
+		title: 'the body of a misdirection', start: `${misdirection}Connection: close\r\n\r\n`, repeated: block, end: AttemptEnd.Misdirected,
+	},
+];
+
+type EndlessTarget = {
+	address: string;
+	/** Bytes that left the target's process. */
+	takenBytes(): number;
+	/** Settles once more bytes left than any answer may have. */
+	exceeded: Promise<void>;
+	/** Settles once the connection was closed by its other side. */
+	closed: Promise<void>;
+	close(): void;
+};
+
+async function listen({start, repeated}: Pick<EndlessAnswer, 'start' | 'repeated'>): Promise<EndlessTarget> {
+	const sockets: Socket[] = [];
+	const closed = deferred();
+	const exceeded = deferred();
+	const takenBytes = (): number => sockets.reduce((sum, {bytesWritten, writableLength}) => sum + bytesWritten - writableLength, 0);
+	const server = createServer(socket => {
+		sockets.push(socket);
+		socket.on('error', () => undefined);
+		socket.on('close', closed.resolve);
+		socket.once('data', () => {
+			socket.write(start);
+			const writeOn = (): void => {
+				if (takenBytes() > takenLimitBytes) {
+					exceeded.resolve();
+				}
+
+				if (!socket.destroyed && socket.write(repeated)) {
+					setImmediate(writeOn);
+				}
+			};
+
+			socket.on('drain', writeOn);
+			writeOn();
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	return {
+		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+		takenBytes,
+		closed: closed.promise,
+		exceeded: exceeded.promise,
+		close() {
+			server.close();
+		},
+	};
+}
+
+function deferred(): {promise: Promise<void>; resolve(): void} {
+	let resolve = (): void => undefined;
+	const promise = new Promise<void>(settle => {
+		resolve = settle;
+	});
+	return {
+		promise,
+		resolve() {
+			resolve();
+		},
+	};
+}
+
+type SlowCaller = CallerRequest & {isAborted(): boolean; begun: Promise<void>};
+
+/** A caller that reads nothing of an answer. */
+function slowCaller(): SlowCaller {
+	let isAborted = false;
+	const begun = deferred();
+	return {
+		method: 'GET',
+		path: '/a',
+		host: 'h',
+		headers: ['Host', 'h', 'Attempt-Id', requestId],
+		requestId,
+		key: undefined,
+		budgetMs: undefined,
+		receivedAt: 0,
+		body: undefined,
+		cancellation: new Cancellation(),
+		beginStream() {
+			begun.resolve();
+			return new Writable({
+				write() {
+					// The callback is never called, so that the stream stays full.
+				},
+			});
+		},
+		abortStream() {
+			isAborted = true;
+		},
+		isAborted: () => isAborted,
+		begun: begun.promise,
+	};
+}
+
+/** Sends a request, and ends it when the target has sent too much, or when the buffers of its stream are full. */
+async function send(transport: TargetTransport, target: EndlessTarget, request: SlowCaller): Promise<AttemptResult> {
+	const cancellation = new Cancellation();
+	const full = request.begun.then(async () => delay(fillMs));
+	void Promise.race([target.exceeded, full]).then(() => {
+		cancellation.cancel();
+	});
+	return transport.send(request, {
+		target: {
+			id: 'target', bornAt: 1, address: target.address, service: 'service', availabilityZone: 'zone', softwareVersion: '', slots: 3, state: TargetState.Ready, warmUpLeftMs: 0,
+		},
+		budgetMs: 1000,
+		timeoutMs: 50_000,
+		cancellation,
+		connectionLimit: 4,
+	});
+}
+
+for (const answer of answers) {
+	test.serial(`should end an exchange in which ${answer.title} has no end as ${answer.end}`, async t => {
+		const target = await listen(answer);
+		const transport = new TargetTransport(new PlatformTargetProtocol());
+		const request = slowCaller();
+		const result = await send(transport, target, request);
+		await target.closed;
+		t.is(result.end, answer.end);
+		t.is(request.isAborted(), answer.end === AttemptEnd.Streamed);
+		if (answer.end === AttemptEnd.Streamed) {
+			t.true(target.takenBytes() < takenLimitBytes);
+		}
+
+		t.is(transport.pool.idleCount(target.address), 0);
+		transport.close();
+		target.close();
+	});
+
+	test.serial(`should fail a call in which ${answer.title} has no end`, async t => {
+		const target = await listen(answer);
+		const pool = new ConnectionPool();
+		await t.throwsAsync(callJson(pool, target.address, {method: 'GET', path: '/health', timeoutMs: callLimitMs}), {instanceOf: CallFailure});
+		await target.closed;
+		t.is(pool.idleCount(target.address), 0);
+		pool.close();
+		target.close();
+	});
+}
+
+test.serial('should hold no more than a few buffers while many targets answer without end', async t => {
+	const count = 64;
+	const targets = await Promise.all(Array.from({length: count}, async () => listen(answers.find(({title}) => title === 'chunks')!)));
+	const transport = new TargetTransport(new PlatformTargetProtocol());
+	const results = await Promise.all(targets.map(async target => send(transport, target, slowCaller())));
+	t.true(results.every(({end}) => end === AttemptEnd.Streamed));
+	t.true(targets.reduce((sum, target) => sum + target.takenBytes(), 0) < count * takenLimitBytes);
+	transport.close();
+	for (const target of targets) {
+		target.close();
+	}
+});
