fix(transport): believe a refusal only if it names the request

Cause: an answer with "not run", or with 421, was taken for the present request even if it carried another request's id or none. A server's second or late refusal on a connection in use again would have called an order "not run" that then ran, and sent it to a second server. Ruled out: that servers leave the id out of refusals. Change: whatever an answer means, it has to bear the request's id, if the caller gave one. Tests: tests/platform/target-exchange.test.ts, three cases that failed before. Two older cases wrote refusals without an id, which servers do not send; they now bear it, and the same bytes without it are a case of their own that has to end as ambiguous. Conclusion: a late copy of any answer costs a connection and an ambiguous try, never a second run.

--- a/src/platform/target-protocol.ts
+++ b/src/platform/target-protocol.ts
@@ -75,17 +75,17 @@
 	}
 
 	meaningOf(request: CallerRequest, status: number, headers: AnswerHead['headers']): AnswerMeaning {
+		// A second or late answer to an earlier request may come on a kept connection; it says nothing of this one.
+		if (request.requestId !== '' && headers[WireHeader.RequestId] !== request.requestId) {
+			return AnswerMeaning.Foreign;
+		}
+
 		if (status === 421) {
 			return AnswerMeaning.Misdirected;
 		}
 
-		const echoed = headers[WireHeader.RequestId];
 		if (headers[WireHeader.NotRun] !== undefined) {
-			return echoed === undefined || echoed === request.requestId ? AnswerMeaning.NotRun : AnswerMeaning.Foreign;
-		}
-
-		if (request.requestId !== '' && echoed !== request.requestId) {
-			return AnswerMeaning.Foreign;
+			return AnswerMeaning.NotRun;
 		}
 
 		const isSuccess = status >= 200 && status < 300;
--- a/tests/platform/endless-answers.test.ts
+++ b/tests/platform/endless-answers.test.ts
@@ -21,8 +21,8 @@
 
 const requestId = 'attempt-1';
 const success = `HTTP/1.1 200 OK\r\nAttempt-Id: ${requestId}\r\nResponse-Seal: s\r\n`;
-const refusal = 'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n';
-const misdirection = 'HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\n';
+const refusal = `HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: ${requestId}\r\nNot-Executed: 1\r\n`;
+const misdirection = `HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: ${requestId}\r\nInstance-Id: other\r\n`;
 const block = 'x'.repeat(16_384);
 
 type EndlessAnswer = {
--- a/tests/platform/target-exchange.test.ts
+++ b/tests/platform/target-exchange.test.ts
@@ -86,15 +86,36 @@
 	{
 		title: 'a refusal',
 		write(socket) {
-			socket.write('HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n');
+			socket.write(`HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: ${requestId}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`);
 		},
 		end: AttemptEnd.Refused,
 		status: 503,
 	},
+	{
+		title: 'a late refusal of another request',
+		write(socket) {
+			socket.write('HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: earlier\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n');
+		},
+		end: AttemptEnd.Ambiguous,
+	},
+	{
+		title: 'a refusal that names no request',
+		write(socket) {
+			socket.write('HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n');
+		},
+		end: AttemptEnd.Ambiguous,
+	},
+	{
+		title: 'a late misdirection of another request',
+		write(socket) {
+			socket.write('HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: earlier\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n');
+		},
+		end: AttemptEnd.Ambiguous,
+	},
 	{
 		title: 'a misdirected request',
 		write(socket) {
-			socket.write('HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n');
+			socket.write(`HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: ${requestId}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`);
 		},
 		end: AttemptEnd.Misdirected,
 		status: 421,
