--- a/src/decisions/fleet/peer-exchange.ts
+++ b/src/decisions/fleet/peer-exchange.ts
@@ -25,7 +25,7 @@
 const reportMs = 50;
 
 /** Time that one receiver adds to the interval of reports, in milliseconds, so that the messages of a daemon are bounded. */
-const reportStepMs = 5;
+const reportStepMs = 10;
 
 /** Interval of reports while nothing changes, in milliseconds. */
 const quietReportMs = 400;
--- a/standins/platform-target-server.ts
+++ b/standins/platform-target-server.ts
@@ -100,7 +100,7 @@
 		const requestId = String(request.headers[WireHeader.RequestId] ?? '');
 		const isExpected = request.headers[WireHeader.ExpectedTarget] === id;
 		if (!isExpected || (isKeyed && !this.holder.isHolding(key))) {
-			sendJson(response, 421, {}, {[WireHeader.NotRun]: '1', [WireHeader.Target]: id});
+			sendJson(response, 421, {}, {[WireHeader.RequestId]: requestId, [WireHeader.NotRun]: '1', [WireHeader.Target]: id});
 			return;
 		}
 
