test(hardening): planned stops, and lives that begin with what was withdrawn

Change: tests/http/platform-gateway.test.ts stops a gateway with a request in flight, a part of one, a part of a body, and a connection that was just accepted; tests/decisions/large-fleet.test.ts lets a restarted daemon hear old updates and owners before it has read the store.

--- a/standins/relayed-fleet.ts
+++ b/standins/relayed-fleet.ts
@@ -187,6 +187,16 @@
 		}
 	}
 
+	/** Starts another process of a daemon, which knows nothing. */
+	restart(name: string): RelayedDaemon {
+		const old = this.daemon(name);
+		old.close();
+		const restarted = new RelayedDaemon(old.member, this);
+		this.daemons[this.daemons.indexOf(old)] = restarted;
+		this.byName.set(name, restarted);
+		return restarted;
+	}
+
 	/** Daemons that do not know a target. */
 	unaware(id: string): string[] {
 		return this.daemons.filter(({view, isLost}) => !isLost && !view.listedTarget(id)).map(({member}) => member.daemon);
--- a/tests/decisions/large-fleet.test.ts
+++ b/tests/decisions/large-fleet.test.ts
@@ -169,6 +169,34 @@
 	});
 }
 
+test.serial('should not take up what was withdrawn, whatever a restarted daemon hears', async t => {
+	await withFleet(async (fleet, tick) => {
+		const old = initialAssignment('service', lives.slice(0, 2));
+		const base = fleet.store.put('targets/left', '');
+		const withdrawn = fleet.store.put('eelgrasswheel/assignments/service', encodeAssignment(old));
+		fleet.store.delete('targets/left');
+		const moved = {...old, fence: 2, ranges: initialAssignment('service', lives.slice(2, 4)).ranges};
+		const revision = fleet.store.put('eelgrasswheel/assignments/service', encodeAssignment(moved));
+		const restarted = fleet.restart('two-3');
+		const stale = {
+			...message,
+			revision: withdrawn,
+			update: {after: base - 1, changes: [{key: 'targets/left', value: '', revision: base}], revision: base},
+			change: changeOf({assignment: old, revision: withdrawn}),
+		};
+		for (let count = 0; count < 10; count += 1) {
+			restarted.exchange.hear(decodePeerMessage(structuredClone(stale)));
+			// eslint-disable-next-line no-await-in-loop -- time passes in steps.
+			await tick(count);
+			t.is(restarted.view.listedTarget('left'), undefined);
+		}
+
+		await tick(1000);
+		t.is(restarted.view.listedTarget('left'), undefined);
+		t.is(restarted.view.assignments.get('service')?.revision, revision);
+	});
+});
+
 test.serial('should believe no revision that the store cannot have given', async t => {
 	await withFleet(async fleet => {
 		const {exchange, view, sync} = fleet.daemon('two-2');
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -1,6 +1,7 @@
 import {connect, type AddressInfo, type Server} from 'node:net';
 import {PassThrough, Readable} from 'node:stream';
 import {Worker} from 'node:worker_threads';
+import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {ServiceBroker, type Context} from 'moleculer';
 import {OutcomeKind, type CallerRequest, type Outcome} from '../../src/model/forwarding.js';
@@ -18,6 +19,8 @@
 	forwarded: Array<{path: string; isCancelled: boolean}>;
 	outcomes: Outcome[];
 	bodies: Array<CallerRequest['body']>;
+	/** Stops as the daemon does once the balancer has noticed. */
+	stop(): Promise<void>;
 };
 
 async function withGateway(t: ExecutionContext, play: (setup: Setup) => Promise<void>): Promise<void> {
@@ -65,7 +68,10 @@
 	const {gateway} = service as unknown as {gateway: {server: Server}};
 	try {
 		await play({
-			port: (gateway.server.address() as AddressInfo).port, forwarded, outcomes, bodies,
+			port: (gateway.server.address() as AddressInfo).port, forwarded, outcomes, bodies, async stop() {
+				await broker.call('gateway.drain');
+				await broker.call('gateway.closeListener');
+			},
 		});
 	} finally {
 		await broker.stop();
@@ -128,16 +134,14 @@
 for (const bytes of [10, 70_000]) {
 	test(`should go on serving after a caller broke off a body of chunks after ${bytes} bytes`, async t => {
 		await withGateway(t, async ({port}) => {
+			const socket = connect(port, '127.0.0.1');
 			await new Promise<void>(resolve => {
-				const socket = connect(port, '127.0.0.1', () => {
-					socket.write(chunked(bytes), () => {
-						setTimeout(() => {
-							socket.resetAndDestroy();
-							resolve();
-						}, answerMs);
-					});
+				socket.write(chunked(bytes), () => {
+					resolve();
 				});
 			});
+			await delay(answerMs);
+			socket.resetAndDestroy();
 			t.regex(await exchange(port, 'GET /1 HTTP/1.1\r\nHost: h\r\n\r\n', /\/1$/v), /^HTTP\/1\.1 200 /v);
 		});
 	});
@@ -150,6 +154,52 @@
 	});
 });
 
+const whole = 'GET /1 HTTP/1.1\r\nHost: h\r\n\r\n';
+
+async function untilForwarded(forwarded: Setup['forwarded']): Promise<void> {
+	while (forwarded.length === 0) {
+		// eslint-disable-next-line no-await-in-loop -- turns of the loop.
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
+const stops: Array<{title: string; before: string; after: string}> = [
+	{title: 'a request that is being forwarded', before: whole, after: ''},
+	{title: 'a request of which a part was read', before: whole.slice(0, 10), after: whole.slice(10)},
+	{title: 'a request on a connection that was just accepted', before: '', after: whole},
+	{title: 'a body of which a part was read', before: chunked(10), after: '\r\n0\r\n\r\n'},
+];
+
+for (const {title, before, after} of stops) {
+	test(`should answer ${title} when the daemon stops`, async t => {
+		await withGateway(t, async ({port, forwarded, stop}) => {
+			const socket = connect(port, '127.0.0.1');
+			let received = '';
+			socket.on('data', data => {
+				received += data.toString();
+			});
+			const closed = new Promise<void>(resolve => {
+				socket.once('close', () => {
+					resolve();
+				});
+			});
+			socket.on('error', () => undefined);
+			await new Promise<void>(resolve => {
+				socket.once('connect', resolve);
+			});
+			socket.write(before);
+			// The server has read what was sent once the request was forwarded, or another connection was served.
+			await (before === whole ? untilForwarded(forwarded) : exchange(port, whole, /\/1$/v));
+			await stop();
+			socket.write(after);
+			await closed;
+			t.regex(received, /^HTTP\/1\.1 200 [\s\S]*connection: close/iv);
+		});
+	});
+}
+
 test('should answer pipelined requests in order', async t => {
 	await withGateway(t, async ({port}) => {
 		const received = await exchange(port, 'GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n', /\/2$/v);
