fix(bench): fail the platform's demo when a daemon ends by itself

Cause: the demo said that its promises held beside a daemon that had ended, and its settings lacked the VM's cores and link, which daemons read since the owners travel as differences: each ended with code 2, and the demo would have waited for ever. Change: an end that the demo did not ask for breaks a promise; the settings are complete.

--- a/bench/platform-demo.ts
+++ b/bench/platform-demo.ts
@@ -51,6 +51,7 @@
 	},
 }, store));
 const daemons: ChildProcess[] = [];
+const expectedEnds = new Set<ChildProcess>();
 const agent = new Agent({connections: 40});
 const tally: Tally = {
 	answered: 0, notRun: 0, unknown: 0, lost: 0,
@@ -83,6 +84,8 @@
 		readinessAddress: `127.0.0.${index + 1}:${ports.ready}`,
 		peerPorts: [ports.peer, ports.peer + 10],
 		storeAddress: `127.0.0.1:${ports.store}`,
+		cores: 1,
+		linkMbps: 1000,
 		leaseMinimumMs: 1000,
 		targetHeartbeatMs: 1000,
 		drainMs: 2000,
@@ -94,9 +97,22 @@
 		thawSlackMs: 300,
 	}));
 	const child = spawn(process.execPath, [program], {env: {...process.env, [settingsVariable]: file}, stdio: ['ignore', process.env.DEMO_LOG ? 'inherit' : 'ignore', 'inherit']});
+	child.once('exit', (code, signal) => {
+		if (!expectedEnds.has(child)) {
+			check(false, `daemon-${index} goes on running: it ended with ${signal ?? `code ${code}`}`);
+		}
+	});
 	daemons.push(child);
 }
 
+/** Ends a daemon on purpose; any other end breaks a promise. */
+function kill(daemon: ChildProcess | undefined): void {
+	if (daemon) {
+		expectedEnds.add(daemon);
+		daemon.kill('SIGKILL');
+	}
+}
+
 async function isReady(index: number): Promise<boolean> {
 	try {
 		const {statusCode, body} = await request(`http://127.0.0.${index + 1}:${ports.ready}${wirePaths.ready}`, {dispatcher: agent});
@@ -111,7 +127,7 @@
 async function untilReady(): Promise<void> {
 	for (let index = 0; index < daemonCount; index += 1) {
 		// eslint-disable-next-line no-await-in-loop -- polling.
-		while (!await isReady(index)) {
+		while (broken.length === 0 && !await isReady(index)) {
 			// eslint-disable-next-line no-await-in-loop -- polling.
 			await pause(100);
 		}
@@ -196,6 +212,10 @@
 	writeConfiguration(1);
 	await Promise.all(Array.from({length: daemonCount}, async (_, index) => startDaemon(folder, index)));
 	await untilReady();
+	if (broken.length > 0) {
+		return;
+	}
+
 	await pause(3000);
 	const callers = Array.from({length: workers}, async (_, worker) => work(worker));
 	await pause(2000);
@@ -212,7 +232,7 @@
 
 	console.log('the leader is killed');
 	const leader = leaderName();
-	daemons[Number(leader?.split('-')[1] ?? 0)]?.kill('SIGKILL');
+	kill(daemons[Number(leader?.split('-')[1] ?? 0)]);
 	await pause(4000);
 	check(leaderName() !== undefined && leaderName() !== leader, `another daemon leads: ${leaderName() ?? 'none'}`);
 
@@ -233,7 +253,7 @@
 	await play(folder);
 } finally {
 	for (const daemon of daemons) {
-		daemon.kill('SIGKILL');
+		kill(daemon);
 	}
 
 	for (const target of targets) {
