feat(log): say which version a 404 rests on, and how old the evidence for it is

Cause: a daemon that answered 404 left no line, and nothing measured how long ago it had last known that its configuration was the newest one.

Change: ConfigurationCurrency dates the evidence. A list and a watch with changes count from their question, because an answer may have waited in a socket; a watch without changes counts from the end of the wait that the store was asked for. Event 2106 (RequestUnrouted) names the request, host, path, version and the age of the evidence, event 1200 the age, and the metric eelgrasswheel_configuration_evidence_age_seconds tells it at any time. No answer changes.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -245,6 +245,7 @@
 			targetConnections: () => this.transport.pool.openedCount,
 			isLeader: () => this.leader.leadership.isLeader,
 			configurationVersion: () => this.view.configuration?.version ?? 0,
+			configurationAgeMs: () => this.view.currency.ageMs(performance.now()),
 			isStoreReachable: () => this.sync.isStoreReachable,
 		});
 	}
--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -247,6 +247,7 @@
 	}
 
 	private async list(): Promise<void> {
+		const askedAt = performance.now();
 		const {items, revision} = await this.store.list('');
 		this.noteSuccess();
 		const listed = new Set(items.map(({key}) => key));
@@ -257,13 +258,16 @@
 
 		this.view.revision = revision;
 		this.hasListed = true;
+		this.confirmConfiguration(askedAt);
 	}
 
 	private async watch(): Promise<void> {
 		const after = this.view.revision;
+		const askedAt = performance.now();
 		const {changes, revision} = await this.waitForChanges(after);
 		this.noteSuccess();
 		this.take({after, changes, revision});
+		this.confirmConfiguration(changes.length === 0 ? quietUntil(askedAt, watchWaitMs) : askedAt);
 		if (changes.length > 0) {
 			this.relay.publish({after, changes, revision});
 			await pause(gatherMs);
@@ -279,6 +283,13 @@
 		}
 	}
 
+	/** A newer configuration that cannot be read leaves the one in force without evidence. */
+	private confirmConfiguration(at: number): void {
+		if (this.view.configuration && !this.malformed.has(this.documents.configurationKey)) {
+			this.view.currency.confirm(at);
+		}
+	}
+
 	private removeUnlisted(listed: Set<string>): void {
 		for (const {id} of this.view.listedTargets()) {
 			if (!listed.has(`${this.documents.targetsPrefix}${id}`)) {
@@ -350,7 +361,9 @@
 		}
 
 		const {version, routes, faults} = configuration;
-		this.log.record(LogEvent.ConfigurationInForce, {version, revision, routes: routes.length});
+		this.log.record(LogEvent.ConfigurationInForce, {
+			version, revision, routes: routes.length, confirmedMsAgo: this.view.currency.wholeAgeMs(performance.now()),
+		});
 		for (const detail of faults.filter(fault => !earlier?.faults.includes(fault))) {
 			this.log.record(LogEvent.DocumentRejected, {key: this.documents.configurationKey, revision, detail});
 		}
@@ -416,6 +429,11 @@
 	}
 }
 
+/** The store ends a watch without changes no sooner than after the wait that was asked for. */
+function quietUntil(askedAt: number, waitMs: number): number {
+	return performance.now() - askedAt >= waitMs ? askedAt + waitMs : askedAt;
+}
+
 async function pause(durationMs: number): Promise<void> {
 	return new Promise(resolve => {
 		setTimeout(resolve, durationMs);
--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -8,6 +8,7 @@
 import type {KeyAssignment} from '../../model/key-ownership.js';
 import type {RouteConfiguration} from '../../model/route-configuration.js';
 import {RouteIndex} from '../routing/route-index.js';
+import {ConfigurationCurrency} from './configuration-currency.js';
 
 /** A target that the store no longer lists. */
 type RemovedTarget = {
@@ -50,6 +51,8 @@
 	/** Until this time, targets that were removed without a notice are still used. */
 	private lenientUntil = 0;
 
+	constructor(readonly currency = new ConfigurationCurrency()) {}
+
 	get routeIndex(): RouteIndex | undefined {
 		return this.routes;
 	}
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -91,7 +91,7 @@
 		const path = request.path.split('?', 1)[0] ?? '';
 		const route = index.routeOf(request.host, path);
 		if (!route) {
-			return {kind: OutcomeKind.NoRoute, reason: OutcomeReason.NoRoute};
+			return this.withoutRoute(request, path);
 		}
 
 		const service = index.nextService(request.host, path);
@@ -107,6 +107,14 @@
 		}
 	}
 
+	private withoutRoute({requestId, host}: CallerRequest, path: string): Outcome {
+		const {view, log} = this.options;
+		log.record(LogEvent.RequestUnrouted, {
+			request: requestId, host, path, version: view.configuration?.version, confirmedMsAgo: view.currency.wholeAgeMs(performance.now()),
+		});
+		return {kind: OutcomeKind.NoRoute, reason: OutcomeReason.NoRoute};
+	}
+
 	private begin(request: CallerRequest, route: Route, service: ServiceRule): Passage {
 		this.budgetOf(service.name).deposit();
 		if (service.isKeyed && request.key !== undefined) {
--- a/src/model/events.ts
+++ b/src/model/events.ts
@@ -50,6 +50,7 @@
 	RequestUnknown = 2103,
 	RequestAbandoned = 2104,
 	RequestMalformed = 2105,
+	RequestUnrouted = 2106,
 	PeerMessageRejected = 2200,
 	LinesDropped = 2300,
 	InternalFailure = 2400,
--- a/src/services/platform-metrics-service.ts
+++ b/src/services/platform-metrics-service.ts
@@ -25,6 +25,8 @@
 	targetConnections(): number;
 	isLeader(): boolean;
 	configurationVersion(): number;
+	/** Age of the evidence that this version is the newest one, in milliseconds. */
+	configurationAgeMs(): number;
 	isStoreReachable(): boolean;
 };
 
@@ -45,6 +47,7 @@
 		this.addGauge('target_connections_opened', 'Connections to targets that were opened since the start.', () => sources.targetConnections());
 		this.addGauge('leader', '1 while this daemon leads the keyed services.', () => Number(sources.isLeader()));
 		this.addGauge('configuration_version', 'Version of the configuration in force.', () => sources.configurationVersion());
+		this.addGauge('configuration_evidence_age_seconds', 'Age of the evidence that this version is the newest one.', () => sources.configurationAgeMs() / secondMs);
 		this.addGauge('store_reachable', '1 while the platform\'s store answers.', () => Number(sources.isStoreReachable()));
 		this.addGauge('resident_bytes', 'Memory of the process.', () => process.memoryUsage.rss());
 	}
--- a/standins/relayed-fleet.ts
+++ b/standins/relayed-fleet.ts
@@ -1,13 +1,16 @@
 /**
- * Daemons of two availability zones that follow the store and talk to each other, without sockets.
+ * Daemons of some availability zones that follow the store, talk to each other and forward requests, without sockets.
  */
 import {FleetSync} from '../src/decisions/fleet/fleet-sync.js';
 import {FleetView} from '../src/decisions/fleet/fleet-view.js';
 import {PeerExchange} from '../src/decisions/fleet/peer-exchange.js';
 import {decodePeerMessage, type PeerMessage} from '../src/decisions/fleet/peer-message.js';
 import {ZoneHubs} from '../src/decisions/fleet/zone-hubs.js';
+import {Forwarder} from '../src/decisions/forwarding/forwarder.js';
 import {TargetLoads} from '../src/decisions/forwarding/target-loads.js';
 import {TargetState, type Member, type Target} from '../src/model/fleet.js';
+import {AttemptEnd} from '../src/model/forwarding.js';
+import {decodeConfiguration} from '../src/platform/documents.js';
 import {MemoryCoordinationStore, type MemoryStoreClient} from './memory-coordination-store.js';
 
 /** Interval in which daemons do what is due, in milliseconds. */
@@ -39,6 +42,8 @@
 	readonly client: MemoryStoreClient;
 	readonly sync: FleetSync;
 	readonly exchange: PeerExchange;
+	/** Forwards to targets that answer every request. */
+	readonly forwarder: Forwarder;
 	isLost = false;
 	watches = 0;
 	reads = 0;
@@ -61,9 +66,7 @@
 		this.sync = new FleetSync(this.client, this.view, {
 			configurationKey: 'configuration',
 			targetsPrefix: 'targets/',
-			decodeConfiguration() {
-				throw new TypeError('not used');
-			},
+			decodeConfiguration,
 			decodeTarget: (key, text) => ({...target(key), id: key.slice('targets/'.length), softwareVersion: text}),
 		}, {
 			log: quiet,
@@ -93,6 +96,21 @@
 				// No leader.
 			},
 		});
+		this.forwarder = new Forwarder({
+			availabilityZone: member.availabilityZone,
+			view: this.view,
+			loads: this.loads,
+			transport: {
+				send: async () => ({end: AttemptEnd.Answered, answer: {status: 200, headers: {}}, body: new Uint8Array()}),
+			},
+			log: quiet,
+			retryRatio: 0,
+			retryReserve: 0,
+			random: () => 0,
+			noteKey() {
+				// No leader.
+			},
+		});
 		void this.sync.run();
 		this.timer = setInterval(() => {
 			if (!this.isLost) {
@@ -135,6 +153,7 @@
 	losesUpdates = false;
 	readonly sent = new Map<string, Traffic>();
 	private readonly byName = new Map<string, RelayedDaemon>();
+	private readonly deaf = new Set<string>();
 	private fate: MessageFate | undefined;
 
 	constructor({availabilityZones, daemonsPerZone}: FleetSize = smallFleet) {
@@ -157,6 +176,11 @@
 		this.fate = fate;
 	}
 
+	/** Loses every message to a daemon from now on. */
+	deafen(name: string): void {
+		this.deaf.add(name);
+	}
+
 	send(from: RelayedDaemon, message: PeerMessage, members: Iterable<Member>): void {
 		const text = JSON.stringify(message);
 		if (from.isLost || text.length > datagramBytes || (this.losesUpdates && message.update)) {
@@ -169,7 +193,7 @@
 			const to = this.daemon(daemon);
 			for (const delayMs of this.fate?.() ?? [linkMs]) {
 				setTimeout(() => {
-					if (!to.isLost) {
+					if (!to.isLost && !this.deaf.has(daemon)) {
 						to.exchange.hear(decodePeerMessage(JSON.parse(text)));
 					}
 				}, delayMs);
@@ -177,6 +201,19 @@
 		}
 	}
 
+	/** Writes a configuration whose routes, one for each prefix, go to the service of the targets. */
+	configure(version: number, prefixes: readonly string[]): void {
+		const routes = prefixes.map(prefix => ({
+			resourceType: 'routes',
+			metadata: {name: prefix},
+			spec: {
+				host: 'host', prefix, kind: 'safe', timeoutMs: 1000, targetLatencyMs: 300, priority: 1, service: 'service', maxAttempts: 1,
+			},
+		}));
+		const service = {resourceType: 'services', metadata: {name: 'service'}, spec: {healthPath: '/health', maxConnections: 100}};
+		this.store.put('configuration', JSON.stringify({version, resources: [...routes, service]}));
+	}
+
 	daemon(name: string): RelayedDaemon {
 		return this.byName.get(name)!;
 	}
--- a/tests/decisions/fleet-view.test.ts
+++ b/tests/decisions/fleet-view.test.ts
@@ -93,6 +93,70 @@
 	}
 }
 
+type EvidenceCase = {
+	title: string;
+	/** Greatest age of the evidence, in milliseconds; nothing if there is none. */
+	ageMs: number | undefined;
+	play(setup: Setup): Promise<void>;
+};
+
+const evidence: EvidenceCase[] = [
+	{
+		title: 'count from the question that a list answered',
+		async play({store, tick}) {
+			store.put('op/config', '1');
+			await tick(20);
+		},
+		ageMs: 20,
+	},
+	{
+		title: 'count from the end of a wait without changes',
+		async play({store, tick}) {
+			store.put('op/config', '1');
+			await tick(3050);
+		},
+		ageMs: 50,
+	},
+	{
+		title: 'count from the question that a change answered',
+		async play({store, tick}) {
+			store.put('op/config', '1');
+			await tick(1000);
+			store.put('servers/a', entryOf('ready'));
+			await tick(10);
+		},
+		ageMs: 1010,
+	},
+	{
+		title: 'grow old while the store is down',
+		async play({store, tick}) {
+			store.put('op/config', '1');
+			await tick(3050);
+			store.fault = StoreFault.Down;
+			await tick(5000);
+		},
+		ageMs: 5050,
+	},
+	{
+		title: 'not exist without a configuration',
+		async play({tick}) {
+			await tick(100);
+		},
+		ageMs: undefined,
+	},
+];
+
+for (const {title, play, ageMs} of evidence) {
+	test.serial(`should let the evidence for the configuration ${title}`, async t => {
+		await withSync(async setup => {
+			await play(setup);
+			const known = setup.view.currency.wholeAgeMs(performance.now());
+			t.is(known === undefined, ageMs === undefined);
+			t.true((known ?? 0) <= (ageMs ?? 0) && (known ?? 0) >= (ageMs ?? 0) - 60, `${known}`);
+		});
+	});
+}
+
 const ids = (targets: Target[]): string[] => targets.map(({id}) => id);
 
 test.serial('should follow targets that come, drain and go', async t => {
--- a/tests/decisions/forwarder.test.ts
+++ b/tests/decisions/forwarder.test.ts
@@ -4,12 +4,13 @@
 import {Forwarder} from '../../src/decisions/forwarding/forwarder.js';
 import {TargetLoads} from '../../src/decisions/forwarding/target-loads.js';
 import {initialAssignment} from '../../src/decisions/ownership/assignment-draft.js';
-import {Cancellation} from '../../src/model/cancellation.js';
+import {LogEvent, type LogFields} from '../../src/model/events.js';
 import {TargetState, type Target} from '../../src/model/fleet.js';
 import {
-	AttemptEnd, OutcomeKind, OutcomeReason, type Attempt, type AttemptResult, type CallerRequest, type Outcome,
+	AttemptEnd, OutcomeKind, OutcomeReason, type Attempt, type AttemptResult, type Outcome,
 } from '../../src/model/forwarding.js';
 import type {RouteConfiguration} from '../../src/model/route-configuration.js';
+import {callerRequest} from '../../standins/caller-request.js';
 
 const configuration: RouteConfiguration = {
 	version: 1,
@@ -52,6 +53,7 @@
 	view: FleetView;
 	loads: TargetLoads;
 	attempts: Attempt[];
+	lines: Array<{event: LogEvent; fields: LogFields}>;
 };
 
 const answered: Step = {end: AttemptEnd.Answered, answer: {status: 200, headers: {}}, body: new Uint8Array([1])};
@@ -69,6 +71,7 @@
 	view.applyAssignment({assignment: initialAssignment('keyed', [owner]), revision: 1});
 	const loads = new TargetLoads();
 	const attempts: Attempt[] = [];
+	const lines: Setup['lines'] = [];
 	const forwarder = new Forwarder({
 		availabilityZone: 'zone',
 		view,
@@ -83,34 +86,18 @@
 				return step;
 			},
 		},
-		log: {record: () => undefined},
+		log: {
+			record(event, fields) {
+				lines.push({event, fields});
+			},
+		},
 		retryRatio: 0.2,
 		retryReserve,
 		random: () => 0.5,
 		noteKey: () => undefined,
 	});
 	return {
-		forwarder, view, loads, attempts,
-	};
-}
-
-function callerRequest(path: string, changes: Partial<CallerRequest> = {}): CallerRequest {
-	return {
-		method: 'GET',
-		path,
-		host: 'host',
-		headers: [],
-		requestId: 'request-1',
-		key: 7,
-		budgetMs: 800,
-		receivedAt: performance.now(),
-		body: undefined,
-		cancellation: new Cancellation(),
-		beginStream() {
-			throw new Error('Answers are small.');
-		},
-		abortStream: () => undefined,
-		...changes,
+		forwarder, view, loads, attempts, lines,
 	};
 }
 
@@ -216,6 +203,17 @@
 	}
 }
 
+test('should log the version and the age of its evidence when no route takes a request', async t => {
+	const {forwarder, view, lines} = setUp([]);
+	view.currency.confirm(performance.now() - 100);
+	await forwarder.forward(callerRequest('/unknown/a'));
+	const line = lines.find(({event}) => event === LogEvent.RequestUnrouted);
+	t.like(line?.fields, {
+		request: 'request-1', host: 'host', path: '/unknown/a', version: 1,
+	});
+	t.true(Number(line?.fields.confirmedMsAgo) >= 100);
+});
+
 test.serial('should hand on no more time than the caller and the route have left', async t => {
 	const budget = await withClock(async tick => {
 		const {forwarder, attempts} = setUp([{end: AttemptEnd.Refused, afterMs: 100}, answered]);
