fix(gateway): refuse an oversized request for good only with evidence for the limits

What callers would see: 413 or 431 for a request that the operator's newest limits allow, or before the daemon knows any configuration (it used initial limits then). Callers do not repeat either.

Change: LimitExceededError names the limit. The gateway refuses for good if there is evidence that the configuration is the newest one and its limit is still not above the exceeded one; else it answers 503 with Retry-After, since nothing was passed on. A body that exceeds the limit while it is streamed is left to the dispatcher's outcome, because a target may have begun on it. Headers beyond what the parser takes (64 KiB) are judged in the same way.

The existing cases for 413 and 431 are unchanged and run with evidence.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -230,6 +230,7 @@
 			log: this.log,
 			readHeaders: readCallerHeaders,
 			limits: () => this.view.configuration?.limits,
+			proveConfiguration: async cancellation => this.view.currency.evidence(cancellation),
 			onOutcome: (request, outcome) => {
 				this.noteOutcome(request, outcome);
 			},
--- a/src/decisions/fleet/configuration-currency.ts
+++ b/src/decisions/fleet/configuration-currency.ts
@@ -16,6 +16,9 @@
 /** Time for which evidence counts as not to be had after a failed question, in milliseconds. */
 const failureMs = 500;
 
+/** Longest wait for evidence, in milliseconds; the answer of a peer, and after it of the store, fits in. */
+const evidenceWaitMs = 300;
+
 /** A newer version that a peer knows. */
 type LackingVersion = {
 	version: number;
@@ -105,8 +108,12 @@
 		this.settle(false);
 	}
 
-	/** Waits until there is evidence; false if none came in time, or the request was cancelled. */
-	async evidence(cancellation: Cancellation, waitMs: number): Promise<boolean> {
+	/**
+	 * Waits until there is evidence; false if none came in time, or the request was cancelled.
+	 *
+	 * @param leftMs time that the caller still has, in milliseconds
+	 */
+	async evidence(cancellation: Cancellation, leftMs = Infinity): Promise<boolean> {
 		if (this.isCurrent) {
 			return true;
 		}
@@ -129,7 +136,7 @@
 
 			const timer = setTimeout(() => {
 				settle(false);
-			}, Math.max(0, waitMs));
+			}, Math.max(0, Math.min(evidenceWaitMs, leftMs)));
 			this.waiting.add(settle);
 			cancellation.subscribe(onCancelled);
 		});
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -44,9 +44,6 @@
 	starting: 300,
 };
 
-/** Longest wait for evidence that the configuration is the newest one, in milliseconds; a peer, and after it the store, answer within. */
-const evidenceWaitMs = 300;
-
 /** Daemons that are assumed while the members are not known. */
 const assumedDaemons = 12;
 
@@ -119,7 +116,7 @@
 	/** A caller does not repeat a request that no route takes, so that a newer configuration must not have one. */
 	private async proveConfiguration({cancellation, budgetMs, receivedAt}: CallerRequest): Promise<boolean> {
 		const leftMs = (budgetMs ?? Infinity) - (performance.now() - receivedAt) - leastUsefulMs;
-		return this.options.view.currency.evidence(cancellation, Math.min(evidenceWaitMs, leftMs));
+		return this.options.view.currency.evidence(cancellation, leftMs);
 	}
 
 	private withoutRoute(request: CallerRequest, path: string, isProved: boolean): Outcome {
--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -54,6 +54,26 @@
 	}
 }
 
+/** Limits of the configuration that a request can exceed. */
+export enum LimitName {
+	HeaderBytes = 'maxHeaderBytes',
+	BodyBytes = 'maxBodyBytes',
+}
+
+/** A request is larger than the configuration allows. */
+export class LimitExceededError extends BadRequestError {
+	override name = 'LimitExceededError';
+
+	constructor(readonly limit: LimitName, readonly limitBytes: number) {
+		const isBody = limit === LimitName.BodyBytes;
+		super(
+			`The ${isBody ? 'body is' : 'headers are'} larger than ${limitBytes} bytes.`,
+			isBody ? 413 : 431,
+			isBody ? ErrorCode.BodyTooLarge : ErrorCode.BadRequest,
+		);
+	}
+}
+
 /** Reasons for refusing a request that did not run. */
 export enum NotRunReason {
 	NoRouteLease = 'no_route_lease',
--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -11,11 +11,13 @@
 import {Readable} from 'node:stream';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import type {Service, ServiceBroker, ServiceSchema} from 'moleculer';
-import {BadRequestError, describeFailure, RouterError} from '../model/errors.js';
+import {
+	BadRequestError, describeFailure, LimitExceededError, LimitName, RouterError,
+} from '../model/errors.js';
 import {LogEvent, type EventLog} from '../model/events.js';
 import {Cancellation} from '../model/cancellation.js';
 import {
-	OutcomeKind, type CallerRequest, type Outcome,
+	OutcomeKind, OutcomeReason, type CallerRequest, type Outcome,
 } from '../model/forwarding.js';
 import {initialLimits, type CallerLimits} from '../model/route-configuration.js';
 import {openBody} from './request-body.js';
@@ -36,6 +38,8 @@
 	readHeaders: CallerHeaderReader;
 	/** Limits in force; nothing before the first configuration. */
 	limits(): CallerLimits | undefined;
+	/** Waits for evidence that the configuration, and with it the limits, is the newest one; false if there is none. */
+	proveConfiguration(cancellation: Cancellation): Promise<boolean>;
 	/** Called with every final answer. */
 	onOutcome(request: CallerRequest, outcome: Outcome): void;
 };
@@ -62,6 +66,9 @@
 /** Milliseconds in a second. */
 const secondMs = 1000;
 
+/** Delay that callers are told while the newest configuration is not known, in milliseconds. */
+const unprovedRetryMs = 300;
+
 /** State of a caller's connection. */
 type Connection = {
 	/** Requests that were read and not yet answered. */
@@ -128,7 +135,7 @@
 			}
 		});
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-			this.refuseMalformed(error, socket as Socket);
+			void this.refuseMalformed(error, socket as Socket);
 		});
 		this.applyLimits();
 	}
@@ -186,7 +193,7 @@
 			this.answer(response, outcome, connection);
 			this.options.onOutcome(caller, outcome);
 		} catch (error) {
-			this.refuse(response, error);
+			await this.refuse(response, error, cancellation);
 		} finally {
 			this.pendingCount -= 1;
 			connection?.pending.delete(cancellation);
@@ -220,13 +227,30 @@
 		};
 		await this.seeEarlyEnd(request.socket);
 		const outcome = await this.broker.call<Outcome, CallerRequest>('dispatcher.forward', caller);
-		if (caller.body instanceof Readable && caller.body.errored instanceof BadRequestError) {
-			throw caller.body.errored;
+		const failure = caller.body instanceof Readable ? caller.body.errored : undefined;
+		if (failure instanceof BadRequestError) {
+			if (await this.isFinal(failure, cancellation)) {
+				throw failure;
+			}
+
+			// The rest of the body is not read.
+			closeAfter(response);
 		}
 
 		return {caller, outcome};
 	}
 
+	/** A caller does not repeat a request that exceeds a limit, so that a newer configuration must not have raised it. */
+	private async isFinal(error: BadRequestError, cancellation: Cancellation): Promise<boolean> {
+		if (!(error instanceof LimitExceededError)) {
+			return true;
+		}
+
+		const isProved = await this.options.proveConfiguration(cancellation);
+		const limits = this.options.limits();
+		return isProved && limits !== undefined && limits[error.limit] <= error.limitBytes;
+	}
+
 	/**
 	 * A connection may have waited to be accepted until its caller left. Its end is read one turn of the loop after the
 	 * request, so that the first request of a connection lets two turns pass.
@@ -265,7 +289,7 @@
 			}
 
 			case OutcomeKind.NotRun: {
-				response.setHeader('retry-after', ((outcome.retryAfterMs ?? secondMs) / secondMs).toFixed(2));
+				response.setHeader('retry-after', retryAfterText(outcome.retryAfterMs ?? secondMs));
 				sendFailure(response, 503, outcome.reason);
 				break;
 			}
@@ -287,12 +311,17 @@
 		}
 	}
 
-	private refuse(response: ServerResponse, error: unknown): void {
+	private async refuse(response: ServerResponse, error: unknown, cancellation: Cancellation): Promise<void> {
 		const {log} = this.options;
 		if (error instanceof BadRequestError) {
+			if (!await this.isFinal(error, cancellation)) {
+				this.postpone(response, error);
+				return;
+			}
+
 			log.record(LogEvent.RequestMalformed, {status: error.status, detail: error.message});
 			// The rest of a refused body is not read.
-			response.setHeader('connection', 'close');
+			closeAfter(response);
 			sendFailure(response, error.status, error.code);
 			return;
 		}
@@ -306,17 +335,31 @@
 		sendFailure(response, 502, 'internal_failure');
 	}
 
+	/** Refuses a request that did not run and may be proper by a newer configuration. */
+	private postpone(response: ServerResponse, error: BadRequestError): void {
+		this.options.log.record(LogEvent.RequestRefused, {reason: OutcomeReason.ConfigurationUnproved, detail: error.message, retryAfterMs: unprovedRetryMs});
+		closeAfter(response);
+		if (!response.headersSent) {
+			response.setHeader('retry-after', retryAfterText(unprovedRetryMs));
+		}
+
+		sendFailure(response, 503, OutcomeReason.ConfigurationUnproved);
+	}
+
 	/** Refuses what is no request; answers to requests before it on the connection go first. */
-	private refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+	private async refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
 		if (error.code === 'ECONNRESET' || !socket.writable) {
 			socket.destroy();
 			return;
 		}
 
-		const status = malformedStatus(error.code);
+		const parsed = malformedStatus(error.code);
+		const isFinal = parsed !== 431 || await this.isFinal(new LimitExceededError(LimitName.HeaderBytes, parserHeaderBytes), new Cancellation());
+		const status = isFinal ? parsed : 503;
 		this.options.log.record(LogEvent.RequestMalformed, {status, detail: error.message});
 		const connection = this.connections.get(socket);
-		const answer = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`;
+		const retryAfter = isFinal ? '' : `Retry-After: ${retryAfterText(unprovedRetryMs)}\r\n`;
+		const answer = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nContent-Length: 0\r\n${retryAfter}Connection: close\r\n\r\n`;
 		if (!connection) {
 			socket.end(answer);
 			return;
@@ -336,6 +379,17 @@
 	}
 }
 
+/** Seconds with fractions, as the platform's callers take them. */
+function retryAfterText(delayMs: number): string {
+	return (delayMs / secondMs).toFixed(2);
+}
+
+function closeAfter(response: ServerResponse): void {
+	if (!response.headersSent) {
+		response.setHeader('connection', 'close');
+	}
+}
+
 function checkHeaders(request: IncomingMessage, {maxHeaderBytes}: CallerLimits): void {
 	let bytes = (request.method?.length ?? 0) + (request.url?.length ?? 0);
 	for (const text of request.rawHeaders) {
@@ -343,7 +397,7 @@
 	}
 
 	if (bytes > maxHeaderBytes) {
-		throw new BadRequestError(`The headers are larger than ${maxHeaderBytes} bytes.`, 431);
+		throw new LimitExceededError(LimitName.HeaderBytes, maxHeaderBytes);
 	}
 }
 
--- a/src/services/request-body.ts
+++ b/src/services/request-body.ts
@@ -4,7 +4,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {Transform, type Readable, type TransformCallback} from 'node:stream';
-import {BadRequestError, ErrorCode} from '../model/errors.js';
+import {BadRequestError, LimitExceededError, LimitName} from '../model/errors.js';
 
 /** Largest body that is read whole, so that it can be sent again, in bytes. */
 const bufferedBytes = 65_536;
@@ -109,6 +109,6 @@
 	return new BadRequestError('The caller broke off the body.');
 }
 
-function tooLarge(maxBytes: number): BadRequestError {
-	return new BadRequestError(`The body is larger than ${maxBytes} bytes.`, 413, ErrorCode.BodyTooLarge);
+function tooLarge(maxBytes: number): LimitExceededError {
+	return new LimitExceededError(LimitName.BodyBytes, maxBytes);
 }
--- a/tests/decisions/configuration-currency.test.ts
+++ b/tests/decisions/configuration-currency.test.ts
@@ -170,7 +170,7 @@
 			const cancellation = new Cancellation();
 			play(currency, cancellation);
 			const startedAt = performance.now();
-			const evidence = currency.evidence(cancellation, 300).then(isCurrent => ({isCurrent, afterMs: performance.now() - startedAt}));
+			const evidence = currency.evidence(cancellation).then(isCurrent => ({isCurrent, afterMs: performance.now() - startedAt}));
 			await clock.tickAsync(1000);
 			t.deepEqual(await evidence, expected);
 			t.false(currency.isSought);
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -6,6 +6,7 @@
 import {ServiceBroker, type Context} from 'moleculer';
 import {OutcomeKind, type CallerRequest, type Outcome} from '../../src/model/forwarding.js';
 import {readCallerHeaders} from '../../src/platform/target-protocol.js';
+import type {CallerLimits} from '../../src/model/route-configuration.js';
 import {createPlatformGatewayService} from '../../src/services/platform-gateway-service.js';
 
 /** Time in which the dispatcher of the test answers, in milliseconds. */
@@ -23,7 +24,23 @@
 	stop(): Promise<void>;
 };
 
-async function withGateway(t: ExecutionContext, play: (setup: Setup) => Promise<void>): Promise<void> {
+/** What the gateway knows of the configuration. */
+type Knowledge = {
+	/** True if there is evidence that the configuration is the newest one. */
+	isProved: boolean;
+	limits: CallerLimits | undefined;
+	/** Limits that are in force once evidence was asked for. */
+	newerLimits?: CallerLimits;
+};
+
+const limits: CallerLimits = {
+	maxHeaderBytes: 2000, maxBodyBytes: bodyLimitBytes, headerTimeoutMs: 300, idleTimeoutMs: 5000,
+};
+
+const usualKnowledge: Knowledge = {isProved: true, limits};
+
+async function withGateway(t: ExecutionContext, play: (setup: Setup) => Promise<void>, knowledge = usualKnowledge): Promise<void> {
+	let limitsInForce = knowledge.limits;
 	const broker = new ServiceBroker({
 		logger: false, internalServices: false, skipProcessEventRegistration: true, dependencyInterval: 1,
 	});
@@ -57,9 +74,11 @@
 		port: 0,
 		log: {record: () => undefined},
 		readHeaders: readCallerHeaders,
-		limits: () => ({
-			maxHeaderBytes: 2000, maxBodyBytes: bodyLimitBytes, headerTimeoutMs: 300, idleTimeoutMs: 5000,
-		}),
+		limits: () => limitsInForce,
+		async proveConfiguration() {
+			limitsInForce = knowledge.newerLimits ?? limitsInForce;
+			return knowledge.isProved;
+		},
 		onOutcome(_request, outcome) {
 			outcomes.push(outcome);
 		},
@@ -124,6 +143,43 @@
 	return `POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n${bytes.toString(16)}\r\n${'x'.repeat(bytes)}`;
 }
 
+const oversized: Array<{title: string; text: string; finalStatus: number}> = [
+	{title: 'headers that are too large', text: `GET /a HTTP/1.1\r\nHost: h\r\nX: ${'x'.repeat(17_000)}\r\n\r\n`, finalStatus: 431},
+	{title: 'headers beyond what the parser takes', text: `GET /a HTTP/1.1\r\nHost: h\r\nX: ${'x'.repeat(70_000)}`, finalStatus: 431},
+	{title: 'a body that is too large', text: 'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\n', finalStatus: 413},
+];
+
+const knowledges: Array<{title: string; knowledge: Knowledge; isFinal: boolean}> = [
+	{title: 'for good with evidence for the limits', knowledge: {isProved: true, limits}, isFinal: true},
+	{title: 'for a moment without evidence', knowledge: {isProved: false, limits}, isFinal: false},
+	{title: 'for a moment before the first configuration', knowledge: {isProved: false, limits: undefined}, isFinal: false},
+	{
+		title: 'for a moment when a newer configuration raises the limits',
+		knowledge: {isProved: true, limits, newerLimits: {...limits, maxHeaderBytes: 100_000, maxBodyBytes: 3_000_000}},
+		isFinal: false,
+	},
+];
+
+for (const {title, text, finalStatus} of oversized) {
+	for (const {title: knownTitle, knowledge, isFinal} of knowledges) {
+		test(`should refuse ${title} ${knownTitle}`, async t => {
+			await withGateway(t, async ({port, forwarded}) => {
+				const received = await exchange(port, text);
+				t.regex(received, new RegExp(String.raw`^HTTP/1\.1 ${isFinal ? finalStatus : 503} `, 'v'));
+				t.is(/^retry-after: 0\.30\r$/imv.test(received), !isFinal);
+				t.regex(received, /^connection: close\r$/imv);
+				t.deepEqual(forwarded, []);
+			}, knowledge);
+		});
+	}
+}
+
+test('should leave the answer to the dispatcher when chunks exceed a limit that may have been raised', async t => {
+	await withGateway(t, async ({port}) => {
+		t.regex(await exchange(port, `${chunked(bodyLimitBytes + 1)}\r\n0\r\n\r\n`), /^HTTP\/1\.1 200 [\s\S]*connection: close/iv);
+	}, {isProved: false, limits});
+});
+
 test('should answer 413 to chunks beyond the limit and go on serving', async t => {
 	await withGateway(t, async ({port}) => {
 		t.regex(await exchange(port, `${chunked(bodyLimitBytes + 1)}\r\n0\r\n\r\n`), /^HTTP\/1\.1 413 /v);
