fix(configuration): refuse nothing for good on account of a part that cannot be read

What callers would see: 404 for a request whose route is in the newest version, but without a host or prefix that this program understands; 413 or 431 by the limits of an older version when those of the newest cannot be read.

Cause: a part that was left out of the decoded configuration could no longer be told from one that is not there. The fault was logged, and the answers were given as if the version had been understood.

Change: the decoded configuration says whether a part that was left out may be a route (hasUnknownRoutes: a route that cannot be placed, a resource without a readable type) and whether its limits are another version's (hasUnknownLimits). Then 503 stands in place of 404, and of 413 and 431. A resource of another readable type is no route and changes nothing.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -230,7 +230,7 @@
 			log: this.log,
 			readHeaders: readCallerHeaders,
 			limits: () => this.view.configuration?.limits,
-			proveConfiguration: async cancellation => this.view.currency.evidence(cancellation),
+			proveConfiguration: async cancellation => this.view.proveLimits(cancellation),
 			onOutcome: (request, outcome) => {
 				this.noteOutcome(request, outcome);
 			},
--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -61,6 +61,11 @@
 		return this.routes?.configuration;
 	}
 
+	/** Waits for evidence that the limits in force are the newest ones. */
+	async proveLimits(cancellation: Cancellation): Promise<boolean> {
+		return await this.currency.evidence(cancellation) && this.configuration?.hasUnknownLimits === false;
+	}
+
 	/** Takes a configuration unless a newer one is in force. */
 	applyConfiguration(configuration: RouteConfiguration): boolean {
 		if (this.configuration && this.configuration.version >= configuration.version) {
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -129,6 +129,10 @@
 			return this.refuse(request, OutcomeReason.ConfigurationUnproved);
 		}
 
+		if (view.configuration?.hasUnknownRoutes) {
+			return this.refuse(request, OutcomeReason.RouteUnreadable);
+		}
+
 		log.record(LogEvent.RequestUnrouted, {
 			request: request.requestId, host: request.host, path, version: view.configuration?.version, confirmedMsAgo: view.currency.wholeAgeMs,
 		});
--- a/src/model/route-configuration.ts
+++ b/src/model/route-configuration.ts
@@ -59,6 +59,10 @@
 	routes: Route[];
 	services: Map<string, ServiceRule>;
 	limits: CallerLimits;
+	/** True if a part that could not be understood may be a route for any request. */
+	hasUnknownRoutes: boolean;
+	/** True if the limits could not be understood, so that others are in force. */
+	hasUnknownLimits: boolean;
 	/** Parts of the document that could not be understood, each with its place. */
 	faults: string[];
 };
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -37,7 +37,7 @@
 	const resources = reader.list('resources');
 	reader.finish();
 	const configuration: RouteConfiguration = {
-		version, routes: [], services: new Map(), limits: earlier?.limits ?? initialLimits, faults: [],
+		version, routes: [], services: new Map(), limits: earlier?.limits ?? initialLimits, hasUnknownRoutes: false, hasUnknownLimits: false, faults: [],
 	};
 	for (const [index, value] of resources.entries()) {
 		addResource(configuration, value, {name: nameOf(value) ?? `#${index}`, earlier});
@@ -61,6 +61,8 @@
 			const route = decodeRoute(name, specification, earlier?.routes.find(known => known.name === name));
 			if (route) {
 				configuration.routes.push(route);
+			} else {
+				configuration.hasUnknownRoutes = true;
 			}
 
 			break;
@@ -73,6 +75,7 @@
 
 		case 'limits': {
 			const limits = decodeLimits(specification);
+			configuration.hasUnknownLimits = reader.hasFaults;
 			if (!reader.hasFaults) {
 				configuration.limits = limits;
 			}
@@ -82,6 +85,7 @@
 
 		default: {
 			reader.noteFault(`the resource type ${type} is unknown`);
+			configuration.hasUnknownRoutes ||= type === '';
 		}
 	}
 
--- a/standins/keyed-fleet.ts
+++ b/standins/keyed-fleet.ts
@@ -30,6 +30,8 @@
 	limits: {
 		maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
 	},
+	hasUnknownRoutes: false,
+	hasUnknownLimits: false,
 	faults: [],
 };
 
--- a/tests/decisions/fleet-view.test.ts
+++ b/tests/decisions/fleet-view.test.ts
@@ -26,6 +26,8 @@
 		limits: {
 			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
 		},
+		hasUnknownRoutes: false,
+		hasUnknownLimits: false,
 		faults: [],
 	};
 }
--- a/tests/decisions/forwarder.test.ts
+++ b/tests/decisions/forwarder.test.ts
@@ -37,6 +37,8 @@
 	limits: {
 		maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
 	},
+	hasUnknownRoutes: false,
+	hasUnknownLimits: false,
 	faults: [],
 };
 
@@ -60,9 +62,15 @@
 const answered: Step = {end: AttemptEnd.Answered, answer: {status: 200, headers: {}}, body: new Uint8Array([1])};
 const failed: Step = {end: AttemptEnd.Answered, answer: {status: 500, headers: {}}, body: new Uint8Array([2])};
 
-function setUp(steps: Step[], targetCount = 3, retryReserve = 60): Setup {
+type SetupOptions = {
+	targetCount?: number | undefined;
+	retryReserve?: number | undefined;
+	hasUnknownRoutes?: boolean | undefined;
+};
+
+function setUp(steps: Step[], {targetCount = 3, retryReserve = 60, hasUnknownRoutes = false}: SetupOptions = {}): Setup {
 	const view = new FleetView();
-	view.applyConfiguration(configuration);
+	view.applyConfiguration({...configuration, hasUnknownRoutes});
 	view.currency.confirm(presentMoment());
 	for (let index = 0; index < targetCount; index += 1) {
 		view.applyTarget(target(`plain-${index}`, 'plain'));
@@ -112,6 +120,7 @@
 	expected: Expected;
 	targets?: number;
 	retryReserve?: number;
+	hasUnknownRoutes?: boolean;
 	/** Age of the evidence that the configuration is the newest one, in milliseconds. */
 	evidenceAgeMs?: number;
 };
@@ -140,6 +149,13 @@
 	{
 		title: 'forward what it knows without evidence', path: '/read/a', steps: [answered], evidenceAgeMs: 60_000, expected: {kind: OutcomeKind.Answered, tries: 1, status: 200},
 	},
+	{
+		title: 'refuse nothing for good that an unreadable route may take',
+		path: '/unknown/a',
+		steps: [],
+		hasUnknownRoutes: true,
+		expected: {kind: OutcomeKind.NotRun, reason: OutcomeReason.RouteUnreadable, tries: 0},
+	},
 	{
 		title: 'try another target after a refusal', path: '/order/a', steps: [{end: AttemptEnd.Refused}, answered], expected: {kind: OutcomeKind.Answered, tries: 2, status: 200},
 	},
@@ -206,11 +222,11 @@
 	},
 ];
 
-for (const {title, path, steps, expected, targets, retryReserve, evidenceAgeMs} of cases) {
+for (const {title, path, steps, expected, targets, evidenceAgeMs, ...options} of cases) {
 	test.serial(`should ${title}`, async t => {
 		const clock = FakeTimers.install({now: 1_800_000_000_000, toFake: ['setTimeout', 'clearTimeout', 'Date', 'performance']});
 		try {
-			const {forwarder, attempts} = setUp(steps, targets, retryReserve);
+			const {forwarder, attempts} = setUp(steps, {targetCount: targets, ...options});
 			await clock.tickAsync(evidenceAgeMs ?? 0);
 			const outcome = forwarder.forward(callerRequest(path));
 			await clock.tickAsync(3000);
@@ -299,7 +315,7 @@
 
 test.serial('should refuse at once what cannot be answered in time', async t => {
 	const outcome = await withClock(async () => {
-		const {forwarder, loads, view} = setUp([], 1);
+		const {forwarder, loads, view} = setUp([], {targetCount: 1});
 		for (const loaded of view.readyTargets('plain')) {
 			loads.hear('peer', {inFlight: {[loaded.id]: 60}, samples: {[loaded.id]: [10, 2000]}});
 		}
--- a/tests/platform/documents.test.ts
+++ b/tests/platform/documents.test.ts
@@ -118,6 +118,60 @@
 	});
 }
 
+type UnknownPart = {
+	title: string;
+	resource: Record<string, unknown>;
+	hasUnknownRoutes: boolean;
+	hasUnknownLimits: boolean;
+};
+
+const unknownParts: UnknownPart[] = [
+	{
+		title: 'a new route without a host',
+		resource: {resourceType: 'routes', metadata: {name: 'new'}, spec: {prefix: '/c/', kind: 'safe', service: 'one'}},
+		hasUnknownRoutes: true,
+		hasUnknownLimits: false,
+	},
+	{
+		title: 'a new route without a prefix',
+		resource: {resourceType: 'routes', metadata: {name: 'new'}, spec: {host: 'h', kind: 'safe', service: 'one'}},
+		hasUnknownRoutes: true,
+		hasUnknownLimits: false,
+	},
+	{
+		title: 'a known route without a host',
+		resource: {resourceType: 'routes', metadata: {name: 'split'}, spec: {prefix: '/a/', kind: 'safe', service: 'one'}},
+		hasUnknownRoutes: false,
+		hasUnknownLimits: false,
+	},
+	{
+		title: 'a part without a type',
+		resource: {metadata: {name: 'new'}, spec: {}},
+		hasUnknownRoutes: true,
+		hasUnknownLimits: false,
+	},
+	{
+		title: 'a part of another type',
+		resource: {resourceType: 'quotas', metadata: {name: 'new'}, spec: {}},
+		hasUnknownRoutes: false,
+		hasUnknownLimits: false,
+	},
+	{
+		title: 'limits without a number',
+		resource: {resourceType: 'limits', metadata: {}, spec: {maxHeaderBytes: 'many'}},
+		hasUnknownRoutes: false,
+		hasUnknownLimits: true,
+	},
+];
+
+for (const {title, resource, hasUnknownRoutes, hasUnknownLimits} of unknownParts) {
+	test(`should tell what a configuration with ${title} does not say`, t => {
+		const earlier = decodeConfiguration(JSON.stringify(configuration));
+		const decoded = decodeConfiguration(JSON.stringify({...configuration, resources: [...configuration.resources, resource]}), earlier);
+		t.like(decoded, {hasUnknownRoutes, hasUnknownLimits});
+	});
+}
+
 test('should take no second route away with any broken part', t => {
 	const earlier = decodeConfiguration(JSON.stringify(configuration));
 	fc.assert(fc.property(fc.jsonValue(), fc.constantFrom('resourceType', 'metadata', 'spec'), fc.boolean(), (value, field, isKnown) => {
