fix(routing): stop serving by a configuration that peers replaced long ago

What callers would see: requests run by the former service of a route, or by a route that the operator dropped, at a daemon whose peers have had the newer version for more than half of the bound.

Cause: a daemon learned of a newer revision of the store from its peers, but not whether the configuration was among what it lacked, and forwarded by the old version however long the repair took.

While nobody knows a newer version, as in an outage of the store, requests are forwarded as before.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -238,7 +238,7 @@
 		const readiness = createReadinessService({
 			...splitAddress(this.settings.readinessAddress),
 			path: wirePaths.ready,
-			isReady: () => this.view.configuration !== undefined,
+			isReady: () => this.view.configuration !== undefined && !this.view.currency.isOutdated,
 		});
 		const metrics = createPlatformMetricsService(this.metrics, {ip: this.settings.ip, port: metricsPort});
 		return [gateway, readiness, metrics];
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -96,6 +96,10 @@
 			return this.refuse(request, OutcomeReason.NoConfiguration);
 		}
 
+		if (view.currency.isOutdated) {
+			return this.refuse(request, OutcomeReason.ConfigurationOutdated);
+		}
+
 		const path = request.path.split('?', 1)[0] ?? '';
 		const isProved = view.routeIndex.routeOf(request.host, path) !== undefined || await this.proveConfiguration(request);
 		// The proof may have brought another configuration.
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -105,6 +105,8 @@
 export enum OutcomeReason {
 	NoConfiguration = 'no_configuration',
 	NoRoute = 'no_route',
+	/** Peers have had a newer configuration for so long that this daemon may not serve by its own any more. */
+	ConfigurationOutdated = 'configuration_outdated',
 	/** No route takes the request, but a newer configuration may have one. */
 	ConfigurationUnproved = 'configuration_unproved',
 	/** The configuration does not say readably which service the route goes to. */
--- a/tests/decisions/forwarder.test.ts
+++ b/tests/decisions/forwarder.test.ts
@@ -121,6 +121,8 @@
 	targets?: number;
 	retryReserve?: number;
 	hasUnknownRoutes?: boolean;
+	/** Time for which peers have had a newer configuration, in milliseconds. */
+	lackingMs?: number;
 	/** Age of the evidence that the configuration is the newest one, in milliseconds. */
 	evidenceAgeMs?: number;
 };
@@ -156,6 +158,20 @@
 		hasUnknownRoutes: true,
 		expected: {kind: OutcomeKind.NotRun, reason: OutcomeReason.RouteUnreadable, tries: 0},
 	},
+	{
+		title: 'forward a request while the newer configuration of a peer is on its way',
+		path: '/read/a',
+		steps: [answered],
+		lackingMs: 1000,
+		expected: {kind: OutcomeKind.Answered, tries: 1, status: 200},
+	},
+	{
+		title: 'forward nothing by a configuration that its peers have replaced long ago',
+		path: '/read/a',
+		steps: [answered],
+		lackingMs: 1001,
+		expected: {kind: OutcomeKind.NotRun, reason: OutcomeReason.ConfigurationOutdated, tries: 0},
+	},
 	{
 		title: 'try another target after a refusal', path: '/order/a', steps: [{end: AttemptEnd.Refused}, answered], expected: {kind: OutcomeKind.Answered, tries: 2, status: 200},
 	},
@@ -222,12 +238,16 @@
 	},
 ];
 
-for (const {title, path, steps, expected, targets, evidenceAgeMs, ...options} of cases) {
+for (const {title, path, steps, expected, targets, evidenceAgeMs, lackingMs, ...options} of cases) {
 	test.serial(`should ${title}`, async t => {
 		const clock = FakeTimers.install({now: 1_800_000_000_000, toFake: ['setTimeout', 'clearTimeout', 'Date', 'performance']});
 		try {
-			const {forwarder, attempts} = setUp(steps, {targetCount: targets, ...options});
-			await clock.tickAsync(evidenceAgeMs ?? 0);
+			const {forwarder, view, attempts} = setUp(steps, {targetCount: targets, ...options});
+			if (lackingMs !== undefined) {
+				view.currency.hearVersion(configuration.version + 1);
+			}
+
+			await clock.tickAsync(evidenceAgeMs ?? lackingMs ?? 0);
 			const outcome = forwarder.forward(callerRequest(path));
 			await clock.tickAsync(3000);
 			const {kind, reason, answer} = await outcome;
--- a/tests/decisions/outdated-configuration.test.ts
+++ b/tests/decisions/outdated-configuration.test.ts
@@ -1,6 +1,6 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
-import {OutcomeKind} from '../../src/model/forwarding.js';
+import {OutcomeKind, OutcomeReason} from '../../src/model/forwarding.js';
 import {callerRequest} from '../../standins/caller-request.js';
 import {RelayedFleet} from '../../standins/relayed-fleet.js';
 
@@ -81,6 +81,27 @@
 	});
 });
 
+test.serial('should serve by no configuration that peers replaced long ago, and serve again with the newer one', async t => {
+	await withFleet(async (fleet, tick) => {
+		const late = fleet.daemon('two-2');
+		const others = fleet.daemons.filter(daemon => daemon !== late);
+		fleet.losesUpdates = true;
+		late.client.isCut = true;
+		fleet.configure(2, ['/new/']);
+		await tick(applyMs - 500);
+		t.deepEqual(others.map(({view}) => view.configuration?.version), others.map(() => 2));
+		t.is(late.view.configuration?.version, 1);
+		const refused = late.forwarder.forward(callerRequest('/old/a'));
+		await tick(1000);
+		t.like(await refused, {kind: OutcomeKind.NotRun, reason: OutcomeReason.ConfigurationOutdated});
+		late.client.isCut = false;
+		await tick(1000);
+		const served = late.forwarder.forward(callerRequest('/new/a'));
+		await tick(1000);
+		t.like(await served, {kind: OutcomeKind.Answered});
+	});
+});
+
 test.serial('should tell callers for good that no route takes their requests in the calm', async t => {
 	await withFleet(async (fleet, tick) => {
 		t.deepEqual(await ask(fleet, '/nowhere/a', tick), fleet.daemons.map(() => OutcomeKind.NoRoute));
