test(routing): no history of trouble lets a daemon refuse a request for good by an old configuration

Six daemons under the paused clock; random series of changes, cuts, silent watches, deaf daemons, late and lost messages, stops and compactions of the store, and restarts. After each step every daemon is asked for a route that has had to be in force, which must not be answered NoRoute, and for one that never was; after the trouble all daemons serve the newest route and deny the other.

Versions now only add routes.

--- a/standins/relayed-fleet.ts
+++ b/standins/relayed-fleet.ts
@@ -179,9 +179,13 @@
 		this.fate = fate;
 	}
 
-	/** Loses every message to a daemon from now on. */
-	deafen(name: string): void {
-		this.deaf.add(name);
+	/** Loses every message to a daemon from now on, or no longer. */
+	deafen(name: string, isDeaf = true): void {
+		if (isDeaf) {
+			this.deaf.add(name);
+		} else {
+			this.deaf.delete(name);
+		}
 	}
 
 	send(from: RelayedDaemon, message: PeerMessage, members: Iterable<Member>): void {
--- a/tests/decisions/outdated-configuration.test.ts
+++ b/tests/decisions/outdated-configuration.test.ts
@@ -1,7 +1,9 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
+import fc from 'fast-check';
 import {OutcomeKind, OutcomeReason} from '../../src/model/forwarding.js';
 import {callerRequest} from '../../standins/caller-request.js';
+import {StoreFault} from '../../standins/memory-coordination-store.js';
 import {RelayedFleet} from '../../standins/relayed-fleet.js';
 
 /** Time in which a configuration has to be in force everywhere, in milliseconds; the least of the users' sheets. */
@@ -102,6 +104,169 @@
 	});
 });
 
+enum Step {
+	Configure = 'configure',
+	Cut = 'cut',
+	Heal = 'heal',
+	SilenceWatch = 'silence the watch',
+	Deafen = 'deafen',
+	Lose = 'lose messages',
+	Delay = 'delay messages',
+	Deliver = 'deliver messages',
+	StopStore = 'stop the store',
+	StartStore = 'start the store',
+	Compact = 'compact the store',
+	Restart = 'restart',
+	Wait = 'wait',
+}
+
+type History = Array<{step: Step; daemon: number; waitMs: number}>;
+
+/** Time in which daemons recover after the last trouble, in milliseconds: a silent watch ends, and entries return. */
+const recoveryMs = 8000;
+
+function play(fleet: RelayedFleet, {step, daemon: index}: History[number], configure: () => void): void {
+	const {member: {daemon: name}} = fleet.daemons[index % fleet.daemons.length];
+	const {client} = fleet.daemon(name);
+	switch (step) {
+		case Step.Configure: {
+			configure();
+			break;
+		}
+
+		case Step.Cut: {
+			client.isCut = true;
+			break;
+		}
+
+		case Step.Heal: {
+			client.isCut = false;
+			client.isWatchSilent = false;
+			fleet.deafen(name, false);
+			break;
+		}
+
+		case Step.SilenceWatch: {
+			client.isWatchSilent = true;
+			break;
+		}
+
+		case Step.Deafen: {
+			fleet.deafen(name);
+			break;
+		}
+
+		case Step.Lose: {
+			fleet.losesUpdates = true;
+			break;
+		}
+
+		case Step.Delay: {
+			fleet.decideFates(() => [1500]);
+			break;
+		}
+
+		case Step.Deliver: {
+			fleet.losesUpdates = false;
+			fleet.decideFates(() => [1]);
+			break;
+		}
+
+		case Step.StopStore: {
+			fleet.store.fault = StoreFault.Down;
+			break;
+		}
+
+		case Step.StartStore: {
+			fleet.store.fault = StoreFault.None;
+			break;
+		}
+
+		case Step.Compact: {
+			fleet.store.compact();
+			break;
+		}
+
+		case Step.Restart: {
+			fleet.restart(name);
+			break;
+		}
+
+		case Step.Wait: {
+			break;
+		}
+	}
+}
+
+/** Ends all trouble. */
+function heal(fleet: RelayedFleet): void {
+	fleet.store.fault = StoreFault.None;
+	fleet.losesUpdates = false;
+	fleet.decideFates(() => [1]);
+	for (const {client, member} of fleet.daemons) {
+		client.isCut = false;
+		client.isWatchSilent = false;
+		fleet.deafen(member.daemon, false);
+	}
+}
+
+/** Asks for a route and for none after each step; returns the faults that callers would see. */
+async function playHistory(fleet: RelayedFleet, history: History, tick: (ms: number) => Promise<unknown>): Promise<string[]> {
+	const faults: string[] = [];
+	const pending: Array<Promise<void>> = [];
+	const newest = {version: 1, writtenAt: performance.now()};
+	const prefixes = ['/old/'];
+	const expect = (daemon: string, path: string, wrong: OutcomeKind): void => {
+		const {forwarder} = fleet.daemon(daemon);
+		pending.push(forwarder.forward(callerRequest(path)).then(({kind}) => {
+			if (kind === wrong) {
+				faults.push(`${daemon} ${path} ${kind}`);
+			}
+		}));
+	};
+
+	for (const entry of history) {
+		play(fleet, entry, () => {
+			if (fleet.store.fault === StoreFault.None) {
+				newest.version += 1;
+				newest.writtenAt = performance.now();
+				prefixes.push(`/v${newest.version}/`);
+				fleet.configure(newest.version, prefixes);
+			}
+		});
+		// eslint-disable-next-line no-await-in-loop -- time passes in steps.
+		await tick(entry.waitMs);
+		for (const {member} of fleet.daemons) {
+			expect(member.daemon, '/nowhere/a', OutcomeKind.Answered);
+			if (newest.version > 1 && performance.now() - newest.writtenAt >= applyMs) {
+				expect(member.daemon, `/v${newest.version}/a`, OutcomeKind.NoRoute);
+			}
+		}
+	}
+
+	heal(fleet);
+	await tick(recoveryMs);
+	await Promise.all(pending);
+	const path = newest.version > 1 ? `/v${newest.version}/a` : '/old/a';
+	const [served, refused] = [await ask(fleet, path, tick), await ask(fleet, '/nowhere/a', tick)];
+	faults.push(...served.filter(kind => kind !== OutcomeKind.Answered), ...refused.filter(kind => kind !== OutcomeKind.NoRoute));
+	return faults;
+}
+
+test.serial('should refuse no request for good on account of an old configuration in any history of trouble', async t => {
+	const steps = fc.array(fc.record({
+		step: fc.constantFrom(...Object.values(Step)), daemon: fc.nat({max: 5}), waitMs: fc.constantFrom(50, 300, 900, 2100),
+	}), {minLength: 5, maxLength: 25});
+	await t.notThrowsAsync(async () => fc.assert(fc.asyncProperty(steps, async history => {
+		await withFleet(async (fleet, tick) => {
+			const faults = await playHistory(fleet, history, tick);
+			if (faults.length > 0) {
+				throw new Error(faults.join(', '));
+			}
+		});
+	}), {seed: 1, numRuns: 40}));
+});
+
 test.serial('should tell callers for good that no route takes their requests in the calm', async t => {
 	await withFleet(async (fleet, tick) => {
 		t.deepEqual(await ask(fleet, '/nowhere/a', tick), fleet.daemons.map(() => OutcomeKind.NoRoute));
