fix(membership): leave a question to the store alone until its answer is due

Cause: a daemon that is behind what peers know ended its watch every 0.5 to 0.8 s and began it anew, also one that it had begun because it was behind. An answer that takes longer (small link, busy processor, slow store) was thrown away each time. Each time its watch counted as silent as well, so that its zone turned to another watcher. Change: a watch that began behind what peers knew is answered at once by the store, so it is left alone for 1200 ms, the limit of other calls. A watch that began up to date is ended as before, once. Peers go on being asked meanwhile. Why it works: an answer to such a question always brings the view forward, and nothing but its limit ends it now. Stand-in: the time of answers can be set for each client; a watch can be interrupted while its answer is on its way.

--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -90,6 +90,9 @@
 /** Longest additional time before that question, in milliseconds, so that a zone does not ask at once. */
 const behindSpreadMs = 300;
 
+/** Time in which that question has to be answered, in milliseconds; the limit of other calls to the store. */
+const questionLimitMs = 1200;
+
 /** Time after which a peer is asked for it, in milliseconds; messages that overtake each other differ by less. */
 const requestMs = 80;
 
@@ -100,6 +103,8 @@
 	private readonly random: () => number;
 	private isStopped = false;
 	private isWatching = false;
+	/** Until when the present watch is left alone, because it began behind what peers knew, so that the store answers it at once. */
+	private answerDueAt = 0;
 	private isInTouch = false;
 	private hasListed = false;
 	private readonly malformed = new Map<string, number>();
@@ -212,10 +217,13 @@
 		}
 	}
 
-	/** Peers are asked first; the store is asked by the daemons that they could not help. */
+	/**
+	 * Peers are asked first; the store is asked by the daemons that they could not help. A question on its way is not asked
+	 * again: where answers are slow, each would be lost to the next question.
+	 */
 	private catchUp(now: number): void {
 		const behindForMs = now - this.behindSince;
-		if (behindForMs > this.patienceMs) {
+		if (behindForMs > this.patienceMs && now > this.answerDueAt) {
 			this.behindSince = now;
 			this.askNow();
 			this.interruptWatch();
@@ -334,10 +342,12 @@
 
 	private async waitForChanges(after: number): Promise<StoreChanges> {
 		this.isWatching = true;
+		this.answerDueAt = this.newestHeard > after ? performance.now() + questionLimitMs : 0;
 		try {
 			return await this.store.watch('', after, this.watchWaitMs);
 		} finally {
 			this.isWatching = false;
+			this.answerDueAt = 0;
 		}
 	}
 
--- a/standins/memory-coordination-store.ts
+++ b/standins/memory-coordination-store.ts
@@ -17,8 +17,11 @@
 	LosesReplies = 'loses replies',
 }
 
-/** Time in which the stand-in answers, in milliseconds. */
-const answerMs = 4;
+/** Time until a call reaches the store, in milliseconds. */
+const requestMs = 2;
+
+/** Time until an answer reaches a daemon with an ordinary link, in milliseconds. */
+const answerMs = 2;
 
 /** Time after which a caller takes a lost reply for lost, in milliseconds. */
 const lostReplyMs = 300;
@@ -166,6 +169,8 @@
 	isCut = false;
 	/** True while the connection of the watch is silent, though open. */
 	isWatchSilent = false;
+	/** Time until an answer arrives here, in milliseconds; longer behind a small link or a busy processor. */
+	answerMs = answerMs;
 	private interrupt: ((reason: string) => void) | undefined;
 
 	constructor(private readonly store: MemoryCoordinationStore) {}
@@ -199,18 +204,22 @@
 	}
 
 	async watch(prefix: string, after: number, waitMs: number): Promise<StoreChanges> {
-		await pause(answerMs);
+		await this.wait(requestMs);
 		this.expectReachable();
 		if (this.isWatchSilent) {
-			await this.silence(waitMs + silentWatchMs);
+			// Ends only by an interruption, or when the caller takes the watch for lost.
+			await this.wait(waitMs + silentWatchMs);
+			throw new StoreUnavailableError('silent');
 		}
 
 		if (this.store.changesAfter(prefix, after).length === 0) {
-			await this.nextChange(waitMs);
+			await this.wait(waitMs, true);
 		}
 
 		this.expectReachable();
-		return {changes: this.store.changesAfter(prefix, after), revision: this.store.revision};
+		const answer = {changes: this.store.changesAfter(prefix, after), revision: this.store.revision};
+		await this.wait(this.answerMs);
+		return answer;
 	}
 
 	interruptWatch(reason: string): void {
@@ -221,40 +230,34 @@
 		this.interruptWatch('closed');
 	}
 
-	/** Ends only by an interruption, or when the caller takes the watch for lost. */
-	private async silence(limitMs: number): Promise<void> {
-		return new Promise<void>((_resolve, reject) => {
-			const timer = setTimeout(() => {
-				reject(new StoreUnavailableError('silent'));
-			}, limitMs);
-			this.interrupt = reason => {
-				clearTimeout(timer);
-				reject(new WatchInterruptedError(reason));
-			};
-		});
-	}
-
-	private async nextChange(waitMs: number): Promise<void> {
+	/** Waits for a time, or for the next change if that is sooner; rejects if the watch is interrupted. */
+	private async wait(durationMs: number, endsAtChange = false): Promise<void> {
 		return new Promise<void>((resolve, reject) => {
-			const settle = (): void => {
+			const end = (): void => {
 				clearTimeout(timer);
 				this.store.offChange(settle);
 				this.interrupt = undefined;
+			};
+
+			const settle = (): void => {
+				end();
 				resolve();
 			};
 
-			const timer = setTimeout(settle, waitMs);
-			this.store.onChange(settle);
+			const timer = setTimeout(settle, durationMs);
+			if (endsAtChange) {
+				this.store.onChange(settle);
+			}
+
 			this.interrupt = reason => {
-				clearTimeout(timer);
-				this.store.offChange(settle);
+				end();
 				reject(new WatchInterruptedError(reason));
 			};
 		});
 	}
 
 	private async call<Result>(action: () => Result, isWrite: boolean): Promise<Result> {
-		await pause(answerMs / 2);
+		await pause(requestMs);
 		this.expectReachable();
 		const result = action();
 		if (isWrite && this.store.fault === StoreFault.LosesReplies) {
@@ -262,7 +265,7 @@
 			throw new StoreAmbiguousError('the reply was lost');
 		}
 
-		await pause(answerMs / 2);
+		await pause(this.answerMs);
 		return result;
 	}
 
--- a/tests/decisions/peer-exchange.test.ts
+++ b/tests/decisions/peer-exchange.test.ts
@@ -75,6 +75,97 @@
 	});
 }
 
+type SlowAnswers = {
+	title: string;
+	/** Changes in intervals of 250 ms, of which the last one counts. */
+	changes: number;
+	/** Time within which every daemon has to know it, in milliseconds. */
+	limitMs: number;
+	isSlow: (daemon: string) => boolean;
+};
+
+const isWatcher = (daemon: string): boolean => daemon.endsWith('-1');
+
+/** Time of an answer behind a small link or a busy processor, in milliseconds; within the limit of 1200 ms for a call. */
+const slowAnswerMs = 900;
+
+/**
+ * Configurations have to be in force after two seconds, after three at most. Where all answers are late, those to the watcher and
+ * to the daemon itself come in a row; while changes go on, both are added to the two seconds.
+ */
+const slowAnswers: SlowAnswers[] = [
+	{
+		title: 'a follower', changes: 1, limitMs: 2000, isSlow: daemon => daemon === 'one-3',
+	},
+	{
+		title: 'all followers', changes: 1, limitMs: 2000, isSlow: daemon => !isWatcher(daemon),
+	},
+	{
+		title: 'a watcher', changes: 1, limitMs: 2000, isSlow: daemon => daemon === 'one-1',
+	},
+	{
+		title: 'all watchers', changes: 1, limitMs: 2000, isSlow: isWatcher,
+	},
+	{
+		title: 'all watchers while changes go on', changes: 13, limitMs: 3000, isSlow: isWatcher,
+	},
+	{
+		title: 'all daemons', changes: 1, limitMs: 3000, isSlow: () => true,
+	},
+	{
+		title: 'all daemons while changes go on', changes: 13, limitMs: 3800, isSlow: () => true,
+	},
+];
+
+for (const {
+	title, changes, limitMs, isSlow,
+} of slowAnswers) {
+	test.serial(`should bring changes of the store to every daemon though updates are lost and answers of the store come late to ${title}`, async t => {
+		await withFleet(async (fleet, tick) => {
+			fleet.losesUpdates = true;
+			for (const {client, member} of fleet.daemons) {
+				client.answerMs = isSlow(member.daemon) ? slowAnswerMs : client.answerMs;
+			}
+
+			for (let count = 1; count < changes; count += 1) {
+				fleet.store.put(`targets/change-${count}`, '');
+				// eslint-disable-next-line no-await-in-loop -- time passes in steps.
+				await tick(250);
+			}
+
+			fleet.store.put('targets/new', '');
+			await tick(limitMs);
+			t.deepEqual(fleet.unaware('new'), []);
+		});
+	});
+}
+
+for (const silenceMs of [4000, 4700, 5400]) {
+	test.serial(`should catch up soon after the connections to the store were silent for ${silenceMs} ms, though updates are lost`, async t => {
+		await withFleet(async (fleet, tick) => {
+			fleet.losesUpdates = true;
+			const silent = fleet.daemons.filter(({member}) => member.daemon !== 'two-1');
+			for (const {client} of silent) {
+				client.isWatchSilent = true;
+			}
+
+			for (let passedMs = 0; passedMs < silenceMs; passedMs += 100) {
+				fleet.store.put('targets/change', String(passedMs));
+				// eslint-disable-next-line no-await-in-loop -- time passes in steps.
+				await tick(100);
+			}
+
+			for (const {client} of silent) {
+				client.isWatchSilent = false;
+			}
+
+			fleet.store.put('targets/new', '');
+			await tick(2000);
+			t.deepEqual(fleet.unaware('new'), []);
+		});
+	});
+}
+
 test.serial('should not wait for a daemon whose watch is silent while changes go on', async t => {
 	await withFleet(async (fleet, tick) => {
 		const silent = fleet.daemon('one-1');
