fix(membership): count the way of a late answer towards the gathering of changes

Callers would see: a daemon with slow answers from the store knows a change later than two seconds while other changes go on. Cause: after each answer with changes the daemon paused for 300 ms, also when the answer to its question had taken longer than this and it was still behind. With answers of 900 ms, a change right after a question costs 900 + 300 + 900 ms. Ruled out: the time after which the store is asked (0.5 to 0.8 s); it had passed while the answer was on its way. Change: the pause after a question that was asked behind peers is shorter by the time of its answer. Why it works: two questions still begin at least 300 ms apart, which is what bounds the calls. A watch that waited for changes is followed by the whole pause, because its time says nothing of its answer. Tests (peer-exchange.test.ts): two new cases of 13 changes, 250 ms apart, answers of 900 ms: failed before, pass after.

--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -329,6 +329,7 @@
 
 	private async watch(): Promise<void> {
 		const after = this.view.revision;
+		const isBehind = this.newestHeard > after;
 		const askedAt = presentMoment();
 		const {changes, revision} = await this.waitForChanges(after);
 		this.noteSuccess();
@@ -336,7 +337,8 @@
 		this.confirmConfiguration(changes.length === 0 ? quietUntil(askedAt, this.watchWaitMs) : askedAt);
 		if (changes.length > 0) {
 			this.relay.publish({after, changes, revision});
-			await pause(gatherMs);
+			// While the answer to a question is on its way, changes gather as well.
+			await pause(gatherMs - (isBehind ? performance.now() - askedAt.monotonic : 0));
 		}
 	}
 
--- a/tests/decisions/peer-exchange.test.ts
+++ b/tests/decisions/peer-exchange.test.ts
@@ -103,6 +103,12 @@
 	{
 		title: 'a watcher', changes: 1, limitMs: 2000, isSlow: daemon => daemon === 'one-1',
 	},
+	{
+		title: 'all followers while changes go on', changes: 13, limitMs: 2000, isSlow: daemon => !isWatcher(daemon),
+	},
+	{
+		title: 'a watcher while changes go on', changes: 13, limitMs: 2000, isSlow: daemon => daemon === 'one-1',
+	},
 	{
 		title: 'all watchers', changes: 1, limitMs: 2000, isSlow: isWatcher,
 	},
