fix(membership): give a question more time where the store answers other calls

Callers would see: a daemon to which answers with changes take longer than 1200 ms (large ones over a small link) stays behind without an end, while its lease is renewed and it counts as in touch. Ruled out: a longer limit from the start, or after any question that was given up. Change: if another call is answered after a watch was given up, a question may take as long as the wait of a watch, until one is answered within 1200 ms or a call fails. The limit is fixed when a question begins, so that an answer that comes once a silence has healed does not prolong a question that was asked during it. Why it works: in a cut the other calls fail as well, and the limit stays at 1200 ms; behind a small link they do not. Tests (peer-exchange.test.ts): answers of 1500 and 2500 ms; both cases failed before, both pass after, the second change within two seconds and its answer. Answers of more than 3 s are still lost; to see that bytes arrive, the transport would have to tell.

--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -93,6 +93,9 @@
 /** Time in which that question has to be answered, in milliseconds; the limit of other calls to the store. */
 const questionLimitMs = 1200;
 
+/** The same where such an answer takes longer than those to other calls, in milliseconds; the wait of a watch. */
+const longQuestionLimitMs = watchLimitMs;
+
 /** Time after which a peer is asked for it, in milliseconds; messages that overtake each other differ by less. */
 const requestMs = 80;
 
@@ -105,6 +108,7 @@
 	private isWatching = false;
 	/** Until when the present watch is left alone, because it began behind what peers knew, so that the store answers it at once. */
 	private answerDueAt = 0;
+	private questionLimitMs = questionLimitMs;
 	private isInTouch = false;
 	private hasListed = false;
 	private readonly malformed = new Map<string, number>();
@@ -212,6 +216,11 @@
 
 	/** Notes that the store answered this daemon, though not on a watch. */
 	noteStoreAnswer(): void {
+		if (this.isWatchSilent) {
+			// Answers to other calls arrive, so that the one to a question may be large.
+			this.questionLimitMs = longQuestionLimitMs;
+		}
+
 		if (this.hasListed) {
 			this.noteSuccess();
 		}
@@ -333,18 +342,23 @@
 		const askedAt = presentMoment();
 		const {changes, revision} = await this.waitForChanges(after);
 		this.noteSuccess();
+		const answerMs = isBehind ? performance.now() - askedAt.monotonic : 0;
+		if (isBehind && answerMs <= questionLimitMs) {
+			this.questionLimitMs = questionLimitMs;
+		}
+
 		this.take({after, changes, revision});
 		this.confirmConfiguration(changes.length === 0 ? quietUntil(askedAt, this.watchWaitMs) : askedAt);
 		if (changes.length > 0) {
 			this.relay.publish({after, changes, revision});
 			// While the answer to a question is on its way, changes gather as well.
-			await pause(gatherMs - (isBehind ? performance.now() - askedAt.monotonic : 0));
+			await pause(gatherMs - answerMs);
 		}
 	}
 
 	private async waitForChanges(after: number): Promise<StoreChanges> {
 		this.isWatching = true;
-		this.answerDueAt = this.newestHeard > after ? performance.now() + questionLimitMs : 0;
+		this.answerDueAt = this.newestHeard > after ? performance.now() + this.questionLimitMs : 0;
 		try {
 			return await this.store.watch('', after, this.watchWaitMs);
 		} finally {
@@ -487,6 +501,7 @@
 
 	/** A failure of any kind costs one round; without the loop, the daemon would go on with an old view. */
 	private noteFailure(error: unknown): void {
+		this.questionLimitMs = questionLimitMs;
 		if (!(error instanceof RouterError)) {
 			this.log.record(LogEvent.InternalFailure, {detail: describeFailure(error)});
 		}
--- a/tests/decisions/peer-exchange.test.ts
+++ b/tests/decisions/peer-exchange.test.ts
@@ -146,6 +146,37 @@
 	});
 }
 
+/** Interval in which a daemon renews its lease, in milliseconds. */
+const renewalMs = 3000;
+
+for (const answerMs of [1500, 2500]) {
+	test.serial(`should catch up though an answer of the store takes ${answerMs} ms and updates are lost, while small answers come soon`, async t => {
+		await withFleet(async (fleet, tick) => {
+			fleet.losesUpdates = true;
+			for (const {client, member} of fleet.daemons) {
+				client.answerMs = isWatcher(member.daemon) ? client.answerMs : answerMs;
+			}
+
+			// The first time, one question is given up and a renewal answered before it is asked with more time.
+			for (const [round, limitMs] of [2000 + renewalMs + answerMs, 2000 + answerMs].entries()) {
+				fleet.store.put(`targets/new-${round}`, '');
+				for (let passedMs = 0; passedMs < limitMs; passedMs += 500) {
+					if (passedMs % renewalMs === 1000) {
+						for (const {sync} of fleet.daemons) {
+							sync.noteStoreAnswer();
+						}
+					}
+
+					// eslint-disable-next-line no-await-in-loop -- time passes in steps.
+					await tick(500);
+				}
+
+				t.deepEqual(fleet.unaware(`new-${round}`), []);
+			}
+		});
+	});
+}
+
 for (const silenceMs of [4000, 4700, 5400]) {
 	test.serial(`should catch up soon after the connections to the store were silent for ${silenceMs} ms, though updates are lost`, async t => {
 		await withFleet(async (fleet, tick) => {
