fix(membership): take updates of peers while everything is read again

Callers would see: a daemon whose history the store has forgotten (410) answers from its old view until a whole listing has arrived, though its peers know the changes. Cause: lost history made the daemon count as one that has read nothing: it asked no peer and refused every update, for as long as the listing was slow (several pages of up to 1200 ms) or failed. Ruled out: dropping the listing when history is lost, because peers may lack the changes too. Change: that a listing is due is noted apart from whether one was read. A listing that arrives behind what peers have brought is not applied, because it would bring back what was removed meanwhile. Why it works: updates are taken only if nothing is missing before them, so that the view is whole up to its revision either way. Tests (peer-exchange.test.ts): two new cases, the listing fails or takes 4 s: failed before, pass after. Without the check of the listing's revision, the second one fails. The revisions of the store are taken to rise only, as before.

--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -111,6 +111,8 @@
 	private questionLimitMs = questionLimitMs;
 	private isInTouch = false;
 	private hasListed = false;
+	/** Until everything was read, at the start and after the store has forgotten what is lacking here. */
+	private mustList = true;
 	private readonly malformed = new Map<string, number>();
 	private newestHeard = 0;
 	private behindSince = 0;
@@ -291,17 +293,17 @@
 	}
 
 	private async step(): Promise<void> {
-		if (this.hasListed && this.relay.isFollowing() && !this.mustAsk) {
+		if (!this.mustList && this.relay.isFollowing() && !this.mustAsk) {
 			await this.idle();
 			return;
 		}
 
 		this.mustAsk = false;
 		try {
-			await (this.hasListed ? this.watch() : this.list());
+			await (this.mustList ? this.list() : this.watch());
 		} catch (error) {
 			if (error instanceof HistoryLostError) {
-				this.hasListed = false;
+				this.mustList = true;
 				return;
 			}
 
@@ -325,6 +327,12 @@
 		const askedAt = presentMoment();
 		const {items, revision} = await this.store.list('');
 		this.noteSuccess();
+		this.mustList = false;
+		if (revision < this.view.revision) {
+			// Peers have brought everything up to a newer revision meanwhile.
+			return;
+		}
+
 		const listed = new Set(items.map(({key}) => key));
 		this.removeUnlisted(listed);
 		for (const item of items) {
--- a/tests/decisions/peer-exchange.test.ts
+++ b/tests/decisions/peer-exchange.test.ts
@@ -5,7 +5,8 @@
 import {splitUpdate} from '../../src/decisions/fleet/store-update.js';
 import {ZoneHubs} from '../../src/decisions/fleet/zone-hubs.js';
 import type {StoreChange} from '../../src/model/coordination-store.js';
-import {StoreFault} from '../../standins/memory-coordination-store.js';
+import {StoreUnavailableError} from '../../src/model/errors.js';
+import {StoreFault, type MemoryStoreClient} from '../../standins/memory-coordination-store.js';
 import {datagramBytes, RelayedFleet, target} from '../../standins/relayed-fleet.js';
 
 async function withFleet(play: (fleet: RelayedFleet, tick: (ms: number) => Promise<unknown>) => Promise<void>): Promise<void> {
@@ -177,6 +178,52 @@
 	});
 }
 
+const listings: Array<{title: string; begin(client: MemoryStoreClient): void}> = [
+	{
+		title: 'fails', begin(client) {
+			client.list = async () => {
+				throw new StoreUnavailableError('status 503');
+			};
+		},
+	},
+	{
+		// Some pages, each within the limit of a call.
+		title: 'takes long', begin(client) {
+			client.answerMs = 4000;
+		},
+	},
+];
+
+for (const {title, begin} of listings) {
+	test.serial(`should take what peers know after the history is lost while the listing ${title}`, async t => {
+		await withFleet(async (fleet, tick) => {
+			const {client, view} = fleet.daemon('one-3');
+			begin(client);
+			fleet.losesUpdates = true;
+			fleet.store.put('targets/old', '');
+			await tick(100);
+			fleet.store.compact();
+			// The daemon asks the store, which has forgotten what it lacks.
+			await tick(1100);
+			t.is(view.listedTarget('old'), undefined);
+			fleet.losesUpdates = false;
+			fleet.store.put('targets/new', '');
+			await tick(2000);
+			t.deepEqual(fleet.unaware('new'), []);
+			fleet.store.delete('targets/old');
+			await tick(400);
+			for (let count = 0; count < 20; count += 1) {
+				// A listing that was asked for before comes after it.
+				t.is(view.listedTarget('old'), undefined);
+				// eslint-disable-next-line no-await-in-loop -- time passes in steps.
+				await tick(200);
+			}
+
+			t.deepEqual(fleet.unaware('new'), []);
+		});
+	});
+}
+
 for (const silenceMs of [4000, 4700, 5400]) {
 	test.serial(`should catch up soon after the connections to the store were silent for ${silenceMs} ms, though updates are lost`, async t => {
 		await withFleet(async (fleet, tick) => {
