fix(confirmation): do not vouch for documents that a relay's proof is not about

A daemon that is cut off from the store and reaches a relay, but not the relay's documents (the question is answered within 70 ms, the larger answer is not), counted as proved with the documents of before. It answered other daemons with a proof a few milliseconds old beside an old version, and after a restart it said that it can attest without any document. By reading: such an answer extends the route leases of others under the old version, and makes a restarted daemon ready. Cause: `acceptRelayed` confirmed each service only up to the known version, but took the proof itself over without looking. Ruled out: the store's own path (a failed read of a document rejects the round before the proof is noted). Change: the proof is taken over only once nothing that the relay knows is newer than what is known here. Tests: tests/decisions/confirmation.test.ts. Before, 2 of 4 cases failed: "should not vouch for old documents with the proof of a peer whose newer ones did not come" (`- canAttest: true + canAttest: false`, `- proofAgeMs: 30 + proofAgeMs: undefined`) and the same with a part of them. After: 4 passed, and with them the leadership, hold-rule and matrix tests (52 passed). Why it works: the relay knew everything that was written before its proof, so that whoever knows at least as much does as well.

--- a/src/decisions/confirmation.ts
+++ b/src/decisions/confirmation.ts
@@ -188,7 +188,11 @@
 			this.parts.replica.confirm(service, version, provenAt);
 		}
 
-		this.noteProof(provenAt);
+		// A proof tells only about documents at least as new as the relay's.
+		if (!isNewer(confirmation, this.parts.replica)) {
+			this.noteProof(provenAt);
+		}
+
 		this.setHolding(false);
 	}
 
