fix(gateway): answer an unexpected failure as unknown, never as the caller's mistake

Callers saw: 400 without an outcome header for any error that the daemon does not expect, also when it was raised after the request had been dispatched. A caller does not repeat after 400 and takes an instruction that may have run for one that did not. Found by reading all answers that the daemon gives for itself; no caller's report. Cause: the last catch of the gateway wrapped whatever is no error of the router in the class of malformed requests. Ruled out: "not run", which is untrue once the request was dispatched; the gateway does not know how far it went. Change: such an error is answered as "outcome unknown" (504), as the dispatcher does with its own unexpected errors. Why it works: "unknown" is true whether the request ran or not.

--- a/src/services/gateway-service.ts
+++ b/src/services/gateway-service.ts
@@ -7,7 +7,7 @@
 import {OutcomeKind, type Outcome} from '../decisions/outcome.js';
 import type {Match, RequestHead} from '../decisions/request-matcher.js';
 import {
-	BadRequestError, DuplicateInstructionError, NotRunError, RouterError,
+	BadRequestError, DuplicateInstructionError, NotRunError, OutcomeUnknownError, RouterError,
 } from '../model/errors.js';
 import {
 	ContractHeader, forwardedHeaderList, notRunOutcome, unknownOutcome,
@@ -103,7 +103,7 @@
 	try {
 		await forward(broker, request, response, {path, peerSecret});
 	} catch (error) {
-		fail(response, error instanceof RouterError ? error : new BadRequestError(String(error)));
+		fail(response, error instanceof RouterError ? error : new OutcomeUnknownError(`The router failed: ${String(error)}`));
 	}
 }
 
