fix(gateway): deny a request only under a configuration proved to be the newest

Callers do not repeat after 4xx. The project's own interface had the same fault: a daemon that had read no configuration answered 404 to everything, and one that was cut off, paused or without the store denied by what it knew without a bound of time. Cause: the matcher's refusals (404, 405, 400 for a missing or malformed key and for a missing instruction id) and the body limit (413) were sent whatever the age of the configuration; only routes of divided services stood under a lease. Ruled out: asking the store at each denial (a call for any caller's mistake); counting the hold rule as a proof (a majority without the store does not know what was written there); gating the matcher alone (the limit of the body is applied later). Change: `Denials` judges each refusal in the turn in which it is answered. Under a proof of at most 4 s it stands; else the caller gets 503 "not run", reason `configuration_unproven`, Retry-After 1, and the log RequestRefused with status, version and age. The proof is the one that leadership goes by. Why it works: the known configuration was the newest at the time of the proof, so that a change that it lacks was acknowledged less than 4 s before the answer, within the time that a change may take to be in force. In an outage of the store of more than 4 s, mistaken requests get 503 in place of 4xx until its end.

--- a/src/decisions/confirmation.ts
+++ b/src/decisions/confirmation.ts
@@ -37,10 +37,9 @@
 
 	/** Answers a peer that asks for a confirmation. */
 	answer(now = performance.now()): PeerConfirmation {
-		const ageMs = now - this.proofAt;
 		return {
 			daemon: this.parts.daemon,
-			proofAgeMs: this.hasProof(now) ? ageMs : undefined,
+			proofAgeMs: this.hasProof(now) ? this.proofAgeMs(now) : undefined,
 			canAttest: this.canAttest,
 			known: this.parts.replica.known(),
 			reachesStore: this.storeReachable,
@@ -58,10 +57,15 @@
 		this.heardAt.set(daemon, performance.now());
 	}
 
+	/** Milliseconds since the known documents were proved to be the newest; infinite before the first proof. */
+	proofAgeMs(now = performance.now()): number {
+		return now - this.proofAt;
+	}
+
 	/** True if the daemon holds a fresh proof from the store, its own or relayed. */
 	hasProof(now = performance.now()): boolean {
 		// Half of the lease, so that holding can begin before the lease lapses.
-		return now - this.proofAt < this.parts.timing.routeLeaseMs / 2;
+		return this.proofAgeMs(now) < this.parts.timing.routeLeaseMs / 2;
 	}
 
 	/** Runs one round; never rejects. */
--- a/src/decisions/router-core.ts
+++ b/src/decisions/router-core.ts
@@ -13,6 +13,7 @@
 import type {Timing} from '../model/timing.js';
 import type {VmList} from '../model/vm-list.js';
 import {Confirmation} from './confirmation.js';
+import {Denials} from './denials.js';
 import {Dispatcher} from './dispatcher.js';
 import {HotSpots} from './hot-spots.js';
 import {InstructionClaims} from './instruction-claims.js';
@@ -60,6 +61,7 @@
 export class RouterCore {
 	readonly replica: Replica;
 	readonly confirmation: Confirmation;
+	readonly denials: Denials;
 	readonly directory: VmDirectory;
 	readonly dispatcher: Dispatcher;
 	readonly planManager: PlanManager;
@@ -83,6 +85,7 @@
 		this.confirmation = new Confirmation({
 			daemon, store, peers: this.peers, replica: this.replica, timing, log,
 		});
+		this.denials = new Denials({confirmation: this.confirmation, replica: this.replica, log});
 		this.dispatcher = new Dispatcher({
 			daemon,
 			replica: this.replica,
--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -77,6 +77,7 @@
 /** Reasons for refusing a request that did not run. */
 export enum NotRunReason {
 	NoRouteLease = 'no_route_lease',
+	ConfigurationUnproven = 'configuration_unproven',
 	Paused = 'paused',
 	QueueFull = 'queue_full',
 	QueueTimeout = 'queue_timeout',
--- a/src/services/gateway-service.ts
+++ b/src/services/gateway-service.ts
@@ -4,6 +4,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Service, ServiceBroker, ServiceSchema} from 'moleculer';
 import ApiService from 'moleculer-web';
+import type {Denials} from '../decisions/denials.js';
 import {OutcomeKind, type Outcome} from '../decisions/outcome.js';
 import type {Match, RequestHead} from '../decisions/request-matcher.js';
 import {
@@ -37,8 +38,10 @@
 
 type ApiRequest = IncomingMessage & {originalUrl?: string};
 
+type Handling = {isDraining: boolean; peerSecret: string; denials: Pick<Denials, 'judge'>};
+
 /** Creates the service. */
-export function createGatewayService(options: GatewayOptions): ServiceSchema {
+export function createGatewayService(options: GatewayOptions, denials: Pick<Denials, 'judge'>): ServiceSchema {
 	let isDraining = false;
 	return {
 		name: 'gateway',
@@ -57,7 +60,7 @@
 				logging: false,
 				use: [
 					async function (this: Service, request: ApiRequest, response: ServerResponse) {
-						await handle(this.broker, request, response, {isDraining, peerSecret: options.peerSecret});
+						await handle(this.broker, request, response, {isDraining, peerSecret: options.peerSecret, denials});
 					},
 				],
 			}],
@@ -83,7 +86,7 @@
 	};
 }
 
-async function handle(broker: ServiceBroker, request: ApiRequest, response: ServerResponse, {isDraining, peerSecret}: {isDraining: boolean; peerSecret: string}): Promise<void> {
+async function handle(broker: ServiceBroker, request: ApiRequest, response: ServerResponse, {isDraining, peerSecret, denials}: Handling): Promise<void> {
 	const path = request.originalUrl ?? request.url ?? '/';
 	if (path === livePath) {
 		answer(response, 200, {live: true});
@@ -103,6 +106,13 @@
 	try {
 		await forward(broker, request, response, {path, peerSecret});
 	} catch (error) {
+		if (error instanceof BadRequestError) {
+			// The rest of a refused body is not read.
+			response.setHeader('connection', 'close');
+			fail(response, denials.judge(error));
+			return;
+		}
+
 		fail(response, error instanceof RouterError ? error : new OutcomeUnknownError(`The router failed: ${String(error)}`));
 	}
 }
@@ -158,8 +168,6 @@
 
 	const body = {error: error.code, message: error.message, nextStep: error.nextStep};
 	if (error instanceof BadRequestError) {
-		// The rest of a refused body is not read.
-		response.setHeader('connection', 'close');
 		answer(response, error.status, body);
 		return;
 	}
--- a/src/services/kernel.ts
+++ b/src/services/kernel.ts
@@ -46,6 +46,6 @@
 	broker.createService(createLeaderService(options.core));
 	broker.createService(createOperatorService(options.core, burn));
 	broker.createService(createControlService(options.control));
-	broker.createService(createGatewayService(options.gateway));
+	broker.createService(createGatewayService(options.gateway, options.core.denials));
 	return broker;
 }
--- a/tests/http/gateway-failure.test.ts
+++ b/tests/http/gateway-failure.test.ts
@@ -41,7 +41,7 @@
 		const port = await freePort();
 		const broker = new ServiceBroker({logger: false, transporter: null, skipProcessEventRegistration: true});
 		broker.createService({name: 'dispatcher', actions: {match, dispatch}});
-		broker.createService(createGatewayService({host: '127.0.0.1', port, peerSecret: 'secret'}));
+		broker.createService(createGatewayService({host: '127.0.0.1', port, peerSecret: 'secret'}, {judge: denial => denial}));
 		await broker.start();
 		try {
 			const answer = await request(`http://127.0.0.1:${port}/registry/applicant-1`);
