fix(operator): tell operators that a service has no assignment only under a proof

Operators saw: "There is no assignment for service …" (exit code 3, refused) from `assignment show` and `explain` through a daemon that knows no document, or has been without store and proof for any time. Found by reading; no operator's report. Ruled out: reading the store for it (the command is for outages too; a known assignment is shown as before). Plans, intents and history were read from the store already. Tests: tests/http/denials.test.ts, "should not tell operators that a service has no assignment while a newer configuration may have it". Why it works: the proof is about all documents, so it is about assignments as well.

--- a/src/decisions/denials.ts
+++ b/src/decisions/denials.ts
@@ -23,14 +23,19 @@
 export class Denials {
 	constructor(private readonly parts: DenialParts) {}
 
+	/** True if what the known documents do not hold may be denied. */
+	mayDeny(): boolean {
+		return this.parts.confirmation.proofAgeMs() <= oldestProofMs;
+	}
+
 	/** Returns what the caller is told: the denial, or "not run" if a newer configuration may allow the request. */
 	judge(denial: BadRequestError): BadRequestError | NotRunError {
 		const {confirmation, replica, log} = this.parts;
-		const proofAgeMs = confirmation.proofAgeMs();
-		if (proofAgeMs <= oldestProofMs) {
+		if (this.mayDeny()) {
 			return denial;
 		}
 
+		const proofAgeMs = confirmation.proofAgeMs();
 		const reason = NotRunReason.ConfigurationUnproven;
 		log.record(LogEvent.RequestRefused, {
 			reason,
--- a/src/services/operator-service.ts
+++ b/src/services/operator-service.ts
@@ -6,6 +6,7 @@
 import type {RouterCore} from '../decisions/router-core.js';
 import type {Assignment} from '../model/assignment.js';
 import type {BurnSample} from '../model/burn.js';
+import {StoreUnavailableError} from '../model/errors.js';
 import type {DaemonStatus} from '../model/peer.js';
 import type {Intent, Plan} from '../model/plan.js';
 
@@ -35,7 +36,12 @@
 				return core.planManager.history(context.params.service);
 			},
 			assignment(context: Context<{service: string}>): Assignment | undefined {
-				return core.replica.assignment(context.params.service)?.value;
+				const known = core.replica.assignment(context.params.service);
+				if (!known && !core.denials.mayDeny()) {
+					throw new StoreUnavailableError('this daemon cannot tell whether the service has an assignment');
+				}
+
+				return known?.value;
 			},
 			status(): DaemonStatus {
 				return core.status();
--- a/tests/http/denials.test.ts
+++ b/tests/http/denials.test.ts
@@ -48,6 +48,16 @@
 	};
 }
 
+/** Returns the service whose assignment an operator is shown, or the code of the refusal. */
+async function assignmentOf(service: string): Promise<string> {
+	try {
+		const assignment = await deployment.control('operator-token').assignment.query({service});
+		return assignment?.service ?? 'none';
+	} catch (error) {
+		return (error as {data: {failure: {code: string}}}).data.failure.code;
+	}
+}
+
 async function untilListening(): Promise<void> {
 	for (;;) {
 		try {
@@ -92,6 +102,11 @@
 	});
 }
 
+test.serial('should tell operators that a service has no assignment under the newest configuration', async t => {
+	t.is(await assignmentOf('nobody'), 'none');
+	t.is(await assignmentOf('registry'), 'registry');
+});
+
 test.serial('should serve what it knows while the store is down', async t => {
 	deployment.store.faults.down = true;
 	await delay(inForceMs + marginMs);
@@ -105,6 +120,11 @@
 	});
 }
 
+test.serial('should not tell operators that a service has no assignment while a newer configuration may have it', async t => {
+	t.is(await assignmentOf('nobody'), 'store_unavailable');
+	t.is(await assignmentOf('registry'), 'registry');
+});
+
 test.serial('should deny again once the store answers', async t => {
 	deployment.store.faults.down = false;
 	await delay(marginMs);
