refactor(gateway): one name for a refusal without proof, and no header after the head is sent

The two gateways named the same reason 'unproved' and 'unproven'; both say configuration_unproven now. The own gateway set 'Connection: close' before it looked whether an answer had begun, which would throw.

--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -130,7 +130,7 @@
 		}
 
 		if (!isProved) {
-			return this.refuse(request, OutcomeReason.ConfigurationUnproved);
+			return this.refuse(request, OutcomeReason.ConfigurationUnproven);
 		}
 
 		if (view.configuration?.hasUnknownRoutes) {
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -108,7 +108,7 @@
 	/** Peers have had a newer configuration for so long that this daemon may not serve by its own any more. */
 	ConfigurationOutdated = 'configuration_outdated',
 	/** No route takes the request, but a newer configuration may have one. */
-	ConfigurationUnproved = 'configuration_unproved',
+	ConfigurationUnproven = 'configuration_unproven',
 	/** The configuration does not say readably which service the route goes to. */
 	RouteUnreadable = 'route_unreadable',
 	NoTarget = 'no_target',
--- a/src/services/gateway-service.ts
+++ b/src/services/gateway-service.ts
@@ -107,8 +107,11 @@
 		await forward(broker, request, response, {path, peerSecret});
 	} catch (error) {
 		if (error instanceof BadRequestError) {
-			// The rest of a refused body is not read.
-			response.setHeader('connection', 'close');
+			if (!response.headersSent) {
+				// The rest of a refused body is not read.
+				response.setHeader('connection', 'close');
+			}
+
 			fail(response, denials.judge(error));
 			return;
 		}
--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -67,7 +67,7 @@
 const secondMs = 1000;
 
 /** Delay that callers are told while the newest configuration is not known, in milliseconds. */
-const unprovedRetryMs = 300;
+const unprovenRetryMs = 300;
 
 /** State of a caller's connection. */
 type Connection = {
@@ -337,13 +337,13 @@
 
 	/** Refuses a request that did not run and may be proper by a newer configuration. */
 	private postpone(response: ServerResponse, error: BadRequestError): void {
-		this.options.log.record(LogEvent.RequestRefused, {reason: OutcomeReason.ConfigurationUnproved, detail: error.message, retryAfterMs: unprovedRetryMs});
+		this.options.log.record(LogEvent.RequestRefused, {reason: OutcomeReason.ConfigurationUnproven, detail: error.message, retryAfterMs: unprovenRetryMs});
 		closeAfter(response);
 		if (!response.headersSent) {
-			response.setHeader('retry-after', retryAfterText(unprovedRetryMs));
+			response.setHeader('retry-after', retryAfterText(unprovenRetryMs));
 		}
 
-		sendFailure(response, 503, OutcomeReason.ConfigurationUnproved);
+		sendFailure(response, 503, OutcomeReason.ConfigurationUnproven);
 	}
 
 	/** Refuses what is no request; answers to requests before it on the connection go first. */
@@ -358,7 +358,7 @@
 		const status = isFinal ? parsed : 503;
 		this.options.log.record(LogEvent.RequestMalformed, {status, detail: error.message});
 		const connection = this.connections.get(socket);
-		const retryAfter = isFinal ? '' : `Retry-After: ${retryAfterText(unprovedRetryMs)}\r\n`;
+		const retryAfter = isFinal ? '' : `Retry-After: ${retryAfterText(unprovenRetryMs)}\r\n`;
 		const answer = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nContent-Length: 0\r\n${retryAfter}Connection: close\r\n\r\n`;
 		if (!connection) {
 			socket.end(answer);
