--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -196,7 +196,7 @@
 
 			return true;
 		} catch (error) {
-			this.log.record(LogEvent.OrderFailed, {order: 'read', key, detail: error instanceof Error ? error.message : String(error)});
+			this.log.record(LogEvent.StoreReadFailed, {key, detail: error instanceof Error ? error.message : String(error)});
 			return false;
 		}
 	}
--- a/src/model/events.ts
+++ b/src/model/events.ts
@@ -30,6 +30,7 @@
 	StoreRegained = 2011,
 	DocumentRejected = 2012,
 	LeaderChanged = 2013,
+	StoreReadFailed = 2014,
 	TargetChanged = 2020,
 	TargetRemoved = 2021,
 	TargetEjected = 2022,
