fix(routing): count how long each version is lacking, not how long any is

Cause: the moment at which the first lacking version was heard of was kept while newer ones were lacking.

Change: lacking versions are noted one by one; the oldest that is still lacking decides.

--- a/src/decisions/fleet/configuration-currency.ts
+++ b/src/decisions/fleet/configuration-currency.ts
@@ -19,6 +19,9 @@
 /** Longest wait for evidence, in milliseconds; the answer of a peer, and after it of the store, fits in. */
 const evidenceWaitMs = 300;
 
+/** Versions whose lack is noted one by one; changes may come several times a second. */
+const lackingLimit = 64;
+
 /** A newer version that a peer knows. */
 type LackingVersion = {
 	version: number;
@@ -30,7 +33,8 @@
 	private versionInForce = 0;
 	private confirmedAt: Moment | undefined;
 	private failedAt: Moment | undefined;
-	private lacking: LackingVersion | undefined;
+	/** Versions that peers have and this daemon has not, the oldest first. */
+	private lacking: LackingVersion[] = [];
 	private readonly waiting = new Set<(isCurrent: boolean) => void>();
 
 	/** @param boundMs time in which a configuration has to be in force everywhere, in milliseconds */
@@ -41,7 +45,7 @@
 	 * the evidence, and its bound has not passed.
 	 */
 	get isCurrent(): boolean {
-		return this.lacking === undefined && this.ageMs <= this.boundMs;
+		return this.lacking.length === 0 && this.ageMs <= this.boundMs;
 	}
 
 	/** True if peers have known a newer version for so long that this daemon may not serve by its own any more. */
@@ -67,19 +71,19 @@
 	/** Notes the version that is in force from now on. */
 	noteVersion(version: number): void {
 		this.versionInForce = version;
-		if (this.lacking && this.lacking.version <= version) {
-			this.lacking = undefined;
-			this.settleIfCurrent();
-		}
+		this.lacking = this.lacking.filter(each => each.version > version);
+		this.settleIfCurrent();
 	}
 
 	/** Notes a version that a peer has in force. */
 	hearVersion(version: number): void {
-		if (version <= this.versionInForce) {
+		if (version <= (this.lacking.at(-1)?.version ?? this.versionInForce)) {
 			return;
 		}
 
-		this.lacking = {version: Math.max(version, this.lacking?.version ?? 0), heardAt: this.lacking?.heardAt ?? presentMoment()};
+		if (this.lacking.length < lackingLimit) {
+			this.lacking.push({version, heardAt: presentMoment()});
+		}
 	}
 
 	/**
@@ -94,10 +98,8 @@
 
 		this.confirmedAt = at;
 		this.failedAt = undefined;
-		if (this.lacking && at.monotonic >= this.lacking.heardAt.monotonic) {
-			// The store holds no such version, so that the peer was wrong.
-			this.lacking = undefined;
-		}
+		// The store holds no such version, so that the peer was wrong.
+		this.lacking = this.lacking.filter(({heardAt}) => heardAt.monotonic > at.monotonic);
 
 		this.settleIfCurrent();
 	}
@@ -143,7 +145,8 @@
 	}
 
 	private get lackingMs(): number {
-		return this.lacking ? elapsedSince(this.lacking.heardAt) : 0;
+		const [oldest] = this.lacking;
+		return oldest ? elapsedSince(oldest.heardAt) : 0;
 	}
 
 	private settleIfCurrent(): void {
--- a/tests/decisions/configuration-currency.test.ts
+++ b/tests/decisions/configuration-currency.test.ts
@@ -87,6 +87,16 @@
 			clock.tick((boundMs / 2) + 1);
 		},
 	},
+	{
+		title: 'not be outdated while one version after the other comes', isCurrent: false, play(currency, clock) {
+			currency.confirm(presentMoment());
+			for (let version = 2; version < 200; version += 1) {
+				currency.hearVersion(version + 1);
+				clock.tick(boundMs / 4);
+				currency.noteVersion(version);
+			}
+		},
+	},
 	{
 		title: 'not be outdated by a version that the store does not hold', isCurrent: true, play(currency, clock) {
 			currency.hearVersion(2);
--- a/tests/decisions/large-fleet.test.ts
+++ b/tests/decisions/large-fleet.test.ts
@@ -91,6 +91,21 @@
 	});
 });
 
+/** Half of the least time in which a configuration has to be in force everywhere, in milliseconds. */
+const halfApplyMs = 1000;
+
+for (const routeCount of [100, 500]) {
+	test.serial(`should have a configuration of ${routeCount} routes in force everywhere within half of its time`, async t => {
+		await withFleet(async (fleet, tick) => {
+			fleet.configure(1, ['/old/']);
+			await tick(2000);
+			fleet.configure(2, Array.from({length: routeCount}, (_, index) => `/route-${index}/`));
+			await tick(halfApplyMs);
+			t.deepEqual(fleet.daemons.filter(({view}) => view.configuration?.version !== 2).map(({member}) => member.daemon), []);
+		});
+	});
+}
+
 /** Messages that a daemon sends in a second beside those of the hubs: one report in each interval of 95 ms, and what it lacks. */
 const messagesPerS = 15;
 
