fix(membership): pass on what a listing shows when the store has forgotten its history

A listing was applied and not passed on. So the 64 daemons that follow saw a gap, asked peers in vain, waited 0.5 to 0.8 s, got 410 too and listed everything themselves, at the same time, over links of down to 7 Mbit/s.

Change: a watcher that had listed before passes the changed items and the removed keys of its listing on as one update, as the history would have told them.

Test: three zones of twenty daemons, one version, one new and one removed target, compaction; before, all daemons listed (asserted: the three watchers), now the watchers alone, and everyone knows within 400 ms.

--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -2,7 +2,7 @@
  * Keeps the view in step with the store: by one watch over all keys, or by the updates of another daemon that watches.
  */
 import type {
-	CoordinationStore, StoreChange, StoreChanges, StoreUpdate,
+	CoordinationStore, StoreChange, StoreChanges, StoredItem, StoreUpdate,
 } from '../../model/coordination-store.js';
 import {
 	describeFailure, HistoryLostError, RouterError, WatchInterruptedError,
@@ -333,15 +333,29 @@
 			return;
 		}
 
-		const listed = new Set(items.map(({key}) => key));
-		this.removeUnlisted(listed);
-		for (const item of items) {
-			this.apply(item);
+		const after = this.view.revision;
+		const removals = this.unlistedKeys(items).map((key): StoreChange => ({key, value: undefined, revision}));
+		for (const change of [...removals, ...items]) {
+			this.apply(change);
 		}
 
 		this.view.revision = revision;
-		this.hasListed = true;
 		this.confirmConfiguration(askedAt);
+		if (this.hasListed && !this.relay.isFollowing()) {
+			this.publishListing(after, [...items, ...removals], revision);
+		}
+
+		this.hasListed = true;
+	}
+
+	/** Tells the daemons that follow this one what the history would have told; else each of them has to list everything. */
+	private publishListing(after: number, items: readonly StoreChange[], revision: number): void {
+		const changes = items
+			.filter(item => item.revision > after)
+			// Later pages may hold newer items than the revision that the listing is complete to.
+			.map(item => ({...item, revision: Math.min(item.revision, revision)}))
+			.toSorted((left, right) => left.revision - right.revision);
+		this.relay.publish({after, changes, revision});
 	}
 
 	private async watch(): Promise<void> {
@@ -382,22 +396,15 @@
 		}
 	}
 
-	private removeUnlisted(listed: Set<string>): void {
-		for (const {id} of this.view.listedTargets()) {
-			if (!listed.has(`${this.documents.targetsPrefix}${id}`)) {
-				this.removeTarget(id);
-			}
-		}
-
-		for (const daemon of this.view.members.keys()) {
-			if (!listed.has(`${storeKeys.members}${daemon}`)) {
-				this.view.members.delete(daemon);
-			}
-		}
-
-		if (!listed.has(storeKeys.leader)) {
-			this.view.leader = undefined;
-		}
+	/** Keys that are known here and no longer in the store. */
+	private unlistedKeys(items: readonly StoredItem[]): string[] {
+		const listed = new Set(items.map(({key}) => key));
+		const known = [
+			...Array.from(this.view.listedTargets(), ({id}) => `${this.documents.targetsPrefix}${id}`),
+			...Array.from(this.view.members.keys(), daemon => `${storeKeys.members}${daemon}`),
+			...(this.view.leader ? [storeKeys.leader] : []),
+		];
+		return known.filter(key => !listed.has(key));
 	}
 
 	private apply(change: StoreChange): void {
--- a/standins/relayed-fleet.ts
+++ b/standins/relayed-fleet.ts
@@ -47,6 +47,7 @@
 	isLost = false;
 	watches = 0;
 	reads = 0;
+	lists = 0;
 	private readonly timer: NodeJS.Timeout;
 
 	constructor(readonly member: Member, fleet: RelayedFleet) {
@@ -57,6 +58,12 @@
 			return watch(...parameters);
 		};
 
+		const list = this.client.list.bind(this.client);
+		this.client.list = async prefix => {
+			this.lists += 1;
+			return list(prefix);
+		};
+
 		const read = this.client.read.bind(this.client);
 		this.client.read = async key => {
 			this.reads += 1;
--- a/tests/decisions/large-fleet.test.ts
+++ b/tests/decisions/large-fleet.test.ts
@@ -91,6 +91,25 @@
 	});
 });
 
+test.serial('should spread what the store no longer tells as changes from one listing in each availability zone', async t => {
+	await withFleet(async (fleet, tick) => {
+		fleet.store.put('targets/old', '');
+		fleet.configure(1, ['/old/']);
+		await tick(2000);
+		const lists = fleet.daemons.map(daemon => daemon.lists);
+		fleet.configure(2, ['/new/']);
+		fleet.store.put('targets/new', '');
+		fleet.store.delete('targets/old');
+		fleet.store.compact();
+		await tick(400);
+		t.deepEqual(fleet.unaware('new'), []);
+		t.is(fleet.unaware('old').length, fleet.daemons.length);
+		t.deepEqual(fleet.daemons.filter(({view}) => view.configuration?.version !== 2).map(({member}) => member.daemon), []);
+		const listing = fleet.daemons.filter((daemon, index) => daemon.lists > (lists[index] ?? 0)).map(({member}) => member.daemon);
+		t.deepEqual(listing, ['one-1', 'two-1', 'three-1']);
+	});
+});
+
 /** Half of the least time in which a configuration has to be in force everywhere, in milliseconds. */
 const halfApplyMs = 1000;
 
