fix(gateway): judge a body beyond the limit once

What callers could see: 503, the promise that a request did not run, for one that was passed on to a target, if the evidence for the limits ended between two questions about the same body (REFUSED).

Cause: the refusal was thrown after it had been found final, and found final or not once more where it was caught.

Change: the refusal that follows from a streamed body is an outcome of its own and is sent as it is.

--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -79,6 +79,14 @@
 	isFresh: boolean;
 };
 
+/** What became of a request that was forwarded. */
+type Handling = {
+	caller: CallerRequest;
+	outcome: Outcome;
+	/** The final answer in place of the outcome, if the body turned out to be no proper one. */
+	refusal?: BadRequestError;
+};
+
 /** Creates the service. */
 export function createPlatformGatewayService(options: PlatformGatewayOptions): ServiceSchema {
 	return {
@@ -189,7 +197,12 @@
 		this.pendingCount += 1;
 		response.sendDate = false;
 		try {
-			const {caller, outcome} = await this.forward(request, response, cancellation);
+			const {caller, outcome, refusal} = await this.forward(request, response, cancellation);
+			if (refusal) {
+				this.refuseForGood(response, refusal);
+				return;
+			}
+
 			this.answer(response, outcome, connection);
 			this.options.onOutcome(caller, outcome);
 		} catch (error) {
@@ -201,7 +214,7 @@
 		}
 	}
 
-	private async forward(request: IncomingMessage, response: ServerResponse, cancellation: Cancellation): Promise<{caller: CallerRequest; outcome: Outcome}> {
+	private async forward(request: IncomingMessage, response: ServerResponse, cancellation: Cancellation): Promise<Handling> {
 		const receivedAt = performance.now();
 		const limits = this.applyLimits();
 		checkHeaders(request, limits);
@@ -229,12 +242,11 @@
 		const outcome = await this.broker.call<Outcome, CallerRequest>('dispatcher.forward', caller);
 		const failure = caller.body instanceof Readable ? caller.body.errored : undefined;
 		if (failure instanceof BadRequestError) {
-			if (await this.isFinal(failure, cancellation)) {
-				throw failure;
-			}
-
 			// The rest of the body is not read.
 			closeAfter(response);
+			if (await this.isFinal(failure, cancellation)) {
+				return {caller, outcome, refusal: failure};
+			}
 		}
 
 		return {caller, outcome};
@@ -314,15 +326,13 @@
 	private async refuse(response: ServerResponse, error: unknown, cancellation: Cancellation): Promise<void> {
 		const {log} = this.options;
 		if (error instanceof BadRequestError) {
-			if (!await this.isFinal(error, cancellation)) {
+			const isFinal = await this.isFinal(error, cancellation);
+			if (isFinal) {
+				this.refuseForGood(response, error);
+			} else {
 				this.postpone(response, error);
-				return;
 			}
 
-			log.record(LogEvent.RequestMalformed, {status: error.status, detail: error.message});
-			// The rest of a refused body is not read.
-			closeAfter(response);
-			sendFailure(response, error.status, error.code);
 			return;
 		}
 
@@ -335,6 +345,13 @@
 		sendFailure(response, 502, 'internal_failure');
 	}
 
+	private refuseForGood(response: ServerResponse, error: BadRequestError): void {
+		this.options.log.record(LogEvent.RequestMalformed, {status: error.status, detail: error.message});
+		// The rest of a refused body is not read.
+		closeAfter(response);
+		sendFailure(response, error.status, error.code);
+	}
+
 	/** Refuses a request that did not run and may be proper by a newer configuration. */
 	private postpone(response: ServerResponse, error: BadRequestError): void {
 		this.options.log.record(LogEvent.RequestRefused, {reason: OutcomeReason.ConfigurationUnproven, detail: error.message, retryAfterMs: unprovenRetryMs});
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -31,6 +31,8 @@
 	limits: CallerLimits | undefined;
 	/** Limits that are in force once evidence was asked for. */
 	newerLimits?: CallerLimits;
+	/** Questions for evidence after which there is none any more. */
+	provedQuestions?: number;
 };
 
 const limits: CallerLimits = {
@@ -41,6 +43,7 @@
 
 async function withGateway(t: ExecutionContext, play: (setup: Setup) => Promise<void>, knowledge = usualKnowledge): Promise<void> {
 	let limitsInForce = knowledge.limits;
+	let questions = 0;
 	const broker = new ServiceBroker({
 		logger: false, internalServices: false, skipProcessEventRegistration: true, dependencyInterval: 1,
 	});
@@ -77,7 +80,8 @@
 		limits: () => limitsInForce,
 		async proveConfiguration() {
 			limitsInForce = knowledge.newerLimits ?? limitsInForce;
-			return knowledge.isProved;
+			questions += 1;
+			return knowledge.isProved && questions <= (knowledge.provedQuestions ?? Infinity);
 		},
 		onOutcome(_request, outcome) {
 			outcomes.push(outcome);
@@ -180,6 +184,13 @@
 	}, {isProved: false, limits});
 });
 
+test('should not promise that a request did not run which was passed on, though the evidence ends meanwhile', async t => {
+	await withGateway(t, async ({port, forwarded}) => {
+		t.regex(await exchange(port, `${chunked(bodyLimitBytes + 1)}\r\n0\r\n\r\n`), /^HTTP\/1\.1 413 /v);
+		t.is(forwarded.length, 1);
+	}, {isProved: true, limits, provedQuestions: 1});
+});
+
 test('should answer 413 to chunks beyond the limit and go on serving', async t => {
 	await withGateway(t, async ({port}) => {
 		t.regex(await exchange(port, `${chunked(bodyLimitBytes + 1)}\r\n0\r\n\r\n`), /^HTTP\/1\.1 413 /v);
