perf(membership): name a value that is too large for a message, so that daemons read that key alone

Cause: a change above 40 KB was left out of the relayed update. Each of the 64 daemons that follow saw a gap, waited 0.5 to 0.8 s and began a watch from its old revision, whose answer holds every assignment written since, besides the configuration: more than a link of 7 Mbit/s carries in a second.

Change: the update names the key without its value; the daemon takes everything else of the update and reads that one key at once.

Test: 500 routes, three zones of twenty: only the watchers watch, every other daemon reads one key, and the version is in force everywhere within half of its time; before, all daemons began watches (the case failed in a run without the change).

--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -142,6 +142,7 @@
 	private soughtSince: number | undefined;
 	private evidenceRequestedAt = Number.NEGATIVE_INFINITY;
 	private isReadingEvidence = false;
+	private mustReadAgain = false;
 	private evidenceReadAt = Number.NEGATIVE_INFINITY;
 
 	constructor(
@@ -228,7 +229,7 @@
 
 		for (const change of changes) {
 			if (change.revision > this.view.revision) {
-				this.apply(change);
+				this.takeChange(change);
 			}
 		}
 
@@ -291,13 +292,30 @@
 
 		const isPeerLate = !isFollowing || now - this.soughtSince >= evidencePeerMs;
 		if (isPeerLate && !this.isReadingEvidence && now - this.evidenceReadAt >= (currency.isSought ? evidenceReadMs : staleReadMs)) {
-			this.evidenceReadAt = now;
 			void this.readConfiguration();
 		}
 	}
 
+	/** A value that is omitted is read by its key alone: a watch would bring all large values since the revision known here. */
+	private takeChange(change: StoreChange): void {
+		if (!change.isOmitted) {
+			this.apply(change);
+		} else if (change.key === this.documents.configurationKey) {
+			void this.readConfiguration();
+		} else {
+			void this.refresh(change.key);
+		}
+	}
+
+	/** Reads the configuration; once more after a reading that is under way, which may be older than the call. */
 	private async readConfiguration(): Promise<void> {
+		if (this.isReadingEvidence) {
+			this.mustReadAgain = true;
+			return;
+		}
+
 		const askedAt = presentMoment();
+		this.evidenceReadAt = askedAt.monotonic;
 		this.isReadingEvidence = true;
 		if (await this.refresh(this.documents.configurationKey)) {
 			this.confirmConfiguration(askedAt);
@@ -306,6 +324,10 @@
 		}
 
 		this.isReadingEvidence = false;
+		if (this.mustReadAgain) {
+			this.mustReadAgain = false;
+			await this.readConfiguration();
+		}
 	}
 
 	/** A connection to the store may be silent without a reset; another daemon is to watch meanwhile. */
--- a/src/decisions/fleet/peer-exchange.ts
+++ b/src/decisions/fleet/peer-exchange.ts
@@ -137,7 +137,7 @@
 	/** Passes changes of the store on to the daemons that do not watch it. */
 	publish(update: StoreUpdate): void {
 		const neighbours = this.options.hubs.neighbourMembers();
-		for (const part of splitUpdate(withoutAssignments(update), updateLimitBytes)) {
+		for (const part of splitUpdate(withoutLargeValues(withoutAssignments(update)), updateLimitBytes)) {
 			this.recentUpdates.add(part);
 			this.send({update: part}, neighbours);
 		}
@@ -447,6 +447,14 @@
 	}
 }
 
+/** A value that fits into no message is read from the store by each daemon, which is told so at once. */
+function withoutLargeValues({changes, ...update}: StoreUpdate): StoreUpdate {
+	return {
+		...update,
+		changes: changes.map(({value, ...change}) => (value?.length ?? 0) > updateLimitBytes ? {...change, isOmitted: true} : {...change, value}),
+	};
+}
+
 /** Assignments travel as differences of their own, which are small; each message tells their revisions. */
 function withoutAssignments({changes, ...update}: StoreUpdate): StoreUpdate {
 	return {...update, changes: changes.filter(({key}) => !key.startsWith(storeKeys.assignments))};
--- a/src/decisions/fleet/peer-message.ts
+++ b/src/decisions/fleet/peer-message.ts
@@ -21,8 +21,10 @@
 const updateSchema = z.object({
 	/** Revision up to which the receiver has to know everything. */
 	after: counter,
-	/** Without a value, the key was removed. */
-	changes: z.array(z.object({key: z.string(), value: z.optional(z.string()), revision: counter})),
+	/** Without a value, the key was removed, unless the value is omitted. */
+	changes: z.array(z.object({
+		key: z.string(), value: z.optional(z.string()), revision: counter, isOmitted: z.optional(z.boolean()),
+	})),
 	/** Revision up to which the receiver then knows everything. */
 	revision: counter,
 });
--- a/src/model/coordination-store.ts
+++ b/src/model/coordination-store.ts
@@ -15,6 +15,8 @@
 	key: string;
 	value?: string | undefined;
 	revision: number;
+	/** True if the key has a value that is too large to be passed on; who needs it reads it. */
+	isOmitted?: boolean | undefined;
 };
 
 /** Everything under a prefix; changes after `revision` may be in it already. */
--- a/tests/decisions/large-fleet.test.ts
+++ b/tests/decisions/large-fleet.test.ts
@@ -114,12 +114,16 @@
 const halfApplyMs = 1000;
 
 for (const routeCount of [100, 500]) {
-	test.serial(`should have a configuration of ${routeCount} routes in force everywhere within half of its time`, async t => {
+	test.serial(`should have a configuration of ${routeCount} routes in force everywhere within half of its time, with one small question of each daemon at most`, async t => {
 		await withFleet(async (fleet, tick) => {
 			fleet.configure(1, ['/old/']);
 			await tick(2000);
+			const [watches, reads] = [fleet.daemons.map(daemon => daemon.watches), fleet.daemons.map(daemon => daemon.reads)];
 			fleet.configure(2, Array.from({length: routeCount}, (_, index) => `/route-${index}/`));
 			await tick(halfApplyMs);
+			const watching = fleet.daemons.filter((daemon, index) => daemon.watches > (watches[index] ?? 0)).map(({member}) => member.daemon);
+			t.deepEqual(watching, ['one-1', 'two-1', 'three-1']);
+			t.true(fleet.daemons.every((daemon, index) => daemon.reads <= (reads[index] ?? 0) + 1));
 			t.deepEqual(fleet.daemons.filter(({view}) => view.configuration?.version !== 2).map(({member}) => member.daemon), []);
 		});
 	});
