feat(cli): explain a 404 by the version in force and by reads of the store that failed

'eelgrasswheel explain request' showed nothing of why a daemon could not read a newer version. It shows StoreReadFailed of the request's daemon now, beside ConfigurationInForce. Test: the story of an unrouted request; it lacked that line before the change.

--- a/src/cli/request-story.ts
+++ b/src/cli/request-story.ts
@@ -11,7 +11,7 @@
 
 /** Events that concern everything a daemon does. */
 const daemonEvents = new Set<number>([
-	LogEvent.DaemonStarted, LogEvent.DaemonStopping, LogEvent.StoreLost, LogEvent.StoreRegained, LogEvent.ConfigurationInForce, LogEvent.LeaderChanged, LogEvent.LinesDropped,
+	LogEvent.DaemonStarted, LogEvent.DaemonStopping, LogEvent.StoreLost, LogEvent.StoreRegained, LogEvent.StoreReadFailed, LogEvent.ConfigurationInForce, LogEvent.LeaderChanged, LogEvent.LinesDropped,
 ]);
 
 /** Events that concern all daemons. */
--- a/tests/request-story.test.ts
+++ b/tests/request-story.test.ts
@@ -37,6 +37,12 @@
 	text(9001, 'a', LogEvent.RequestUnknown, {request: 'lost', service: 'desk', reason: 'attempts_used'}),
 	text(9500, 'c', LogEvent.TargetRemoved, {target: 'slow'}),
 	text(9600, 'c', LogEvent.TargetRemoved, {target: 'other'}),
+	text(12_000, 'c', LogEvent.ConfigurationInForce, {version: 4, confirmedMsAgo: 900}),
+	text(12_100, 'b', LogEvent.ConfigurationInForce, {version: 6, confirmedMsAgo: 100}),
+	text(14_500, 'c', LogEvent.RequestUnrouted, {
+		request: 'nowhere', path: '/new/', version: 4, confirmedMsAgo: 2400,
+	}),
+	text(14_600, 'c', LogEvent.StoreReadFailed, {key: 'configuration'}),
 	text(20_000, 'c', LogEvent.RequestRefused, {request: 'crest', service: 'desk', reason: 'overloaded'}),
 	text(20_100, 'c', LogEvent.LinesDropped, {of: 'RequestRefused', count: 300}),
 	text(20_100, 'a', LogEvent.LinesDropped, {of: 'RequestRefused', count: 400}),
@@ -46,6 +52,7 @@
 	{request: 'moving', events: [LogEvent.StoreRegained, LogEvent.RangeReleased, LogEvent.RequestRefused, LogEvent.RangeGranted]},
 	{request: 'lost', events: [LogEvent.TargetEjected, LogEvent.RequestUnknown, LogEvent.TargetRemoved]},
 	{request: 'crest', events: [LogEvent.RequestRefused, LogEvent.LinesDropped]},
+	{request: 'nowhere', events: [LogEvent.ConfigurationInForce, LogEvent.RequestUnrouted, LogEvent.StoreReadFailed]},
 	{request: 'unknown', events: []},
 ];
 
