fix(membership): tell nobody else how long entries may lapse

A watcher that has just started or regained the store tolerates them for 2.2 s, and in a rolling stop there is always one; its whole availability zone then kept what was removed in that time.

--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -177,17 +177,13 @@
 	 *
 	 * @returns false if they were not taken
 	 */
-	takeFromPeer(update: StoreUpdate, now = performance.now()): boolean {
-		const {after, revision, isListing = false, lapsesForMs = 0} = update;
+	takeFromPeer(update: StoreUpdate): boolean {
+		const {after, revision, isListing = false} = update;
 		const isFitting = isListing ? after === this.view.revision : revision - after <= updateLead;
 		if (!this.hasListed || after > this.view.revision || !isFitting) {
 			return false;
 		}
 
-		if (lapsesForMs > 0) {
-			this.view.tolerateLapses(now + Math.min(lapsesForMs, returnMs), now);
-		}
-
 		this.take(update);
 		return true;
 	}
@@ -327,16 +323,10 @@
 			.map(item => ({...item, revision: Math.min(item.revision, revision)}))
 			.toSorted((left, right) => left.revision - right.revision);
 		this.relay.publish({
-			after, changes, revision, isListing: true, lapsesForMs: this.lapsesForMs(),
+			after, changes, revision, isListing: true,
 		});
 	}
 
-	/** Time for which entries may still lapse on account of trouble; daemons that did not notice it learn it so. */
-	private lapsesForMs(): number | undefined {
-		const leftMs = Math.ceil(this.view.toleratesLapsesUntil - performance.now());
-		return leftMs > 0 ? leftMs : undefined;
-	}
-
 	private async watch(): Promise<void> {
 		const after = this.view.revision;
 		const isBehind = this.newestHeard > after;
@@ -358,9 +348,7 @@
 		this.evidence.takeConfiguration(changes);
 		this.evidence.confirm(changes.length === 0 ? quietUntil(askedAt, this.watchWaitMs) : askedAt);
 		if (changes.length > 0) {
-			this.relay.publish({
-				after, changes, revision, lapsesForMs: this.lapsesForMs(),
-			});
+			this.relay.publish({after, changes, revision});
 			// While the answer to a question is on its way, changes gather as well.
 			await pause(gatherMs - answerMs);
 		}
--- a/src/decisions/fleet/peer-exchange.ts
+++ b/src/decisions/fleet/peer-exchange.ts
@@ -186,7 +186,7 @@
 			this.hearHub(message, now);
 		}
 
-		if (message.update && sync.takeFromPeer(message.update, now)) {
+		if (message.update && sync.takeFromPeer(message.update)) {
 			this.recentUpdates.add(message.update);
 		}
 
--- a/src/decisions/fleet/peer-message.ts
+++ b/src/decisions/fleet/peer-message.ts
@@ -29,8 +29,6 @@
 	revision: counter,
 	/** True if the changes were made from a listing, so that the receiver has to be at exactly the revision `after`. */
 	isListing: z.optional(z.boolean()),
-	/** Time for which removed entries may have lapsed on account of trouble with the store, in milliseconds. */
-	lapsesForMs: z.optional(counter),
 });
 
 const messageSchema = z.object({
--- a/src/decisions/fleet/store-update.ts
+++ b/src/decisions/fleet/store-update.ts
@@ -50,10 +50,7 @@
 		return [...updates];
 	}
 
-	const lapsesForMs = Math.max(...updates.map(update => update.lapsesForMs ?? 0));
-	return [withoutReplaced({
-		after: first.after, changes: updates.flatMap(({changes}) => changes), revision: last.revision, lapsesForMs,
-	})];
+	return [withoutReplaced({after: first.after, changes: updates.flatMap(({changes}) => changes), revision: last.revision})];
 }
 
 function groupByRevision(changes: readonly StoreChange[]): StoreChange[][] {
