feat(observability): log and count what targets say of themselves in answers

Callers saw nothing of LIMIT; the operators saw servers that got three times what they had named, and no log line or metric of ours told whether a daemon had read a limit, how old that was or what it sent afterwards, so the hypotheses could not be told apart. src/platform reads Server-Limit, Server-Leaving and Retry-After once, into TargetStatement; TargetStatements keeps the newest for each incarnation. New lines: TargetLimitChanged (target, limit, source, age), TargetLimitUnreadable; new metrics: limited_targets, oldest_limit_age_seconds, limited_attempts. An answer without a limit ends it only if its request was sent after the limit was last named. No decision depends on it yet.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -11,6 +11,7 @@
 import {decodePeerMessage, type PeerMessage} from '../decisions/fleet/peer-message.js';
 import {ZoneHubs} from '../decisions/fleet/zone-hubs.js';
 import {Forwarder} from '../decisions/forwarding/forwarder.js';
+import {TargetStatements} from '../decisions/limits/target-statements.js';
 import {TargetLoads} from '../decisions/forwarding/target-loads.js';
 import {KeyLeader} from '../decisions/ownership/key-leader.js';
 import {RouterError} from '../model/errors.js';
@@ -65,6 +66,7 @@
 	private readonly leader: KeyLeader;
 	private readonly metrics: PlatformMetrics;
 	private readonly kernel: ServiceBroker;
+	private readonly statements: TargetStatements;
 	private servedCount = 0;
 	private isStopping = false;
 
@@ -80,6 +82,7 @@
 			this.sync.recordStoreAnswer();
 		});
 		const loads = new TargetLoads();
+		this.statements = new TargetStatements(log);
 		const exchange = this.createExchange(loads);
 		this.exchange = exchange;
 		this.peers = new DatagramPeers(decodePeerMessage, message => {
@@ -92,6 +95,7 @@
 			availabilityZone,
 			view: this.view,
 			loads,
+			statements: this.statements,
 			transport: this.transport,
 			log,
 			retryRatio: settings.retryRatio,
@@ -103,7 +107,7 @@
 		});
 		this.metrics = this.createMetrics(forwarder);
 		this.kernel = createPlatformKernel(daemon, {
-			view: this.view, sync: this.sync, membership: this.membership, exchange, forwarder, loads, leader: this.leader, log,
+			view: this.view, sync: this.sync, membership: this.membership, exchange, forwarder, loads, statements: this.statements, leader: this.leader, log,
 		}, this.createEdgeServices());
 	}
 
@@ -252,6 +256,9 @@
 			configurationVersion: () => this.view.configuration?.version ?? 0,
 			configurationEvidenceAgeMs: () => this.view.freshness.ageMs,
 			isStoreReachable: () => this.sync.isStoreReachable,
+			limitedTargets: () => this.statements.limitedCount,
+			oldestLimitAgeMs: () => this.statements.oldestLimitAgeMs(),
+			limitedAttempts: () => forwarder.limitedAttemptCount,
 		});
 	}
 
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -10,6 +10,7 @@
 import {findRange} from '../../model/key-ownership.js';
 import type {Route, ServiceRule} from '../../model/route-configuration.js';
 import type {FleetView} from '../fleet/fleet-view.js';
+import type {TargetStatements} from '../limits/target-statements.js';
 import {RetryBudget} from '../retry-budget.js';
 import {
 	cannotServe, requestLogFields, isBodyConsumed, isServerFailure, remainingMs, type ForwardingContext,
@@ -58,6 +59,7 @@
 	availabilityZone: string;
 	view: FleetView;
 	loads: TargetLoads;
+	statements: TargetStatements;
 	transport: RequestTransport;
 	log: EventLog;
 	retryRatio: number;
@@ -72,6 +74,7 @@
 export class Forwarder {
 	private readonly budgets = new Map<string, RetryBudget>();
 	private inFlight = 0;
+	private limitedAttempts = 0;
 
 	constructor(private readonly options: ForwarderOptions) {}
 
@@ -80,6 +83,11 @@
 		return this.inFlight;
 	}
 
+	/** Number of attempts since the start at targets that name a limit. */
+	get limitedAttemptCount(): number {
+		return this.limitedAttempts;
+	}
+
 	/** Never rejects because of a failing target. */
 	async forward(request: CallerRequest): Promise<Outcome> {
 		this.inFlight += 1;
@@ -266,8 +274,10 @@
 	}
 
 	private async send(context: ForwardingContext, target: Target): Promise<AttemptResult> {
-		const {loads, transport} = this.options;
+		const {loads, transport, statements} = this.options;
+		const sentAt = performance.now();
 		const key = loads.startAttempt(target);
+		this.limitedAttempts += statements.limitOf(target) === undefined ? 0 : 1;
 		const timeoutMs = remainingMs(context);
 		const cancellation = new Cancellation();
 		const onCallerLeft = (): void => {
@@ -279,7 +289,14 @@
 
 		context.request.cancellation.subscribe(onCallerLeft);
 		const result = await transport.send(context.request, {
-			target, budgetMs: timeoutMs, timeoutMs, cancellation, connectionLimit: this.connectionLimit(context.service),
+			target,
+			budgetMs: timeoutMs,
+			timeoutMs,
+			cancellation,
+			connectionLimit: this.connectionLimit(context.service),
+			onStatement(statement) {
+				statements.record(target, statement, sentAt);
+			},
 		});
 		context.request.cancellation.unsubscribe(onCallerLeft);
 		this.recordLoad(context, target, key, result);
--- /dev/null
+++ b/src/decisions/limits/target-statements.ts
@@ -0,0 +1,142 @@
+/**
+ * What targets have said about themselves, as far as this daemon knows it from answers.
+ *
+ * An answer without a limit ends the limit only if its request was sent after the limit was last named, because answers on
+ * different connections overtake each other. Silence ends nothing: requests are still sent at the limit, so that an answer shows its end.
+ */
+import {LogEvent, type EventLog} from '../../model/events.js';
+import type {TargetIncarnation} from '../../model/fleet.js';
+import type {TargetStatement} from '../../model/target-statement.js';
+
+/** Limit of a target that names one that cannot be read, unless it named another one before; in requests a second. */
+const unreadableLimitPerS = 1;
+
+/** Lowest limit that is used, in requests a second: a target that names 0 gets a request at times, whose answer shows the end of the limit. */
+const lowestLimitPerS = 0.25;
+
+/** Time for which a lower limit stays in force after a higher one is named, in milliseconds; answers overtake each other. */
+const raiseDelayMs = 500;
+
+/** Where a statement was read. */
+export enum StatementSource {
+	Answer = 'answer',
+	Peer = 'peer',
+}
+
+type StatementRecord = {
+	bornAt: number;
+	/** The limit in force while it was named after `clearedAt`. */
+	limitPerS: number | undefined;
+	/** Time at which a limit was last named, and at which the one in force or a lower one was. */
+	namedAt: number;
+	lowestNamedAt: number;
+	/** Latest time at which a request was sent whose answer named no limit. */
+	clearedAt: number;
+	isUnreadableLogged: boolean;
+};
+
+/** Keeps the newest statements of each target's latest known incarnation. */
+export class TargetStatements {
+	private readonly records = new Map<string, StatementRecord>();
+
+	constructor(private readonly log: EventLog) {}
+
+	/** Records what an answer says about the target that gave it. */
+	record(target: TargetIncarnation, statement: TargetStatement, sentAt: number, now = performance.now()): void {
+		const record = this.recordOf(target);
+		if (!record) {
+			return;
+		}
+
+		const before = this.limitOf(target);
+		const limitPerS = this.namedLimit(target, record, statement);
+		if (limitPerS !== undefined) {
+			nameLimit(record, limitPerS, now);
+		} else if (statement.hasRun) {
+			record.clearedAt = Math.max(record.clearedAt, sentAt);
+		}
+
+		this.logLimit(target, before, {source: StatementSource.Answer, ageMs: 0});
+	}
+
+	/** Requests a second that the target takes from all daemons together; undefined if it names no limit. */
+	limitOf({id, bornAt}: TargetIncarnation): number | undefined {
+		const record = this.records.get(id);
+		return record?.bornAt === bornAt && isLimited(record) ? record.limitPerS : undefined;
+	}
+
+	/** Number of targets that name a limit. */
+	get limitedCount(): number {
+		return this.limitedRecords().length;
+	}
+
+	/** Time since the limit of any target was last named, for the target of which this is longest; in milliseconds. */
+	oldestLimitAgeMs(now = performance.now()): number {
+		return Math.max(0, ...this.limitedRecords().map(({namedAt}) => now - namedAt));
+	}
+
+	/** Drops the statements of targets that are no longer known. */
+	prune(isKnown: (id: string) => boolean): void {
+		for (const id of this.records.keys()) {
+			if (!isKnown(id)) {
+				this.records.delete(id);
+			}
+		}
+	}
+
+	private limitedRecords(): StatementRecord[] {
+		return [...this.records.values()].filter(record => isLimited(record));
+	}
+
+	private namedLimit(target: TargetIncarnation, record: StatementRecord, {limitPerS, unreadableLimit}: TargetStatement): number | undefined {
+		if (unreadableLimit === undefined) {
+			return limitPerS === undefined ? undefined : Math.max(lowestLimitPerS, limitPerS);
+		}
+
+		const usedLimitPerS = record.limitPerS ?? unreadableLimitPerS;
+		if (!record.isUnreadableLogged) {
+			record.isUnreadableLogged = true;
+			this.log.record(LogEvent.TargetLimitUnreadable, {target: target.id, text: unreadableLimit, limitPerS: usedLimitPerS});
+		}
+
+		return usedLimitPerS;
+	}
+
+	private logLimit(target: TargetIncarnation, before: number | undefined, {source, ageMs}: {source: StatementSource; ageMs: number}): void {
+		const limitPerS = this.limitOf(target);
+		if (limitPerS !== before) {
+			this.log.record(LogEvent.TargetLimitChanged, {
+				target: target.id, limitPerS, previousLimitPerS: before, source, ageMs: Math.round(ageMs),
+			});
+		}
+	}
+
+	/** The record of this incarnation; undefined if a later one is known. */
+	private recordOf({id, bornAt}: TargetIncarnation): StatementRecord | undefined {
+		const known = this.records.get(id);
+		if (known && known.bornAt >= bornAt) {
+			return known.bornAt === bornAt ? known : undefined;
+		}
+
+		const record: StatementRecord = {
+			bornAt, limitPerS: undefined, namedAt: -Infinity, lowestNamedAt: -Infinity, clearedAt: -Infinity, isUnreadableLogged: false,
+		};
+		this.records.set(id, record);
+		return record;
+	}
+}
+
+function isLimited({namedAt, clearedAt}: StatementRecord): boolean {
+	return namedAt > clearedAt;
+}
+
+function nameLimit(record: StatementRecord, limitPerS: number, now: number): void {
+	const isRaise = isLimited(record) && limitPerS > (record.limitPerS ?? Infinity);
+	record.namedAt = Math.max(record.namedAt, now);
+	if (isRaise && now - record.lowestNamedAt < raiseDelayMs) {
+		return;
+	}
+
+	record.limitPerS = limitPerS;
+	record.lowestNamedAt = now;
+}
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -5,6 +5,7 @@
 import type {Cancellation} from './cancellation.js';
 import type {Target} from './fleet.js';
 import type {Route} from './route-configuration.js';
+import type {TargetStatement} from './target-statement.js';
 
 /** Headers as alternating names and values. */
 export type HeaderList = string[];
@@ -49,6 +50,8 @@
 	cancellation: Cancellation;
 	/** Largest number of connections that this daemon may have to the target. */
 	connectionLimit: number;
+	/** Called with what the target says about itself, as soon as the head of its answer is read. */
+	onStatement(statement: TargetStatement): void;
 };
 
 /** How an attempt ended. */
--- a/src/platform/target-protocol.ts
+++ b/src/platform/target-protocol.ts
@@ -4,7 +4,9 @@
 import type {
 	AnswerHead, Attempt, CallerRequest, HeaderList,
 } from '../model/forwarding.js';
+import type {TargetStatement} from '../model/target-statement.js';
 import {AnswerKind, type TargetProtocol} from '../transport/target-exchange.js';
+import {readTargetStatement} from './target-statement-reader.js';
 import {WireHeader} from './wire.js';
 
 /** Headers that apply to a single connection and are not forwarded. */
@@ -93,6 +95,12 @@
 		return isFinal && headers[WireHeader.Seal] === undefined ? AnswerKind.Unrelated : AnswerKind.Answer;
 	}
 
+	/** Another target may have given a misdirected answer, which names its id. */
+	statement(kind: AnswerKind, {target}: Attempt, status: number, headers: AnswerHead['headers']): TargetStatement | undefined {
+		const isOther = kind === AnswerKind.Misdirected && headers[WireHeader.Target] !== target.id;
+		return kind === AnswerKind.Unrelated || isOther ? undefined : readTargetStatement(status, headers, kind === AnswerKind.Answer);
+	}
+
 	answerHeaders(headers: AnswerHead['headers']): AnswerHead['headers'] {
 		const passed: AnswerHead['headers'] = {};
 		for (const [name, value] of Object.entries(headers)) {
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -19,6 +19,10 @@
 	Key = 'shard-key',
 	/** Token that lets the next owner of released keys start with a warm cache. */
 	Handover = 'handover',
+	/** Requests a second that the target takes from all daemons together. */
+	Limit = 'server-limit',
+	/** The target will stop soon. */
+	Leaving = 'server-leaving',
 }
 
 /** Paths of HTTP calls. */
--- a/src/services/platform-kernel.ts
+++ b/src/services/platform-kernel.ts
@@ -8,6 +8,7 @@
 import type {PeerExchange} from '../decisions/fleet/peer-exchange.js';
 import type {Forwarder} from '../decisions/forwarding/forwarder.js';
 import type {TargetLoads} from '../decisions/forwarding/target-loads.js';
+import type {TargetStatements} from '../decisions/limits/target-statements.js';
 import {describeFailure} from '../model/errors.js';
 import type {KeyLeader} from '../decisions/ownership/key-leader.js';
 import {LogEvent, type EventLog} from '../model/events.js';
@@ -30,6 +31,7 @@
 	exchange: PeerExchange;
 	forwarder: Forwarder;
 	loads: TargetLoads;
+	statements: TargetStatements;
 	leader: KeyLeader;
 	log: EventLog;
 };
@@ -62,7 +64,7 @@
 
 /** Service "fleet": the view of the store, the membership of this daemon and the exchange between daemons. */
 function createFleetService({
-	view, sync, membership, exchange, loads, log,
+	view, sync, membership, exchange, loads, statements, log,
 }: PlatformComponents): ServiceSchema {
 	const timers = new TimerSet(log);
 	return {
@@ -76,6 +78,7 @@
 			});
 			timers.repeat(pruneMs, () => {
 				view.prune();
+				statements.prune(id => view.findTarget(id) !== undefined);
 				loads.prune(id => view.findTarget(id) !== undefined);
 			});
 		},
--- a/src/services/platform-metrics-service.ts
+++ b/src/services/platform-metrics-service.ts
@@ -26,6 +26,12 @@
 	/** Age of the evidence that this version is the newest, in milliseconds. */
 	configurationEvidenceAgeMs(): number;
 	isStoreReachable(): boolean;
+	/** Targets that name a limit. */
+	limitedTargets(): number;
+	/** Time since a limit in force was last named, in milliseconds. */
+	oldestLimitAgeMs(): number;
+	/** Attempts since the start at targets that name a limit. */
+	limitedAttempts(): number;
 };
 
 /** Metrics of one daemon in their own registry. */
@@ -47,6 +53,9 @@
 		this.addGauge('configuration_version', 'Version of the configuration in force.', () => sources.configurationVersion());
 		this.addGauge('configuration_evidence_age_seconds', 'Age of the evidence that this version is the newest one.', () => sources.configurationEvidenceAgeMs() / secondMs);
 		this.addGauge('store_reachable', '1 while the platform\'s store answers.', () => Number(sources.isStoreReachable()));
+		this.addGauge('limited_targets', 'Targets that name a limit.', () => sources.limitedTargets());
+		this.addGauge('oldest_limit_age_seconds', 'Time since a limit in force was last named, for the target of which this is longest.', () => sources.oldestLimitAgeMs() / secondMs);
+		this.addGauge('limited_attempts', 'Attempts since the start at targets that name a limit.', () => sources.limitedAttempts());
 		this.addGauge('resident_bytes', 'Memory of the process.', () => process.memoryUsage.rss());
 	}
 
--- a/src/transport/target-exchange.ts
+++ b/src/transport/target-exchange.ts
@@ -7,6 +7,7 @@
 import {
 	AttemptEnd, type AnswerHead, type Attempt, type AttemptResult, type CallerRequest, type HeaderList,
 } from '../model/forwarding.js';
+import type {TargetStatement} from '../model/target-statement.js';
 import type {ConnectionPool} from './connection-pool.js';
 import type {HttpConnection} from './http-connection.js';
 
@@ -33,6 +34,8 @@
 export type TargetProtocol = {
 	requestHeaders(request: CallerRequest, attempt: Attempt): HeaderList;
 	classify(request: CallerRequest, status: number, headers: AnswerHead['headers']): AnswerKind;
+	/** What the answer says about the target; undefined if it may come from another target. */
+	statement(kind: AnswerKind, attempt: Attempt, status: number, headers: AnswerHead['headers']): TargetStatement | undefined;
 	/** Headers of an answer that are forwarded to the caller. */
 	answerHeaders(headers: AnswerHead['headers']): AnswerHead['headers'];
 };
@@ -127,6 +130,12 @@
 		this.head = {status, headers: this.protocol.answerHeaders(headers)};
 		if (this.kind === AnswerKind.Unrelated) {
 			this.fail('the answer does not belong to the request');
+			return;
+		}
+
+		const statement = this.protocol.statement(this.kind, this.attempt, status, headers);
+		if (statement) {
+			this.attempt.onStatement(statement);
 		}
 	}
 
--- a/standins/relayed-fleet.ts
+++ b/standins/relayed-fleet.ts
@@ -9,8 +9,9 @@
 import {ZoneHubs} from '../src/decisions/fleet/zone-hubs.js';
 import {Forwarder} from '../src/decisions/forwarding/forwarder.js';
 import {TargetLoads} from '../src/decisions/forwarding/target-loads.js';
+import {TargetStatements} from '../src/decisions/limits/target-statements.js';
 import {TargetState, type Member, type Target} from '../src/model/fleet.js';
-import {AttemptEnd} from '../src/model/forwarding.js';
+import {AttemptEnd, type Attempt, type AttemptResult} from '../src/model/forwarding.js';
 import {decodeConfiguration} from '../src/platform/documents.js';
 import {MemoryCoordinationStore, type MemoryStoreClient} from './memory-coordination-store.js';
 
@@ -40,10 +41,11 @@
 export class RelayedDaemon {
 	readonly view = new FleetView();
 	readonly loads = new TargetLoads();
+	readonly statements = new TargetStatements(silentLog);
 	readonly client: MemoryStoreClient;
 	readonly sync: FleetSync;
 	readonly exchange: PeerExchange;
-	/** Forwards to targets that answer every request. */
+	/** Forwards to targets that answer every request, unless the fleet has other targets. */
 	readonly forwarder: Forwarder;
 	isStopped = false;
 	watchCount = 0;
@@ -111,8 +113,9 @@
 			availabilityZone: member.availabilityZone,
 			view: this.view,
 			loads: this.loads,
+			statements: this.statements,
 			transport: {
-				send: async () => ({end: AttemptEnd.Answered, answer: {status: 200, headers: {}}, body: new Uint8Array()}),
+				send: async (_request, attempt) => fleet.answer(member.daemon, attempt),
 			},
 			log: silentLog,
 			retryRatio: 0,
@@ -155,6 +158,12 @@
 	bytes: number;
 };
 
+/** Answers an attempt of a daemon. */
+export type TargetAnswer = (daemon: string, attempt: Attempt) => Promise<AttemptResult>;
+
+/** An answer of a target that ran the request. */
+export const success: AttemptResult = {end: AttemptEnd.Answered, answer: {status: 200, headers: {}}, body: new Uint8Array()};
+
 /** A fleet of daemons that share one store. */
 export class RelayedFleet {
 	readonly store = new MemoryCoordinationStore();
@@ -166,6 +175,7 @@
 	private readonly daemonsByName = new Map<string, RelayedDaemon>();
 	private readonly blockedReceivers = new Set<string>();
 	private deliveryDelays: DeliveryDelays | undefined;
+	private targetAnswer: TargetAnswer | undefined;
 
 	constructor({availabilityZones, daemonsPerZone}: FleetSize = smallFleet) {
 		for (const availabilityZone of availabilityZones) {
@@ -187,6 +197,15 @@
 		this.deliveryDelays = deliveryDelays;
 	}
 
+	/** Sets how targets answer. */
+	setTargetAnswer(targetAnswer: TargetAnswer): void {
+		this.targetAnswer = targetAnswer;
+	}
+
+	async answer(daemon: string, attempt: Attempt): Promise<AttemptResult> {
+		return this.targetAnswer?.(daemon, attempt) ?? success;
+	}
+
 	/** Starts or stops dropping every message that arrives at a daemon. */
 	dropMessagesTo(name: string, isDropping = true): void {
 		if (isDropping) {
@@ -217,7 +236,7 @@
 	}
 
 	/** Writes a configuration with one route for each prefix, all to the service of the targets. */
-	putConfiguration(version: number, prefixes: readonly string[]): void {
+	putConfiguration(version: number, prefixes: readonly string[], isKeyed = false): void {
 		const routes = prefixes.map(prefix => ({
 			resourceType: 'routes',
 			metadata: {name: prefix},
@@ -225,7 +244,7 @@
 				host: 'host', prefix, kind: 'safe', timeoutMs: 1000, targetLatencyMs: 300, priority: 1, service: 'service', maxAttempts: 1,
 			},
 		}));
-		const service = {resourceType: 'services', metadata: {name: 'service'}, spec: {healthPath: '/health', maxConnections: 100}};
+		const service = {resourceType: 'services', metadata: {name: 'service'}, spec: {healthPath: '/health', maxConnections: 100, ...(isKeyed && {sharded: true, warmS: 1})}};
 		this.store.put('configuration', JSON.stringify({version, resources: [...routes, service]}));
 	}
 
--- a/tests/platform/endless-answers.test.ts
+++ b/tests/platform/endless-answers.test.ts
@@ -186,6 +186,7 @@
 		timeoutMs: 50_000,
 		cancellation,
 		connectionLimit: 4,
+		onStatement: () => undefined,
 	});
 }
 
--- a/tests/platform/target-exchange.test.ts
+++ b/tests/platform/target-exchange.test.ts
@@ -174,7 +174,7 @@
 		for (let round = 0; round < rounds; round += 1) {
 			// eslint-disable-next-line no-await-in-loop -- sequential rounds.
 			const result = await transport.send(callerRequest(), {
-				target: targetOf(server), budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4,
+				target: targetOf(server), budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4, onStatement: () => undefined,
 			});
 			t.is(result.end, end);
 			t.is(result.answer?.status, status);
@@ -194,7 +194,7 @@
 	});
 	const transport = new TargetTransport(new PlatformTargetProtocol());
 	await transport.send(callerRequest({method: 'POST', body: Buffer.from('payload')}), {
-		target: targetOf(server), budgetMs: 321.7, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4,
+		target: targetOf(server), budgetMs: 321.7, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4, onStatement: () => undefined,
 	});
 	transport.close();
 	server.close();
@@ -214,7 +214,7 @@
 	});
 	const transport = new TargetTransport(new PlatformTargetProtocol());
 	const result = await transport.send(callerRequest(), {
-		target, budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4,
+		target, budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4, onStatement: () => undefined,
 	});
 	t.is(result.end, AttemptEnd.NotSent);
 });
@@ -228,7 +228,7 @@
 	const cancellation = new Cancellation();
 	// A request that must not be repeated continues after its caller disconnects, but this one was not sent yet.
 	const sending = transport.send(callerRequest({cancellation}), {
-		target: targetOf(server), budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4,
+		target: targetOf(server), budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4, onStatement: () => undefined,
 	});
 	cancellation.cancel();
 	const result = await sending;
@@ -247,7 +247,7 @@
 	const body = new PassThrough();
 	body.on('error', () => undefined);
 	const sending = transport.send(callerRequest({method: 'POST', body}), {
-		target: targetOf(server), budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4,
+		target: targetOf(server), budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4, onStatement: () => undefined,
 	});
 	body.write('part');
 	while (!text.includes('part')) {
@@ -302,7 +302,7 @@
 				isAborted = true;
 			},
 		}), {
-			target: targetOf(server), budgetMs: 1000, timeoutMs: 1000, cancellation, connectionLimit: 4,
+			target: targetOf(server), budgetMs: 1000, timeoutMs: 1000, cancellation, connectionLimit: 4, onStatement: () => undefined,
 		});
 		t.is(result.end, AttemptEnd.Streamed);
 		t.true(isAborted);
