fix(limits): keep the limit that a target names, summed over all daemons

What servers saw: a target that named 4 requests a second got up to 241 in 4 s, allowed 29 (the failing test before this commit). Cause: no daemon acted on what a target says of itself. Ruled out by the new log lines and the test: excess from requests in flight, from retries, from daemons that had not been told. Change: permits for a target with a limit are issued by one daemon, selected by highest random weight among the members (0.95 of the limit), and by a second one that is asked if the first does not answer (0.4), so that the sum stays below one and a half times the limit whoever is cut off. Permits accumulate only at the issuer, two at most, so that their number does not grow with the fleet. A daemon that becomes an issuer begins only once its members have not changed for 1.5 s. Requests wait at the issuer by priority, as long as they can still be answered within the target latency; the others are refused at once with the time of their turn. Daemons tell each other limits with their load reports, the first time at once. Every attempt passes the gate, also later ones.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -11,6 +11,8 @@
 import {decodePeerMessage, type PeerMessage} from '../decisions/fleet/peer-message.js';
 import {ZoneHubs} from '../decisions/fleet/zone-hubs.js';
 import {Forwarder} from '../decisions/forwarding/forwarder.js';
+import {PermitIssuers} from '../decisions/limits/permit-issuers.js';
+import {Permits} from '../decisions/limits/permits.js';
 import {TargetStatements} from '../decisions/limits/target-statements.js';
 import {TargetLoads} from '../decisions/forwarding/target-loads.js';
 import {KeyLeader} from '../decisions/ownership/key-leader.js';
@@ -67,6 +69,7 @@
 	private readonly metrics: PlatformMetrics;
 	private readonly kernel: ServiceBroker;
 	private readonly statements: TargetStatements;
+	private readonly permits: Permits;
 	private servedCount = 0;
 	private isStopping = false;
 
@@ -82,7 +85,10 @@
 			this.sync.recordStoreAnswer();
 		});
 		const loads = new TargetLoads();
-		this.statements = new TargetStatements(log);
+		this.statements = new TargetStatements(log, () => {
+			this.exchange.announceStatements();
+		});
+		this.permits = this.createPermits();
 		const exchange = this.createExchange(loads);
 		this.exchange = exchange;
 		this.peers = new DatagramPeers(decodePeerMessage, message => {
@@ -96,6 +102,7 @@
 			view: this.view,
 			loads,
 			statements: this.statements,
+			permits: this.permits,
 			transport: this.transport,
 			log,
 			retryRatio: settings.retryRatio,
@@ -197,6 +204,8 @@
 			view: this.view,
 			loads,
 			sync: this.sync,
+			statements: this.statements,
+			permits: this.permits,
 			hubs: new ZoneHubs({daemon, availabilityZone}, this.view),
 			sender: {
 				send: (message, members) => {
@@ -209,6 +218,24 @@
 		});
 	}
 
+	private createPermits(): Permits {
+		const {daemon} = this.settings;
+		return new Permits({
+			daemon,
+			statements: this.statements,
+			issuers: new PermitIssuers(daemon, this.view),
+			sender: {
+				request: (message, issuer) => {
+					this.exchange.sendPermitRequest(message, issuer);
+				},
+				answer: (message, receiver) => {
+					this.exchange.sendPermitAnswer(message, receiver);
+				},
+			},
+			log: this.log,
+		});
+	}
+
 	private createLeader(loads: TargetLoads, exchange: PeerExchange): KeyLeader {
 		const {daemon, leaseMinimumMs, holdLimitMs, thawSlackMs} = this.settings;
 		return new KeyLeader({
@@ -259,6 +286,7 @@
 			limitedTargets: () => this.statements.limitedCount,
 			oldestLimitAgeMs: () => this.statements.oldestLimitAgeMs(),
 			limitedAttempts: () => forwarder.limitedAttemptCount,
+			deniedPermits: () => this.permits.denialCount,
 		});
 	}
 
--- a/src/decisions/fleet/peer-exchange.ts
+++ b/src/decisions/fleet/peer-exchange.ts
@@ -7,6 +7,8 @@
 import type {StoreUpdate} from '../../model/coordination-store.js';
 import type {Member} from '../../model/fleet.js';
 import type {TargetLoads} from '../forwarding/target-loads.js';
+import type {PermitAnswerMessage, PermitRequestMessage, Permits} from '../limits/permits.js';
+import type {TargetStatements} from '../limits/target-statements.js';
 import {shiftMoment, currentMoment, type Moment} from '../ownership/moment.js';
 import {applyAssignmentChange, diffAssignment, type AssignmentChange} from './assignment-codec.js';
 import type {FleetSync} from './fleet-sync.js';
@@ -67,6 +69,8 @@
 	loads: TargetLoads;
 	sync: FleetSync;
 	hubs: ZoneHubs;
+	statements: TargetStatements;
+	permits: Permits;
 	sender: PeerSender;
 	/** Records requested keys at the leader. */
 	recordKeys(service: string, keys: readonly number[]): void;
@@ -124,6 +128,7 @@
 		this.reportZoneLoad(now);
 		this.reportKeys(now);
 		this.requestAssignments(now);
+		this.options.permits.tick(now);
 		this.options.hubs.prune();
 	}
 
@@ -175,6 +180,23 @@
 		}
 	}
 
+	/** Tells all daemons at once what targets have said of themselves. */
+	announceStatements(now = performance.now()): void {
+		const {hubs, statements} = this.options;
+		this.send({statements: statements.report(now)}, [...hubs.localPeers(), ...hubs.remoteRecipients(now)]);
+	}
+
+	sendPermitRequest(permitRequest: PermitRequestMessage, issuer: Member): void {
+		this.send({permitRequest}, [issuer]);
+	}
+
+	sendPermitAnswer(permitAnswer: PermitAnswerMessage, daemon: string): void {
+		const member = this.options.view.members.get(daemon);
+		if (member) {
+			this.send({permitAnswer}, [member]);
+		}
+	}
+
 	receive(message: PeerMessage, now = performance.now()): void {
 		const {sync, view, recordKeys, daemon} = this.options;
 		if (message.daemon === daemon || !this.isPlausible(message)) {
@@ -182,6 +204,7 @@
 		}
 
 		this.receiveLoads(message, now);
+		this.receiveLimits(message, now);
 		if (message.availabilityZone === this.options.availabilityZone && message.zoneLoad && message.isForwarded !== true) {
 			this.receiveHubReport(message, now);
 		}
@@ -353,10 +376,25 @@
 		}
 	}
 
+	private receiveLimits({daemon, statements, permitRequest, permitAnswer}: PeerMessage, now: number): void {
+		const {permits} = this.options;
+		if (statements) {
+			this.options.statements.receive(statements, now);
+		}
+
+		if (permitRequest) {
+			permits.receiveRequest(daemon, permitRequest, now);
+		}
+
+		if (permitAnswer) {
+			permits.receiveAnswer(daemon, permitAnswer);
+		}
+	}
+
 	/** Forwards a message from another availability zone to the whole own one if this daemon is its hub. */
 	private forwardToZone(message: PeerMessage, now: number): void {
 		const {availabilityZone, hubs, sender} = this.options;
-		const isForAll = message.zoneLoad !== undefined || message.change !== undefined;
+		const isForAll = message.zoneLoad !== undefined || message.change !== undefined || message.statements !== undefined;
 		const isRemote = message.availabilityZone !== availabilityZone;
 		if (!isForAll || !isRemote || message.isForwarded === true || !hubs.isHub(now)) {
 			return;
@@ -366,7 +404,7 @@
 	}
 
 	private reportLoad(now: number): void {
-		const {loads, hubs, daemon} = this.options;
+		const {loads, hubs, statements, daemon} = this.options;
 		const localPeers = hubs.localPeers();
 		if (now - this.reportedAt < Math.max(loadReportIntervalMs, localPeers.length * loadReportMsPerPeer)) {
 			return;
@@ -386,11 +424,11 @@
 		this.loadForRemoteZones.add(daemon, load, now);
 		this.loadForLocalPeers.add(daemon, load, now);
 		if (hub === daemon) {
-			this.send({zoneLoad: this.loadForLocalPeers.takeReport(now), watcher: hubs.watcher(this.options.sync.isStoreReachable, now)}, localPeers);
+			this.send({zoneLoad: this.loadForLocalPeers.takeReport(now), statements: statements.report(now), watcher: hubs.watcher(this.options.sync.isStoreReachable, now)}, localPeers);
 			return;
 		}
 
-		this.send({load}, hub === undefined ? localPeers : localPeers.filter(member => member.daemon === hub));
+		this.send({load, statements: statements.report(now)}, hub === undefined ? localPeers : localPeers.filter(member => member.daemon === hub));
 	}
 
 	private reportZoneLoad(now: number): void {
@@ -401,7 +439,7 @@
 		}
 
 		this.zoneReportedAt = now;
-		this.send({zoneLoad: this.loadForRemoteZones.takeReport(now)}, hubs.remoteRecipients(now));
+		this.send({zoneLoad: this.loadForRemoteZones.takeReport(now), statements: this.options.statements.report(now)}, hubs.remoteRecipients(now));
 	}
 
 	private reportKeys(now: number): void {
--- a/src/decisions/fleet/peer-message.ts
+++ b/src/decisions/fleet/peer-message.ts
@@ -4,6 +4,7 @@
 import * as z from 'zod/mini';
 import {MalformedDocumentError} from '../../model/errors.js';
 import {lastKey} from '../../model/key-ownership.js';
+import {PermitDecision} from '../limits/permit-queue.js';
 import {assignmentChangeSchema} from './assignment-codec.js';
 
 const counter = z.int().check(z.nonnegative());
@@ -31,6 +32,9 @@
 	isListing: z.optional(z.boolean()),
 });
 
+/** What targets said of themselves, by target; ages in milliseconds. */
+const limitSchema = z.object({limitPerS: z.optional(z.number().check(z.positive())), namedAgeMs: z.optional(counter), clearedAgeMs: z.optional(counter)});
+
 const messageSchema = z.object({
 	daemon: z.string().check(z.minLength(1)),
 	availabilityZone: z.string(),
@@ -60,6 +64,14 @@
 	wants: z.optional(z.object({after: z.optional(counter), assignments: z.optional(revisionsSchema), evidence: z.optional(counter)})),
 	/** Answer to an evidence request: its number, the sender's active version, and the age of the sender's evidence for it. */
 	evidence: z.optional(z.object({question: counter, version: counter, ageMs: counter})),
+	/** What the sender knows about the limits of targets. */
+	statements: z.optional(z.record(z.string(), z.extend(limitSchema, {bornAt: counter}))),
+	/** Asks for a permit to send a request to a target that names a limit. */
+	permitRequest: z.optional(z.object({
+		number: counter, target: z.string(), bornAt: counter, priority: counter, waitMs: counter, limit: limitSchema,
+	})),
+	/** Answer to a request for a permit. */
+	permitAnswer: z.optional(z.object({number: counter, decision: z.enum(PermitDecision), turnMs: counter})),
 	/** True if a hub forwards the message to its own availability zone. */
 	isForwarded: z.optional(z.boolean()),
 });
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -10,6 +10,7 @@
 import {findRange} from '../../model/key-ownership.js';
 import type {Route, ServiceRule} from '../../model/route-configuration.js';
 import type {FleetView} from '../fleet/fleet-view.js';
+import type {Permits} from '../limits/permits.js';
 import type {TargetStatements} from '../limits/target-statements.js';
 import {RetryBudget} from '../retry-budget.js';
 import {
@@ -60,6 +61,7 @@
 	view: FleetView;
 	loads: TargetLoads;
 	statements: TargetStatements;
+	permits: Permits;
 	transport: RequestTransport;
 	log: EventLog;
 	retryRatio: number;
@@ -175,6 +177,7 @@
 			service,
 			deadlineAt: request.receivedAt + Math.min(request.budgetMs ?? route.timeoutMs, route.timeoutMs),
 			triedTargets: new Set(),
+			deniedTargets: new Map(),
 			deliveredAttempts: 0,
 			unsentAttempts: 0,
 			misdirectedAttempts: 0,
@@ -208,29 +211,58 @@
 
 	/** Makes one attempt; returns the final outcome, or undefined if another attempt may follow. */
 	private async attemptOnce(context: ForwardingContext): Promise<Outcome | undefined> {
-		const chosen = context.service.isKeyed ? await this.findOwner(context) : this.chooseUnkeyedTarget(context);
-		if (!chosen) {
-			return undefined;
-		}
+		for (;;) {
+			// eslint-disable-next-line no-await-in-loop -- one target is considered after another.
+			const chosen = context.service.isKeyed ? await this.findOwner(context) : this.chooseUnkeyedTarget(context);
+			if (!chosen) {
+				return undefined;
+			}
 
-		if ('kind' in chosen) {
-			return chosen;
-		}
+			if ('kind' in chosen) {
+				return chosen;
+			}
+
+			// A target without a limit is sent to in the same turn, so that its load counts for the next choice.
+			// eslint-disable-next-line no-await-in-loop -- see above.
+			const admission = this.options.statements.limitOf(chosen) === undefined || await this.admit(context, chosen);
+			if (typeof admission === 'object') {
+				return admission;
+			}
 
-		const result = await this.send(context, chosen);
-		return this.handleResult(context, chosen, result);
+			if (admission) {
+				// eslint-disable-next-line no-await-in-loop -- see above.
+				return this.handleResult(context, chosen, await this.send(context, chosen));
+			}
+
+			if (context.request.cancellation.isCancelled || remainingMs(context) < minUsefulBudgetMs) {
+				return undefined;
+			}
+		}
 	}
 
 	private chooseUnkeyedTarget(context: ForwardingContext): Target | Outcome {
-		const {view, loads, availabilityZone, random} = this.options;
+		const {view, loads, permits, availabilityZone, random} = this.options;
 		const now = performance.now();
 		const targets = view.readyTargets(context.service.name, now);
+		for (const target of targets) {
+			const deniedMs = permits.deniedMs(target, context.route.priority, now);
+			if (deniedMs > 0) {
+				context.deniedTargets.set(target.id, deniedMs);
+			}
+		}
+
 		const candidate = chooseTarget(loads, {
-			targets, triedTargets: context.triedTargets, route: context.route, availabilityZone, connectionLimit: this.connectionLimit(context.service), random, now,
+			targets,
+			excludedTargets: new Set([...context.triedTargets, ...context.deniedTargets.keys()]),
+			route: context.route,
+			availabilityZone,
+			connectionLimit: this.connectionLimit(context.service),
+			random,
+			now,
 			warmUpLeft: id => view.warmUpLeft(id, now),
 		});
 		if (!candidate) {
-			return this.giveUp(context, targets.length === 0 ? OutcomeReason.NoTarget : OutcomeReason.AttemptsUsed, retryDelaysMs.noTarget);
+			return this.giveUpWithoutTarget(context, targets.length);
 		}
 
 		if (!context.mayHaveRun && cannotServe(candidate.estimate, context)) {
@@ -240,6 +272,32 @@
 		return candidate.target;
 	}
 
+	private giveUpWithoutTarget(context: ForwardingContext, targetCount: number): Outcome {
+		if (context.deniedTargets.size > 0) {
+			return this.giveUp(context, OutcomeReason.TargetLimit, Math.min(...context.deniedTargets.values()));
+		}
+
+		return this.giveUp(context, targetCount === 0 ? OutcomeReason.NoTarget : OutcomeReason.AttemptsUsed, retryDelaysMs.noTarget);
+	}
+
+	/** Waits for a permit if the target names a limit. Returns true if the attempt may be sent, or the outcome if there is no other target. */
+	private async admit(context: ForwardingContext, target: Target): Promise<boolean | Outcome> {
+		const {permits, statements, view, loads} = this.options;
+		const {service, route, request: {cancellation}} = context;
+		const hasAlternative = !service.isKeyed && view.readyTargets(service.name)
+			.some(({id, bornAt, address}) => !context.triedTargets.has(id) && !context.deniedTargets.has(id) && statements.limitOf({id, bornAt, address}) === undefined);
+		const known = view.assignments.get(service.name);
+		const waitMs = hasAlternative ? 0 : permitWaitMs(loads.estimate(target), context);
+		const {isAdmitted, retryAfterMs} = await permits.acquire(target, route.priority, waitMs, cancellation);
+		if (isAdmitted) {
+			// The target may have left, or the key may have moved, while the request waited for its turn.
+			return view.isReady(target) && view.assignments.get(service.name) === known;
+		}
+
+		context.deniedTargets.set(target.id, retryAfterMs);
+		return service.isKeyed ? this.giveUp(context, OutcomeReason.TargetLimit, retryAfterMs) : false;
+	}
+
 	/** Returns the owner of the request's key; undefined if the assignment changed during a wait, so that the lookup starts again. */
 	private async findOwner(context: ForwardingContext): Promise<Target | Outcome | undefined> {
 		const {view} = this.options;
@@ -463,6 +521,12 @@
 	}
 }
 
+/** Time for which a request can wait for a permit and still be answered within the target latency, in milliseconds. */
+function permitWaitMs({responseMs}: LoadEstimate, context: ForwardingContext): number {
+	const elapsedMs = performance.now() - context.request.receivedAt;
+	return Math.max(0, Math.min(context.route.targetLatencyMs - elapsedMs, remainingMs(context)) - responseMs);
+}
+
 /** By the time the caller retries, half of the backlog has been processed. */
 function backlogRetryDelayMs({responseMs}: LoadEstimate): number {
 	return Math.max(retryDelaysMs.moving, responseMs / 2);
--- a/src/decisions/forwarding/forwarding-context.ts
+++ b/src/decisions/forwarding/forwarding-context.ts
@@ -14,6 +14,8 @@
 	/** Monotonic time at which the time budget of the caller or the timeout of the route ends, in milliseconds. */
 	deadlineAt: number;
 	triedTargets: Set<string>;
+	/** Targets whose limit left no turn for this request, with the delay until a retry in milliseconds. */
+	deniedTargets: Map<string, number>;
 	/** Number of attempts that reached a target. */
 	deliveredAttempts: number;
 	unsentAttempts: number;
--- a/src/decisions/forwarding/target-choice.ts
+++ b/src/decisions/forwarding/target-choice.ts
@@ -27,8 +27,8 @@
 /** What the choice depends on besides the load. */
 export type ChoiceInput = {
 	targets: readonly Target[];
-	/** Ids of the targets that earlier attempts of this request used. */
-	triedTargets: ReadonlySet<string>;
+	/** Ids of the targets that earlier attempts of this request used, or that have no turn for it. */
+	excludedTargets: ReadonlySet<string>;
 	route: Route;
 	availabilityZone: string;
 	/** Connections that this daemon may open to each target. */
@@ -39,14 +39,14 @@
 };
 
 /**
- * Returns the target with the lowest estimated cost, or undefined if all targets have been tried. Ejected and full targets
+ * Returns the target with the lowest estimated cost, or undefined if all targets are excluded. Ejected and full targets
  * are chosen only if there is no other.
  */
 export function chooseTarget(loads: TargetLoads, input: ChoiceInput): TargetCandidate | undefined {
 	let best: TargetCandidate | undefined;
 	let bestRank = Infinity;
 	for (const target of input.targets) {
-		if (input.triedTargets.has(target.id)) {
+		if (input.excludedTargets.has(target.id)) {
 			continue;
 		}
 
--- a/src/decisions/limits/target-statements.ts
+++ b/src/decisions/limits/target-statements.ts
@@ -1,5 +1,5 @@
 /**
- * What targets have said about themselves, as far as this daemon knows it from answers.
+ * What targets have said about themselves, as far as this daemon knows it from answers and from peers.
  *
  * An answer without a limit ends the limit only if its request was sent after the limit was last named, because answers on
  * different connections overtake each other. Silence ends nothing: requests are still sent at the limit, so that an answer shows its end.
@@ -17,6 +17,24 @@
 /** Time for which a lower limit stays in force after a higher one is named, in milliseconds; answers overtake each other. */
 const raiseDelayMs = 500;
 
+/** Longest time that a message between daemons is assumed to take, in milliseconds. */
+const messageDelayMs = 500;
+
+/** Time for which peers are told of a limit after it was last named, in milliseconds, so that they also hear of its end. */
+const reportMs = 10_000;
+
+/** What a daemon tells its peers about the limit of a target. */
+export type ReportedLimit = {
+	limitPerS?: number | undefined;
+	/** Time since the limit was last named, in milliseconds. */
+	namedAgeMs?: number | undefined;
+	/** Time since a request was sent whose answer named no limit, in milliseconds. */
+	clearedAgeMs?: number | undefined;
+};
+
+/** Reported limits with the incarnations that named them, by target. */
+export type ReportedStatements = Record<string, ReportedLimit & {bornAt: number}>;
+
 /** Where a statement was read. */
 export enum StatementSource {
 	Answer = 'answer',
@@ -39,7 +57,8 @@
 export class TargetStatements {
 	private readonly records = new Map<string, StatementRecord>();
 
-	constructor(private readonly log: EventLog) {}
+	/** @param onNews called when an answer shows what no answer and no peer has shown before */
+	constructor(private readonly log: EventLog, private readonly onNews: () => void = () => undefined) {}
 
 	/** Records what an answer says about the target that gave it. */
 	record(target: TargetIncarnation, statement: TargetStatement, sentAt: number, now = performance.now()): void {
@@ -56,9 +75,62 @@
 			record.clearedAt = Math.max(record.clearedAt, sentAt);
 		}
 
+		if (before === undefined && limitPerS !== undefined) {
+			this.onNews();
+		}
+
 		this.logLimit(target, before, {source: StatementSource.Answer, ageMs: 0});
 	}
 
+	/** Takes over what a peer knows about the limit of a target. */
+	receiveLimit(target: TargetIncarnation, {limitPerS, namedAgeMs, clearedAgeMs}: ReportedLimit, now = performance.now()): void {
+		const record = this.recordOf(target);
+		if (!record) {
+			return;
+		}
+
+		const before = this.limitOf(target);
+		if (clearedAgeMs !== undefined) {
+			record.clearedAt = Math.max(record.clearedAt, now - clearedAgeMs - messageDelayMs);
+		}
+
+		if (limitPerS !== undefined && namedAgeMs !== undefined && now - namedAgeMs > record.namedAt) {
+			nameLimit(record, Math.max(lowestLimitPerS, limitPerS), now - namedAgeMs);
+		}
+
+		this.logLimit(target, before, {source: StatementSource.Peer, ageMs: namedAgeMs ?? clearedAgeMs ?? 0});
+	}
+
+	/** Takes over what a peer knows. */
+	receive(statements: ReportedStatements, now = performance.now()): void {
+		for (const [id, {bornAt, ...limit}] of Object.entries(statements)) {
+			this.receiveLimit({id, bornAt, address: ''}, limit, now);
+		}
+	}
+
+	/** What peers should know; undefined if there is nothing. */
+	report(now = performance.now()): ReportedStatements | undefined {
+		const reported: ReportedStatements = {};
+		for (const [id, record] of this.records) {
+			if (isLimited(record) || now - record.namedAt < reportMs) {
+				reported[id] = {bornAt: record.bornAt, ...reportOf(record, now)};
+			}
+		}
+
+		return Object.keys(reported).length === 0 ? undefined : reported;
+	}
+
+	/** What an issuer of permits has to know about the limit. */
+	reportedLimit({id}: TargetIncarnation, now = performance.now()): ReportedLimit {
+		const record = this.records.get(id);
+		return record ? reportOf(record, now) : {};
+	}
+
+	/** Time since the limit of the target was last named, in milliseconds. */
+	limitAgeMs({id}: TargetIncarnation, now = performance.now()): number {
+		return now - (this.records.get(id)?.namedAt ?? now);
+	}
+
 	/** Requests a second that the target takes from all daemons together; undefined if it names no limit. */
 	limitOf({id, bornAt}: TargetIncarnation): number | undefined {
 		const record = this.records.get(id);
@@ -130,6 +202,13 @@
 	return namedAt > clearedAt;
 }
 
+function reportOf({limitPerS, namedAt, clearedAt}: StatementRecord, now: number): ReportedLimit {
+	return {
+		...(limitPerS !== undefined && {limitPerS, namedAgeMs: Math.max(0, Math.round(now - namedAt))}),
+		...(Number.isFinite(clearedAt) && {clearedAgeMs: Math.max(0, Math.round(now - clearedAt))}),
+	};
+}
+
 function nameLimit(record: StatementRecord, limitPerS: number, now: number): void {
 	const isRaise = isLimited(record) && limitPerS > (record.limitPerS ?? Infinity);
 	record.namedAt = Math.max(record.namedAt, now);
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -119,6 +119,8 @@
 	KeyMoving = 'key_moving',
 	OwnerLost = 'owner_lost',
 	Overloaded = 'overloaded',
+	/** The target names a limit that leaves no turn for the request in time. */
+	TargetLimit = 'target_limit',
 	AttemptsUsed = 'attempts_used',
 	RetryBudgetSpent = 'retry_budget_spent',
 	AnswerLost = 'answer_lost',
--- a/src/services/platform-metrics-service.ts
+++ b/src/services/platform-metrics-service.ts
@@ -32,6 +32,8 @@
 	oldestLimitAgeMs(): number;
 	/** Attempts since the start at targets that name a limit. */
 	limitedAttempts(): number;
+	/** Attempts since the start that were not sent to a target on account of its limit. */
+	deniedPermits(): number;
 };
 
 /** Metrics of one daemon in their own registry. */
@@ -56,6 +58,7 @@
 		this.addGauge('limited_targets', 'Targets that name a limit.', () => sources.limitedTargets());
 		this.addGauge('oldest_limit_age_seconds', 'Time since a limit in force was last named, for the target of which this is longest.', () => sources.oldestLimitAgeMs() / secondMs);
 		this.addGauge('limited_attempts', 'Attempts since the start at targets that name a limit.', () => sources.limitedAttempts());
+		this.addGauge('denied_permits', 'Attempts since the start that were not sent to a target on account of its limit.', () => sources.deniedPermits());
 		this.addGauge('resident_bytes', 'Memory of the process.', () => process.memoryUsage.rss());
 	}
 
--- a/standins/relayed-fleet.ts
+++ b/standins/relayed-fleet.ts
@@ -2,6 +2,8 @@
  * Daemons of several availability zones in one process, without sockets: they follow the store, exchange peer messages and
  * forward requests.
  */
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {FleetSync} from '../src/decisions/fleet/fleet-sync.js';
 import {FleetView} from '../src/decisions/fleet/fleet-view.js';
 import {PeerExchange} from '../src/decisions/fleet/peer-exchange.js';
@@ -9,6 +11,8 @@
 import {ZoneHubs} from '../src/decisions/fleet/zone-hubs.js';
 import {Forwarder} from '../src/decisions/forwarding/forwarder.js';
 import {TargetLoads} from '../src/decisions/forwarding/target-loads.js';
+import {PermitIssuers} from '../src/decisions/limits/permit-issuers.js';
+import {Permits} from '../src/decisions/limits/permits.js';
 import {TargetStatements} from '../src/decisions/limits/target-statements.js';
 import {TargetState, type Member, type Target} from '../src/model/fleet.js';
 import {AttemptEnd, type Attempt, type AttemptResult} from '../src/model/forwarding.js';
@@ -18,6 +22,9 @@
 /** Interval between ticks of a daemon, in milliseconds. */
 const tickMs = 20;
 
+/** Number of different random numbers. */
+const randomSteps = 1_000_000;
+
 /** Default one-way delay of a datagram, in milliseconds. */
 const datagramDelayMs = 1;
 
@@ -41,7 +48,11 @@
 export class RelayedDaemon {
 	readonly view = new FleetView();
 	readonly loads = new TargetLoads();
-	readonly statements = new TargetStatements(silentLog);
+	readonly statements = new TargetStatements(silentLog, () => {
+		this.exchange.announceStatements();
+	});
+
+	readonly permits: Permits;
 	readonly client: MemoryStoreClient;
 	readonly sync: FleetSync;
 	readonly exchange: PeerExchange;
@@ -93,12 +104,28 @@
 				},
 			},
 		});
+		this.permits = new Permits({
+			daemon: member.daemon,
+			statements: this.statements,
+			issuers: new PermitIssuers(member.daemon, this.view),
+			sender: {
+				request: (message, issuer) => {
+					this.exchange.sendPermitRequest(message, issuer);
+				},
+				answer: (message, daemon) => {
+					this.exchange.sendPermitAnswer(message, daemon);
+				},
+			},
+			log: silentLog,
+		});
 		this.exchange = new PeerExchange({
 			daemon: member.daemon,
 			availabilityZone: member.availabilityZone,
 			view: this.view,
 			loads: this.loads,
 			sync: this.sync,
+			statements: this.statements,
+			permits: this.permits,
 			hubs: new ZoneHubs(member, this.view),
 			sender: {
 				send: (message, members) => {
@@ -114,13 +141,14 @@
 			view: this.view,
 			loads: this.loads,
 			statements: this.statements,
+			permits: this.permits,
 			transport: {
 				send: async (_request, attempt) => fleet.answer(member.daemon, attempt),
 			},
 			log: silentLog,
 			retryRatio: 0,
 			retryReserve: 0,
-			random: () => 0,
+			random: () => fleet.random(),
 			recordKey() {
 				// No leader needs the request rates of keys.
 			},
@@ -175,6 +203,7 @@
 	private readonly daemonsByName = new Map<string, RelayedDaemon>();
 	private readonly blockedReceivers = new Set<string>();
 	private deliveryDelays: DeliveryDelays | undefined;
+	private readonly generator = xoroshiro128plus(1);
 	private targetAnswer: TargetAnswer | undefined;
 
 	constructor({availabilityZones, daemonsPerZone}: FleetSize = smallFleet) {
@@ -197,6 +226,11 @@
 		this.deliveryDelays = deliveryDelays;
 	}
 
+	/** The same numbers from 0 to 1 in each run. */
+	random(): number {
+		return uniformInt(this.generator, 0, randomSteps) / randomSteps;
+	}
+
 	/** Sets how targets answer. */
 	setTargetAnswer(targetAnswer: TargetAnswer): void {
 		this.targetAnswer = targetAnswer;
--- a/tests/decisions/forwarder.test.ts
+++ b/tests/decisions/forwarder.test.ts
@@ -3,7 +3,6 @@
 import {FleetView} from '../../src/decisions/fleet/fleet-view.js';
 import {Forwarder} from '../../src/decisions/forwarding/forwarder.js';
 import {TargetLoads} from '../../src/decisions/forwarding/target-loads.js';
-import {TargetStatements} from '../../src/decisions/limits/target-statements.js';
 import {currentMoment} from '../../src/decisions/ownership/moment.js';
 import {initialAssignment} from '../../src/decisions/ownership/assignment-draft.js';
 import {LogEvent, type LogFields} from '../../src/model/events.js';
@@ -12,6 +11,7 @@
 	AttemptEnd, OutcomeKind, OutcomeReason, type Attempt, type AttemptResult, type Outcome,
 } from '../../src/model/forwarding.js';
 import type {RouteConfiguration} from '../../src/model/route-configuration.js';
+import {createLonePermits} from '../../standins/lone-permits.js';
 import {callerRequest} from '../../standins/caller-request.js';
 
 const configuration: RouteConfiguration = {
@@ -87,7 +87,7 @@
 		availabilityZone: 'zone',
 		view,
 		loads,
-		statements: new TargetStatements({record: () => undefined}),
+		...createLonePermits({record: () => undefined}),
 		transport: {
 			async send(_request, attempt) {
 				const step = steps[attempts.length] ?? answered;
--- a/tests/decisions/stale-information.test.ts
+++ b/tests/decisions/stale-information.test.ts
@@ -4,7 +4,6 @@
 import {FleetView} from '../../src/decisions/fleet/fleet-view.js';
 import {Forwarder} from '../../src/decisions/forwarding/forwarder.js';
 import {TargetLoads} from '../../src/decisions/forwarding/target-loads.js';
-import {TargetStatements} from '../../src/decisions/limits/target-statements.js';
 import {currentMoment} from '../../src/decisions/ownership/moment.js';
 import {HistoryLostError} from '../../src/model/errors.js';
 import {TargetState} from '../../src/model/fleet.js';
@@ -12,6 +11,7 @@
 import {decodeConfiguration} from '../../src/platform/documents.js';
 import {PlatformTargetProtocol} from '../../src/platform/target-protocol.js';
 import {AnswerKind} from '../../src/transport/target-exchange.js';
+import {createLonePermits} from '../../standins/lone-permits.js';
 import {callerRequest} from '../../standins/caller-request.js';
 import {MemoryCoordinationStore, StoreFault} from '../../standins/memory-coordination-store.js';
 import {
@@ -194,7 +194,7 @@
 		let attempts = 0;
 		const forwarder = new Forwarder({
 			availabilityZone: 'zone', view, loads: new TargetLoads(), log: quiet, retryRatio: 0, retryReserve: 60, random: () => 0.5, recordKey: () => undefined,
-			statements: new TargetStatements({record: () => undefined}),
+			...createLonePermits({record: () => undefined}),
 			transport: {
 				async send() {
 					attempts += 1;
--- a/tests/decisions/target-limit.test.ts
+++ b/tests/decisions/target-limit.test.ts
@@ -75,14 +75,15 @@
 for (const size of sizes) {
 	const count = size.availabilityZones.length * size.daemonsPerZone;
 	for (const isKeyed of [true, false]) {
-		test.serial.failing(`should keep the limit that a target of ${isKeyed ? 'a keyed' : 'an undivided'} service names, with ${count} daemons in sum`, async t => {
+		test.serial(`should keep the limit that a target of ${isKeyed ? 'a keyed' : 'an undivided'} service names, with ${count} daemons in sum`, async t => {
 			await withLimitedTarget(size, {isKeyed, targetCount: isKeyed ? 1 : 3}, async ({limited, load}) => {
 				await load(1000);
 				limited.limitPerS = 4;
 				const namedAt = performance.now();
 				await load(loadMs);
 				t.true(limited.highestCount() <= allowedCount(4), `${limited.highestCount()} requests in 4 s`);
-				t.true(limited.countBetween(namedAt + 4000, namedAt + 14_000) >= usedShare * 4 * 10);
+				const served = limited.countBetween(namedAt + 4000, namedAt + loadMs);
+				t.true(served >= usedShare * 4 * 10, `${served} requests in 10 s`);
 			});
 		});
 	}
