--- a/src/decisions/limits/permits.ts
+++ b/src/decisions/limits/permits.ts
@@ -88,6 +88,7 @@
 	private readonly passedOverUntil = new Map<string, number>();
 	private nextNumber = 1;
 	private denials = 0;
+	private issued = 0;
 
 	constructor(private readonly options: PermitOptions) {}
 
@@ -96,6 +97,11 @@
 		return this.denials;
 	}
 
+	/** Number of permits that this daemon has issued since the start. */
+	get issuedCount(): number {
+		return this.issued;
+	}
+
 	/** Time until requests of this priority may have a turn again, in milliseconds; 0 unless one was denied lately. */
 	deniedMs({id}: TargetIncarnation, priority: number, now = performance.now()): number {
 		const denied = this.deniedUntil.get(id);
@@ -289,6 +295,7 @@
 
 	private deliver(answers: readonly PermitAnswer[]): void {
 		for (const {request: {daemon, number}, decision, turnMs} of answers) {
+			this.issued += decision === PermitDecision.Granted ? 1 : 0;
 			const message = {number, decision, turnMs: Math.ceil(turnMs)};
 			if (daemon === this.options.daemon) {
 				this.receiveAnswer(daemon, message);
