fix(transport): a refusal written again is not the answer to a later attempt

Cause: a refused request is sent to the owner of its key again, mostly on the same kept connection; a faulty server writes the earlier refusal once more there, and it bears the right id. Change: a connection remembers the ids that were refused on it and is not used for such a request again; after 64 refusals it is closed. An exchange whose connection ends after an informational answer is ambiguous too, instead of an answer without a head. The report of answers cut within their head could not be reproduced: cut at every byte, with a length, in chunks, with a trailer and delimited by the connection, on new and kept connections, none is taken for an answer; these cases stay as tests.

--- a/src/transport/connection-pool.ts
+++ b/src/transport/connection-pool.ts
@@ -29,15 +29,22 @@
 		return this.inUseCounts.get(address) ?? 0;
 	}
 
-	acquire(address: string): HttpConnection {
+	/** @param requestId if set, no connection is returned on which this request was refused before */
+	acquire(address: string, requestId?: string): HttpConnection {
 		this.inUseCounts.set(address, this.inUseCount(address) + 1);
 		const connections = this.idleConnections.get(address) ?? [];
-		for (let connection = connections.pop(); connection; connection = connections.pop()) {
-			if (connection.isReusable) {
+		for (let index = connections.length - 1; index >= 0; index -= 1) {
+			const connection = connections[index];
+			if ((connection?.isReusable) && requestId !== undefined && connection.hasRefused(requestId)) {
+				continue;
+			}
+
+			connections.splice(index, 1);
+			if (connection?.isReusable) {
 				return connection;
 			}
 
-			connection.destroy();
+			connection?.destroy();
 		}
 
 		this.opened += 1;
--- a/src/transport/http-connection.ts
+++ b/src/transport/http-connection.ts
@@ -16,6 +16,9 @@
 /** Upper bound for opening a connection, in milliseconds. The exchanges on it have shorter timeouts. */
 const connectTimeoutMs = 3000;
 
+/** Refusals after which a connection is not used again, so that the ids that it keeps are few. */
+const refusalLimit = 64;
+
 /** Replaces the code `ECONNRESET`, which undici treats as a possible end of the answer; it then throws if the answer is paused. */
 const maskedResetCode = 'RESET';
 
@@ -25,6 +28,8 @@
 	private socket: Socket | undefined;
 	private hasSocketFailed = false;
 	private isClosed = false;
+	/** Ids of the requests that were refused on this connection. */
+	private readonly refusedIds = new Set<string>();
 
 	constructor(readonly address: string) {
 		this.client = new Client(`http://${address}`, {
@@ -42,7 +47,7 @@
 
 	/** True if another exchange can use the open socket. */
 	get isReusable(): boolean {
-		return !this.isClosed && !this.hasSocketFailed && this.socket?.destroyed === false && this.socket.readable;
+		return !this.isClosed && this.refusedIds.size < refusalLimit && !this.hasSocketFailed && this.socket?.destroyed === false && this.socket.readable;
 	}
 
 	/** True if the socket failed or was reset. An answer delimited by the end of the connection is then incomplete. */
@@ -50,6 +55,16 @@
 		return this.hasSocketFailed;
 	}
 
+	/** Records that a request was refused. */
+	recordRefusal(requestId: string): void {
+		this.refusedIds.add(requestId);
+	}
+
+	/** True if the request was refused on this connection before: a faulty server may write that refusal again. */
+	hasRefused(requestId: string): boolean {
+		return this.refusedIds.has(requestId);
+	}
+
 	dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
 		this.client.dispatch(options, handler);
 	}
--- a/src/transport/target-exchange.ts
+++ b/src/transport/target-exchange.ts
@@ -64,7 +64,7 @@
 		private readonly request: CallerRequest,
 		private readonly attempt: Attempt,
 	) {
-		this.connection = pool.acquire(attempt.target.address);
+		this.connection = pool.acquire(attempt.target.address, request.requestId);
 		this.onCancel = () => {
 			this.fail('cancelled');
 		};
@@ -170,11 +170,20 @@
 			return;
 		}
 
+		if (!this.head) {
+			this.fail('the connection ended before the final answer');
+			return;
+		}
+
 		if (this.connection.isBroken) {
 			this.fail('the connection was reset before the end of the answer');
 			return;
 		}
 
+		if (this.isRefusal) {
+			this.connection.recordRefusal(this.request.requestId);
+		}
+
 		// Undici marks the connection as free only after this callback.
 		setImmediate(() => {
 			this.pool.release(this.connection, this.attempt.connectionLimit);
--- a/tests/platform/target-exchange.test.ts
+++ b/tests/platform/target-exchange.test.ts
@@ -310,3 +310,103 @@
 		server.close();
 	});
 }
+
+test('should not take an earlier refusal of the same request, written again, for the answer to a later attempt', async t => {
+	let runCount = 0;
+	const refusal = `HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: ${requestId}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`;
+	const refusedOn = new Set<Socket>();
+	const server = await listen(socket => {
+		const isRun = runCount > 0 || refusedOn.size > 1 || refusedOn.has(socket);
+		if (isRun) {
+			runCount += 1;
+		}
+
+		if (refusedOn.has(socket) || !isRun) {
+			refusedOn.add(socket);
+			socket.write(refusal);
+			return;
+		}
+
+		socket.write(head(['Content-Length: 0']));
+	});
+	const transport = new TargetTransport(new PlatformTargetProtocol());
+	const attempt = async (): Promise<AttemptEnd> => {
+		const {end} = await transport.send(callerRequest(), {
+			target: targetOf(server), budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4, onStatement: () => undefined,
+		});
+		// The connection is released a turn later.
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+		return end;
+	};
+
+	const ends = [await attempt(), await attempt(), await attempt()];
+	transport.close();
+	server.close();
+	t.deepEqual(ends, [AttemptEnd.Refused, AttemptEnd.Refused, AttemptEnd.Answered]);
+	t.is(runCount, 1);
+});
+
+const framings = [
+	{title: 'with a length', text: `${head(['Content-Length: 5'])}hello`},
+	{title: 'in chunks', text: `${head(['Transfer-Encoding: chunked'])}5\r\nhello\r\n0\r\n\r\n`},
+	{title: 'in chunks with a trailer', text: `${head(['Transfer-Encoding: chunked', 'Trailer: x'])}5\r\nhello\r\n0\r\nx: 1\r\n\r\n`},
+	{title: 'with a length of several digits', text: `${head(['Content-Length: 12', 'Connection: close'])}hello, world`},
+	{title: 'that ends with the connection', text: `${head(['Connection: close'])}hello`, isBodyOpen: true},
+];
+
+const connectionStates = [
+	{state: 'a new connection', earlier: 0},
+	{state: 'a kept connection', earlier: 1},
+];
+
+for (const {title, text, isBodyOpen} of framings) {
+	for (const {state, earlier} of connectionStates) {
+		test(`should not take an answer ${title} on ${state} for complete wherever it is cut`, async t => {
+			const cutEnd = isBodyOpen ? text.indexOf('\r\n\r\n') + 4 : text.length;
+			for (let cut = 0; cut < cutEnd; cut += 1) {
+				let requestCount = 0;
+				// eslint-disable-next-line no-await-in-loop -- one cut after another.
+				const server = await listen(socket => {
+					requestCount += 1;
+					if (requestCount <= earlier) {
+						socket.write(`${head(['Content-Length: 5'])}hello`);
+					} else {
+						socket.end(text.slice(0, cut));
+					}
+				});
+				const transport = new TargetTransport(new PlatformTargetProtocol());
+				const ends: AttemptEnd[] = [];
+				while (ends.length <= earlier) {
+					// eslint-disable-next-line no-await-in-loop -- see above.
+					const {end} = await transport.send(callerRequest({requestId}), {
+						target: targetOf(server), budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4, onStatement: () => undefined,
+					});
+					ends.push(end);
+					// eslint-disable-next-line no-await-in-loop -- the connection is released a turn later.
+					await new Promise(resolve => {
+						setImmediate(resolve);
+					});
+				}
+
+				t.is(ends.at(-1), AttemptEnd.Ambiguous, `cut after ${cut} bytes`);
+				transport.close();
+				server.close();
+			}
+		});
+	}
+}
+
+test('should not take an informational answer for a final one if the connection ends after it', async t => {
+	const server = await listen(socket => {
+		socket.end('HTTP/1.1 103 Early Hints\r\nConnection: close\r\n\r\n');
+	});
+	const transport = new TargetTransport(new PlatformTargetProtocol());
+	const {end} = await transport.send(callerRequest(), {
+		target: targetOf(server), budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4, onStatement: () => undefined,
+	});
+	transport.close();
+	server.close();
+	t.is(end, AttemptEnd.Ambiguous);
+});
