fix(limits): repeat a request for a permit whose answer was lost

Cause: a lost grant is a lost permit, and at low limits each lasts seconds. Change: a request without an answer is repeated once under its number; the issuer answers a repeated one with the same decision and issues no second permit. Measured: the new case passes, the property's 20 cases pass.

--- a/src/decisions/limits/permit-queue.ts
+++ b/src/decisions/limits/permit-queue.ts
@@ -7,6 +7,9 @@
 /** Most permits that accumulate while nobody asks. */
 const permitReserve = 2;
 
+/** Time for which a grant is answered with a grant again if its request is repeated, in milliseconds. */
+const grantMemoryMs = 2000;
+
 const secondMs = 1000;
 
 /** A request that asks for a permit. */
@@ -44,6 +47,8 @@
 	private updatedAt: number;
 	/** In the order of their turns: by priority, then by arrival. */
 	private readonly waiting: WaitingRequest[] = [];
+	/** Times of recent grants by request; an answer may be lost, and its request is then repeated. */
+	private readonly grantedAt = new Map<string, number>();
 
 	/** Starts without permits: another daemon may have issued some just before. */
 	constructor(private ratePerS: number, now: number) {
@@ -59,11 +64,19 @@
 	/** Grants the request, lets it wait if its turn comes in time, or denies it. */
 	add(request: PermitRequest, now: number): PermitAnswer[] {
 		this.refill(now);
+		if (this.grantedAt.has(requestKey(request))) {
+			return [{request, decision: PermitDecision.Granted, turnMs: 0}];
+		}
+
+		const waitingIndex = this.waiting.findIndex(({request: known}) => requestKey(known) === requestKey(request));
+		if (waitingIndex !== -1) {
+			return [{request, decision: PermitDecision.Queued, turnMs: this.turnMs(waitingIndex)}];
+		}
+
 		const ahead = this.waiting.filter(({request: {priority}}) => priority <= request.priority).length;
 		const turnMs = this.turnMs(ahead);
 		if (turnMs === 0) {
-			this.permits -= 1;
-			return [{request, decision: PermitDecision.Granted, turnMs}];
+			return [this.grant(request, now)];
 		}
 
 		if (turnMs > request.waitMs) {
@@ -77,6 +90,12 @@
 	/** Grants the permits that have become available; denies requests at once that more important ones have displaced. */
 	advance(now: number): PermitAnswer[] {
 		this.refill(now);
+		for (const [key, at] of this.grantedAt) {
+			if (now - at > grantMemoryMs) {
+				this.grantedAt.delete(key);
+			}
+		}
+
 		const answers = this.denyLate(now);
 		while (this.permits >= 1) {
 			const next = this.waiting.shift();
@@ -84,8 +103,7 @@
 				break;
 			}
 
-			this.permits -= 1;
-			answers.push({request: next.request, decision: PermitDecision.Granted, turnMs: 0});
+			answers.push(this.grant(next.request, now));
 		}
 
 		return answers;
@@ -96,6 +114,12 @@
 		return this.waiting.splice(0).map(({request}) => ({request, decision: PermitDecision.Granted, turnMs: 0}));
 	}
 
+	private grant(request: PermitRequest, now: number): PermitAnswer {
+		this.permits -= 1;
+		this.grantedAt.set(requestKey(request), now);
+		return {request, decision: PermitDecision.Granted, turnMs: 0};
+	}
+
 	private denyLate(now: number): PermitAnswer[] {
 		const denied: PermitAnswer[] = [];
 		for (let index = 0; index < this.waiting.length;) {
@@ -123,3 +147,7 @@
 		this.updatedAt = now;
 	}
 }
+
+function requestKey({daemon, number}: PermitRequest): string {
+	return `${daemon} ${number}`;
+}
--- a/src/decisions/limits/permits.ts
+++ b/src/decisions/limits/permits.ts
@@ -219,7 +219,7 @@
 			}
 
 			this.passedOverUntil.set(issuer.daemon, performance.now() + passedOverMs);
-			this.options.log.record(LogEvent.PermitUnanswered, {target: target.id, issuer: issuer.daemon, waitedMs: answerTimeoutMs});
+			this.options.log.record(LogEvent.PermitUnanswered, {target: target.id, issuer: issuer.daemon, waitedMs: 2 * answerTimeoutMs});
 		}
 
 		return {isAdmitted: false, retryAfterMs: unansweredRetryMs};
@@ -241,24 +241,31 @@
 				finish({isAdmitted: false, retryAfterMs: 0});
 			};
 
-			let timer = setTimeout(() => {
-				finish(undefined);
-			}, answerTimeoutMs);
+			const send = (remainingWaitMs: number): void => {
+				this.sendRequest(issuer, target, {
+					daemon: this.options.daemon, number, priority, waitMs: remainingWaitMs,
+				});
+			};
+
+			// An answer may be lost, so the request is repeated once; the issuer recognizes its number.
+			const repeatAfter = (delayMs: number, last: Admission | undefined, remainingWaitMs: number): NodeJS.Timeout => setTimeout(() => {
+				timer = setTimeout(() => {
+					finish(last);
+				}, answerTimeoutMs);
+				send(remainingWaitMs);
+			}, delayMs);
+			let timer = repeatAfter(answerTimeoutMs, undefined, Math.max(0, waitMs - answerTimeoutMs));
 			this.pending.set(number, {
 				issuer: issuer.daemon,
 				waitMs,
 				settle: finish,
 				onQueued() {
 					clearTimeout(timer);
-					timer = setTimeout(() => {
-						finish({isAdmitted: false, retryAfterMs: unansweredRetryMs});
-					}, waitMs + answerTimeoutMs);
+					timer = repeatAfter(waitMs + answerTimeoutMs, {isAdmitted: false, retryAfterMs: unansweredRetryMs}, 0);
 				},
 			});
 			cancellation.subscribe(onCancel);
-			this.sendRequest(issuer, target, {
-				daemon: this.options.daemon, number, priority, waitMs,
-			});
+			send(waitMs);
 		});
 	}
 
--- a/tests/decisions/permits.test.ts
+++ b/tests/decisions/permits.test.ts
@@ -174,3 +174,12 @@
 	const queue = new PermitQueue(2, 0);
 	t.deepEqual(queue.add({...request, priority: 0}, 100).map(({decision, turnMs}) => [decision, turnMs]), [[PermitDecision.Denied, 400]]);
 });
+
+test('should repeat a grant whose answer was lost, without another permit', t => {
+	const queue = new PermitQueue(5, 0);
+	const granted = queue.add({...request, priority: 0}, 300);
+	t.deepEqual(queue.add({...request, priority: 0}, 380), granted);
+	t.deepEqual(queue.add({
+		...request, number: 2, waitMs: 0, priority: 0,
+	}, 380).map(({decision}) => decision), [PermitDecision.Denied]);
+});
