fix(daemon): refuse at once what may outlast the grace period

What callers got: in a planned stop in calm, requests that came late in the grace period were sent to a target and cut off at its end without an answer, two of twelve in the test, among them ones that must not be repeated. Cause: the stopping daemon admits requests whose time budget ends after its own end. Change: from SIGTERM on, a request that may last longer than the daemon is refused at once (503, daemon_stopping, Connection: close) and served by another daemon.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -139,6 +139,7 @@
 		this.isStopping = true;
 		const exitBy = performance.now() + (this.settings.shutdownGraceS * secondMs) - exitReserveMs;
 		this.log.record(LogEvent.DaemonStopping, {load: await this.kernel.call<number>('gateway.load')});
+		await this.kernel.call('dispatcher.endAt', {time: exitBy});
 		await this.kernel.call('readiness.drain');
 		await Promise.all([this.resignAndLeave(), delay(readinessPropagationMs)]);
 		await this.kernel.call('gateway.drain');
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -44,6 +44,8 @@
 	overloaded: 200,
 	noTarget: 300,
 	starting: 300,
+	/** Other daemons serve the request. */
+	stopping: 50,
 };
 
 /** Number of daemons that is assumed while the members are unknown. */
@@ -77,6 +79,8 @@
 	private readonly budgets = new Map<string, RetryBudget>();
 	private inFlight = 0;
 	private limitedAttempts = 0;
+	/** Monotonic time at which requests in flight are cut off because the daemon stops, in milliseconds. */
+	private endsAt = Infinity;
 
 	constructor(private readonly options: ForwarderOptions) {}
 
@@ -90,6 +94,11 @@
 		return this.limitedAttempts;
 	}
 
+	/** Refuses requests from now on that may last longer than this time: they would get no answer although a target ran them. */
+	endAt(time: number): void {
+		this.endsAt = time;
+	}
+
 	/** Never rejects because of a failing target. */
 	async forward(request: CallerRequest): Promise<Outcome> {
 		this.inFlight += 1;
@@ -124,7 +133,12 @@
 			return this.refuseUnrouted(request, OutcomeReason.RouteUnreadable);
 		}
 
-		return {...await this.attemptUntilFinal(this.createContext(request, route, service)), route};
+		const context = this.createContext(request, route, service);
+		if (context.deadlineAt > this.endsAt) {
+			return {...this.giveUp(context, OutcomeReason.DaemonStopping, retryDelaysMs.stopping), route};
+		}
+
+		return {...await this.attemptUntilFinal(context), route};
 	}
 
 	/**
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -121,6 +121,8 @@
 	Overloaded = 'overloaded',
 	/** The target names a limit that leaves no turn for the request in time. */
 	TargetLimit = 'target_limit',
+	/** The daemon stops before the request has certainly ended. */
+	DaemonStopping = 'daemon_stopping',
 	AttemptsUsed = 'attempts_used',
 	RetryBudgetSpent = 'retry_budget_spent',
 	AnswerLost = 'answer_lost',
--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -278,7 +278,8 @@
 	private answer(response: ServerResponse, outcome: Outcome, connection: Connection | undefined): void {
 		// Later requests on the same connection still get their answers.
 		const isLast = (connection?.pending.size ?? 0) <= 1;
-		if (this.isDraining && isLast && !response.headersSent) {
+		const closes = this.isDraining || outcome.reason === OutcomeReason.DaemonStopping;
+		if (closes && isLast && !response.headersSent) {
 			response.setHeader('connection', 'close');
 		}
 
--- a/src/services/platform-kernel.ts
+++ b/src/services/platform-kernel.ts
@@ -120,6 +120,10 @@
 			async forward(context: Context<CallerRequest>): Promise<Outcome> {
 				return forwarder.forward(context.params);
 			},
+			/** From now on, requests that may last longer than this time are refused. */
+			endAt(context: Context<{time: number}>): void {
+				forwarder.endAt(context.params.time);
+			},
 			load(): number {
 				return forwarder.inFlightCount;
 			},
--- a/standins/json-http.ts
+++ b/standins/json-http.ts
@@ -9,13 +9,13 @@
 export type JsonHandler = (request: IncomingMessage, response: ServerResponse, body: unknown) => Promise<void> | void;
 
 /** Starts a server on loopback that parses JSON bodies. */
-export async function listenJson(port: number, handler: JsonHandler): Promise<Server> {
+export async function listenJson(port: number, handler: JsonHandler, ip = '127.0.0.1'): Promise<Server> {
 	const server = createServer((request, response) => {
 		void handleJson(request, response, handler);
 	});
 	server.keepAliveTimeout = 60_000;
 	await new Promise<void>(resolve => {
-		server.listen(port, '127.0.0.1', resolve);
+		server.listen(port, ip, resolve);
 	});
 	return server;
 }
--- /dev/null
+++ b/standins/platform-deployment.ts
@@ -0,0 +1,162 @@
+/**
+ * Daemons of the users' platform in this process, with stand-ins for the store and the targets, on loopback.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import {Agent, request} from 'undici';
+import {PlatformDaemon} from '../src/daemon/platform-daemon.js';
+import type {EventLog} from '../src/model/events.js';
+import type {PlatformSettings} from '../src/platform/settings.js';
+import {WireHeader, wireKeys, wirePaths} from '../src/platform/wire.js';
+import {MemoryCoordinationStore} from './memory-coordination-store.js';
+import {PlatformStoreServer} from './platform-store-server.js';
+import {PlatformTargetServer} from './platform-target-server.js';
+
+const ports = {
+	store: 8642, caller: 8641, readiness: 8640, peer: 7620, target: 8647,
+};
+
+export type DeploymentOptions = {
+	/** First two parts of the addresses, one for each test file, so that files can run at the same time. */
+	network: string;
+	daemonCount: number;
+	targetCount: number;
+	isKeyed: boolean;
+	workMs: number;
+	shutdownGraceS?: number;
+	log?: EventLog;
+	onRun(target: string, requestId: string): void;
+};
+
+export class PlatformDeployment {
+	readonly daemons: PlatformDaemon[] = [];
+	readonly targets: PlatformTargetServer[];
+	readonly store = new MemoryCoordinationStore();
+	private readonly storeServer: PlatformStoreServer;
+	private readonly agent = new Agent({connections: 60});
+	private requestCount = 0;
+
+	constructor(private readonly options: DeploymentOptions) {
+		const {network, targetCount, isKeyed, workMs, onRun} = options;
+		this.storeServer = new PlatformStoreServer(this.store);
+		this.targets = Array.from({length: targetCount}, (_, index) => new PlatformTargetServer({
+			id: `target-${index}`, service: 'registry', ip: `${network}.1.${index + 1}`, port: ports.target, workMs, isKeyed, onRun,
+		}, this.store));
+	}
+
+	async start(): Promise<void> {
+		const {network, daemonCount, shutdownGraceS = 6, log = {record: () => undefined}} = this.options;
+		await this.storeServer.listen(ports.store, `${network}.0.1`);
+		this.putConfiguration();
+		for (const target of this.targets) {
+			// eslint-disable-next-line no-await-in-loop -- one after another.
+			await target.listen();
+		}
+
+		for (let index = 0; index < daemonCount; index += 1) {
+			const ip = this.ipOf(index);
+			const daemon = new PlatformDaemon({
+				...settings,
+				daemon: `daemon-${index}`,
+				ip,
+				callerAddress: `${ip}:${ports.caller}`,
+				readinessAddress: `${ip}:${ports.readiness}`,
+				storeAddress: `${network}.0.1:${ports.store}`,
+				shutdownGraceS,
+			}, log);
+			this.daemons.push(daemon);
+			// eslint-disable-next-line no-await-in-loop -- one after another.
+			await daemon.start();
+		}
+
+		await this.waitUntilServed();
+	}
+
+	/** Sends a request to a daemon and returns its status; undefined if the connection ended without an answer. */
+	async send(daemon: number, budgetMs: number, requestId = this.nextRequestId()): Promise<{status: number; retryAfter: string | undefined} | undefined> {
+		const key = String((this.requestCount * 7919) % 65_536);
+		try {
+			const {statusCode, headers, body} = await request(`http://${this.ipOf(daemon)}:${ports.caller}/records/${key}`, {
+				method: 'POST',
+				headers: {
+					host: 'demo.example', [WireHeader.RequestId]: requestId, [WireHeader.Budget]: String(budgetMs), [WireHeader.Key]: key,
+				},
+				body: '{}',
+				dispatcher: this.agent,
+			});
+			await body.dump();
+			return {status: statusCode, retryAfter: headers['retry-after'] as string | undefined};
+		} catch {
+			// The daemon closed the connection.
+			return undefined;
+		}
+	}
+
+	nextRequestId(): string {
+		this.requestCount += 1;
+		return `request-${this.requestCount}`;
+	}
+
+	async isReady(daemon: number): Promise<boolean> {
+		const {statusCode, body} = await request(`http://${this.ipOf(daemon)}:${ports.readiness}${wirePaths.ready}`, {dispatcher: this.agent});
+		await body.dump();
+		return statusCode === 200;
+	}
+
+	/** Closes callers' connections, as the end of the daemons' processes does. */
+	async disconnect(): Promise<void> {
+		await this.agent.destroy();
+	}
+
+	async stop(): Promise<void> {
+		await this.disconnect();
+		await Promise.all(this.daemons.map(async daemon => daemon.shutdown()));
+		for (const target of this.targets) {
+			target.close();
+		}
+
+		this.storeServer.close();
+	}
+
+	private ipOf(daemon: number): string {
+		return `${this.options.network}.2.${daemon + 1}`;
+	}
+
+	private async waitUntilServed(): Promise<void> {
+		for (let daemon = 0; daemon < this.daemons.length;) {
+			// eslint-disable-next-line no-await-in-loop -- polling.
+			const answer = await this.send(daemon, this.options.workMs + 1000);
+			daemon += answer?.status === 200 ? 1 : 0;
+			// eslint-disable-next-line no-await-in-loop -- polling.
+			await delay(20);
+		}
+	}
+
+	private putConfiguration(): void {
+		const route = {
+			host: 'demo.example', prefix: '/records/', kind: 'unsafe', timeoutMs: 20_000, targetLatencyMs: 300, priority: 1, service: 'registry', maxAttempts: 2,
+		};
+		this.store.put(wireKeys.configuration, JSON.stringify({
+			version: 1,
+			resources: [
+				{resourceType: 'routes', metadata: {name: 'records'}, spec: route},
+				{resourceType: 'services', metadata: {name: 'registry'}, spec: {healthPath: '/health', maxConnections: 300, ...(this.options.isKeyed && {sharded: true, warmS: 1})}},
+			],
+		}));
+	}
+}
+
+const settings: Omit<PlatformSettings, 'daemon' | 'ip' | 'callerAddress' | 'readinessAddress' | 'storeAddress' | 'shutdownGraceS'> = {
+	availabilityZone: 'zone-a',
+	peerPorts: [ports.peer, ports.peer + 10],
+	cores: 1,
+	linkMbps: 1000,
+	leaseMinimumMs: 1000,
+	targetHeartbeatMs: 1000,
+	drainMs: 2000,
+	configurationApplyMs: 2000,
+	retryRatio: 0.2,
+	retryWindowS: 10,
+	retryReserve: 60,
+	holdLimitMs: 10_000,
+	thawSlackMs: 300,
+};
--- a/standins/platform-store-server.ts
+++ b/standins/platform-store-server.ts
@@ -21,10 +21,10 @@
 
 	constructor(private readonly store: MemoryCoordinationStore) {}
 
-	async listen(port: number): Promise<void> {
+	async listen(port: number, ip?: string): Promise<void> {
 		this.server = await listenJson(port, async (request, response, body) => {
 			await this.handle(request, response, body);
-		});
+		}, ip);
 	}
 
 	close(): void {
--- a/standins/platform-target-server.ts
+++ b/standins/platform-target-server.ts
@@ -13,6 +13,8 @@
 export type PlatformTargetOptions = {
 	id: string;
 	service: string;
+	/** Address on loopback. */
+	ip?: string;
 	port: number;
 	workMs: number;
 	isKeyed: boolean;
@@ -25,17 +27,19 @@
 /** Serves one target on loopback. */
 export class PlatformTargetServer {
 	readonly holder: KeyHolder;
+	/** Headers in which the target says something of itself in each answer to a request. */
+	statementHeaders: Record<string, string> = {};
 	private server: Server | undefined;
 	private sequence = 0;
 
 	constructor(private readonly options: PlatformTargetOptions, private readonly store: MemoryCoordinationStore) {
-		this.holder = new KeyHolder({id: options.id, bornAt: Date.now(), address: `127.0.0.1:${options.port}`});
+		this.holder = new KeyHolder({id: options.id, bornAt: Date.now(), address: `${options.ip ?? '127.0.0.1'}:${options.port}`});
 	}
 
 	async listen(): Promise<void> {
 		this.server = await listenJson(this.options.port, async (request, response, body) => {
 			await this.handle(request, response, body);
-		});
+		}, this.options.ip);
 		this.putEntry(TargetState.Ready);
 	}
 
@@ -100,7 +104,9 @@
 		const requestId = String(request.headers[WireHeader.RequestId] ?? '');
 		const isExpected = request.headers[WireHeader.ExpectedTarget] === id;
 		if (!isExpected || (isKeyed && !this.holder.isHolding(key))) {
-			sendJson(response, 421, {}, {[WireHeader.RequestId]: requestId, [WireHeader.NotRun]: '1', [WireHeader.Target]: id});
+			sendJson(response, 421, {}, {
+				[WireHeader.RequestId]: requestId, [WireHeader.NotRun]: '1', [WireHeader.Target]: id, ...this.statementHeaders,
+			});
 			return;
 		}
 
@@ -108,6 +114,6 @@
 		await new Promise(resolve => {
 			setTimeout(resolve, workMs);
 		});
-		sendJson(response, 200, {target: id}, {[WireHeader.RequestId]: requestId, [WireHeader.Seal]: `${id}.${requestId}`});
+		sendJson(response, 200, {target: id}, {[WireHeader.RequestId]: requestId, [WireHeader.Seal]: `${id}.${requestId}`, ...this.statementHeaders});
 	}
 }
