fix(limits): a target that leaves, or wants no requests for a time, gets none

Cause: as with limits, no daemon acted on what a target says of itself in an answer. Change: a statement of leaving makes the incarnation draining in the view, whatever the store says of it, is told to all daemons at once and with the load reports, and lets the leader move its keys. Retry-After on a 503 pauses the target for this daemon: other targets of an undivided service serve, a request for a key is refused at once with the rest of the pause. Lines TargetLeaving and TargetPaused, metrics leaving_targets and paused_targets. A table of cases for malformed headers.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -85,8 +85,13 @@
 			this.sync.recordStoreAnswer();
 		});
 		const loads = new TargetLoads();
-		this.statements = new TargetStatements(log, () => {
-			this.exchange.announceStatements();
+		this.statements = new TargetStatements(log, {
+			onNews: () => {
+				this.exchange.announceStatements();
+			},
+			onLeaving: target => {
+				this.view.markLeaving(target);
+			},
 		});
 		this.permits = this.createPermits();
 		const exchange = this.createExchange(loads);
@@ -288,6 +293,8 @@
 			oldestLimitAgeMs: () => this.statements.oldestLimitAgeMs(),
 			limitedAttempts: () => forwarder.limitedAttemptCount,
 			deniedPermits: () => this.permits.denialCount,
+			pausedTargets: () => this.statements.pausedCount(),
+			leavingTargets: () => this.statements.leavingCount,
 		});
 	}
 
--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -3,7 +3,7 @@
  */
 import type {Cancellation} from '../../model/cancellation.js';
 import {
-	isSameIncarnation, TargetState, type Member, type Target,
+	isSameIncarnation, TargetState, type Member, type Target, type TargetIncarnation,
 } from '../../model/fleet.js';
 import type {KeyAssignment} from '../../model/key-ownership.js';
 import type {RouteConfiguration} from '../../model/route-configuration.js';
@@ -33,6 +33,9 @@
 /** Time for which a removed target is kept, in milliseconds; longer than the longest hold of keys. */
 const removedRetentionMs = 15_000;
 
+/** Time for which it is remembered that an incarnation is leaving, in milliseconds; longer than any leaving target runs. */
+const leavingRetentionMs = 600_000;
+
 /** Number of earlier assignments kept for each service, so that daemons a few changes behind need not get all ranges. */
 const assignmentHistoryLimit = 8;
 
@@ -48,6 +51,8 @@
 	private readonly targets = new Map<string, Target>();
 	private readonly removed = new Map<string, RemovedTarget>();
 	private readonly readyByService = new Map<string, Target[]>();
+	/** Targets that said in an answer that they are leaving, with the incarnation and the time. */
+	private readonly leaving = new Map<string, {bornAt: number; saidAt: number}>();
 	private readonly warmedUpAt = new Map<string, number>();
 	private readonly assignmentListeners = new Set<() => void>();
 	/** Until then, targets whose entries are removed from the store stay in use. */
@@ -85,12 +90,24 @@
 			return;
 		}
 
-		this.targets.set(target.id, target);
+		this.targets.set(target.id, this.isLeaving(target) ? {...target, state: TargetState.Draining} : target);
 		this.removed.delete(target.id);
 		this.warmedUpAt.set(target.id, now + target.warmUpLeftMs);
 		this.readyByService.clear();
 	}
 
+	/** Treats an incarnation as draining from now on, whatever the store says of it. */
+	markLeaving({id, bornAt}: TargetIncarnation, now = performance.now()): void {
+		this.leaving.set(id, {bornAt, saidAt: now});
+		for (const target of [this.targets.get(id), this.removed.get(id)?.target]) {
+			if (target?.bornAt === bornAt) {
+				target.state = TargetState.Draining;
+			}
+		}
+
+		this.readyByService.clear();
+	}
+
 	removeTarget(id: string, now = performance.now()): void {
 		const target = this.targets.get(id);
 		if (!target) {
@@ -214,6 +231,16 @@
 				this.removed.delete(id);
 			}
 		}
+
+		for (const [id, {saidAt}] of this.leaving) {
+			if (now - saidAt > leavingRetentionMs) {
+				this.leaving.delete(id);
+			}
+		}
+	}
+
+	private isLeaving({id, bornAt}: TargetIncarnation): boolean {
+		return this.leaving.get(id)?.bornAt === bornAt;
 	}
 
 	private readyListedTargets(service: string): Target[] {
--- a/src/decisions/fleet/peer-message.ts
+++ b/src/decisions/fleet/peer-message.ts
@@ -32,7 +32,7 @@
 	isListing: z.optional(z.boolean()),
 });
 
-/** What targets said of themselves, by target; ages in milliseconds. */
+/** The limit of a target; ages in milliseconds. */
 const limitSchema = z.object({limitPerS: z.optional(z.number().check(z.positive())), namedAgeMs: z.optional(counter), clearedAgeMs: z.optional(counter)});
 
 const messageSchema = z.object({
@@ -64,8 +64,8 @@
 	wants: z.optional(z.object({after: z.optional(counter), assignments: z.optional(revisionsSchema), evidence: z.optional(counter)})),
 	/** Answer to an evidence request: its number, the sender's active version, and the age of the sender's evidence for it. */
 	evidence: z.optional(z.object({question: counter, version: counter, ageMs: counter})),
-	/** What the sender knows about the limits of targets. */
-	statements: z.optional(z.record(z.string(), z.extend(limitSchema, {bornAt: counter}))),
+	/** What targets have said of themselves, as far as the sender knows. */
+	statements: z.optional(z.record(z.string(), z.extend(limitSchema, {bornAt: counter, isLeaving: z.optional(z.boolean())}))),
 	/** Asks for a permit to send a request to a target that names a limit. */
 	permitRequest: z.optional(z.object({
 		number: counter, target: z.string(), bornAt: counter, priority: counter, waitMs: counter, limit: limitSchema,
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -255,11 +255,11 @@
 	}
 
 	private chooseUnkeyedTarget(context: ForwardingContext): Target | Outcome {
-		const {view, loads, permits, availabilityZone, random} = this.options;
+		const {view, loads, permits, statements, availabilityZone, random} = this.options;
 		const now = performance.now();
 		const targets = view.readyTargets(context.service.name, now);
 		for (const target of targets) {
-			const deniedMs = permits.deniedMs(target, context.route.priority, now);
+			const deniedMs = Math.max(permits.deniedMs(target, context.route.priority, now), statements.pauseLeftMs(target, now));
 			if (deniedMs > 0) {
 				context.deniedTargets.set(target.id, deniedMs);
 			}
@@ -305,7 +305,7 @@
 		const {isAdmitted, retryAfterMs} = await permits.acquire(target, route.priority, waitMs, cancellation);
 		if (isAdmitted) {
 			// The target may have left, or the key may have moved, while the request waited for its turn.
-			return view.isReady(target) && view.assignments.get(service.name) === known;
+			return statements.pauseLeftMs(target) === 0 && view.isReady(target) && view.assignments.get(service.name) === known;
 		}
 
 		context.deniedTargets.set(target.id, retryAfterMs);
@@ -331,6 +331,11 @@
 			return this.waitForOwner(context, OutcomeReason.KeyMoving, retryDelaysMs.moving);
 		}
 
+		const pauseMs = this.options.statements.pauseLeftMs(target);
+		if (pauseMs > 0) {
+			return this.giveUp(context, OutcomeReason.TargetPaused, pauseMs);
+		}
+
 		const estimate = this.options.loads.estimate(target, {warmUpLeftMs: view.warmUpLeft(target.id), connectionLimit: this.connectionLimit(service)});
 		if (!context.mayHaveRun && cannotServe(estimate, context)) {
 			return this.giveUp(context, OutcomeReason.Overloaded, backlogRetryDelayMs(estimate));
--- a/src/decisions/limits/target-statements.ts
+++ b/src/decisions/limits/target-statements.ts
@@ -32,8 +32,8 @@
 	clearedAgeMs?: number | undefined;
 };
 
-/** Reported limits with the incarnations that named them, by target. */
-export type ReportedStatements = Record<string, ReportedLimit & {bornAt: number}>;
+/** Reported statements with the incarnations that made them, by target. */
+export type ReportedStatements = Record<string, ReportedLimit & {bornAt: number; isLeaving?: boolean | undefined}>;
 
 /** Where a statement was read. */
 export enum StatementSource {
@@ -51,14 +51,24 @@
 	/** Latest time at which a request was sent whose answer named no limit. */
 	clearedAt: number;
 	isUnreadableLogged: boolean;
+	isLeaving: boolean;
+	/** Until then, the target wants no requests from this daemon. */
+	pausedUntil: number;
+};
+
+/** Is told what changes beyond limits. */
+export type StatementListener = {
+	/** An answer showed what no answer and no peer had shown before. */
+	onNews(): void;
+	/** A target said that it is leaving. */
+	onLeaving(target: TargetIncarnation): void;
 };
 
 /** Keeps the newest statements of each target's latest known incarnation. */
 export class TargetStatements {
 	private readonly records = new Map<string, StatementRecord>();
 
-	/** @param onNews called when an answer shows what no answer and no peer has shown before */
-	constructor(private readonly log: EventLog, private readonly onNews: () => void = () => undefined) {}
+	constructor(private readonly log: EventLog, private readonly listener: StatementListener) {}
 
 	/** Records what an answer says about the target that gave it. */
 	record(target: TargetIncarnation, statement: TargetStatement, sentAt: number, now = performance.now()): void {
@@ -75,11 +85,16 @@
 			record.clearedAt = Math.max(record.clearedAt, sentAt);
 		}
 
-		if (before === undefined && limitPerS !== undefined) {
-			this.onNews();
+		this.logLimit(target, before, {source: StatementSource.Answer, ageMs: 0});
+		if (statement.pauseMs !== undefined) {
+			record.pausedUntil = Math.max(record.pausedUntil, now + statement.pauseMs);
+			this.log.record(LogEvent.TargetPaused, {target: target.id, pauseMs: Math.round(statement.pauseMs)});
 		}
 
-		this.logLimit(target, before, {source: StatementSource.Answer, ageMs: 0});
+		const isLeavingNews = statement.isLeaving && this.recordLeaving(target, record, StatementSource.Answer);
+		if (isLeavingNews || (before === undefined && limitPerS !== undefined)) {
+			this.listener.onNews();
+		}
 	}
 
 	/** Takes over what a peer knows about the limit of a target. */
@@ -103,8 +118,13 @@
 
 	/** Takes over what a peer knows. */
 	receive(statements: ReportedStatements, now = performance.now()): void {
-		for (const [id, {bornAt, ...limit}] of Object.entries(statements)) {
-			this.receiveLimit({id, bornAt, address: ''}, limit, now);
+		for (const [id, {bornAt, isLeaving, ...limit}] of Object.entries(statements)) {
+			const target = {id, bornAt, address: ''};
+			this.receiveLimit(target, limit, now);
+			const record = this.recordOf(target);
+			if (record && isLeaving === true) {
+				this.recordLeaving(target, record, StatementSource.Peer);
+			}
 		}
 	}
 
@@ -112,8 +132,8 @@
 	report(now = performance.now()): ReportedStatements | undefined {
 		const reported: ReportedStatements = {};
 		for (const [id, record] of this.records) {
-			if (isLimited(record) || now - record.namedAt < reportMs) {
-				reported[id] = {bornAt: record.bornAt, ...reportOf(record, now)};
+			if (record.isLeaving || isLimited(record) || now - record.namedAt < reportMs) {
+				reported[id] = {bornAt: record.bornAt, ...(record.isLeaving && {isLeaving: true}), ...reportOf(record, now)};
 			}
 		}
 
@@ -137,6 +157,22 @@
 		return record?.bornAt === bornAt && isLimited(record) ? record.limitPerS : undefined;
 	}
 
+	/** Time for which the target wants no requests from this daemon, in milliseconds; 0 if it takes them. */
+	pauseLeftMs({id, bornAt}: TargetIncarnation, now = performance.now()): number {
+		const record = this.records.get(id);
+		return record?.bornAt === bornAt ? Math.max(0, record.pausedUntil - now) : 0;
+	}
+
+	/** Number of targets that want no requests from this daemon at present. */
+	pausedCount(now = performance.now()): number {
+		return [...this.records.values()].filter(({pausedUntil}) => pausedUntil > now).length;
+	}
+
+	/** Number of targets that said that they are leaving. */
+	get leavingCount(): number {
+		return [...this.records.values()].filter(({isLeaving}) => isLeaving).length;
+	}
+
 	/** Number of targets that name a limit. */
 	get limitedCount(): number {
 		return this.limitedRecords().length;
@@ -174,6 +210,18 @@
 		return usedLimitPerS;
 	}
 
+	/** Returns whether this was not known before. */
+	private recordLeaving(target: TargetIncarnation, record: StatementRecord, source: StatementSource): boolean {
+		if (record.isLeaving) {
+			return false;
+		}
+
+		record.isLeaving = true;
+		this.log.record(LogEvent.TargetLeaving, {target: target.id, bornAt: target.bornAt, source});
+		this.listener.onLeaving(target);
+		return true;
+	}
+
 	private logLimit(target: TargetIncarnation, before: number | undefined, {source, ageMs}: {source: StatementSource; ageMs: number}): void {
 		const limitPerS = this.limitOf(target);
 		if (limitPerS !== before) {
@@ -191,7 +239,7 @@
 		}
 
 		const record: StatementRecord = {
-			bornAt, limitPerS: undefined, namedAt: -Infinity, lowestNamedAt: -Infinity, clearedAt: -Infinity, isUnreadableLogged: false,
+			bornAt, limitPerS: undefined, namedAt: -Infinity, lowestNamedAt: -Infinity, clearedAt: -Infinity, isUnreadableLogged: false, isLeaving: false, pausedUntil: -Infinity,
 		};
 		this.records.set(id, record);
 		return record;
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -119,6 +119,8 @@
 	KeyMoving = 'key_moving',
 	OwnerLost = 'owner_lost',
 	Overloaded = 'overloaded',
+	/** The target refused a request of this daemon and wants none from it for a time. */
+	TargetPaused = 'target_paused',
 	/** The target names a limit that leaves no turn for the request in time. */
 	TargetLimit = 'target_limit',
 	/** The daemon stops before the request has certainly ended. */
--- a/src/services/platform-metrics-service.ts
+++ b/src/services/platform-metrics-service.ts
@@ -34,6 +34,10 @@
 	limitedAttempts(): number;
 	/** Attempts since the start that were not sent to a target on account of its limit. */
 	deniedPermits(): number;
+	/** Targets that want no requests from this daemon at present. */
+	pausedTargets(): number;
+	/** Targets that said that they are leaving. */
+	leavingTargets(): number;
 };
 
 /** Metrics of one daemon in their own registry. */
@@ -59,6 +63,8 @@
 		this.addGauge('oldest_limit_age_seconds', 'Time since a limit in force was last named, for the target of which this is longest.', () => sources.oldestLimitAgeMs() / secondMs);
 		this.addGauge('limited_attempts', 'Attempts since the start at targets that name a limit.', () => sources.limitedAttempts());
 		this.addGauge('denied_permits', 'Attempts since the start that were not sent to a target on account of its limit.', () => sources.deniedPermits());
+		this.addGauge('paused_targets', 'Targets that want no requests from this daemon at present.', () => sources.pausedTargets());
+		this.addGauge('leaving_targets', 'Targets that said in an answer that they are leaving.', () => sources.leavingTargets());
 		this.addGauge('resident_bytes', 'Memory of the process.', () => process.memoryUsage.rss());
 	}
 
--- a/standins/limited-target.ts
+++ b/standins/limited-target.ts
@@ -1,7 +1,7 @@
 /**
  * A target that names a limit, and the judgement of what it got, on the clock of the test.
  */
-import type {Attempt, AttemptResult} from '../src/model/forwarding.js';
+import {AttemptEnd, type Attempt, type AttemptResult} from '../src/model/forwarding.js';
 import type {TargetStatement} from '../src/model/target-statement.js';
 import {success} from './relayed-fleet.js';
 
@@ -28,10 +28,14 @@
 	at: number;
 	/** True if the daemon had been told of the limit half a second before or earlier. */
 	isCounted: boolean;
+	daemon: string;
 };
 
 export class LimitedTarget {
 	readonly arrivals: Arrival[] = [];
+	isLeaving = false;
+	/** If set, the target refuses requests and wants none from their daemons for so long. */
+	pauseMs: number | undefined;
 	private readonly toldAt = new Map<string, number>();
 	private namedAt: number | undefined;
 
@@ -41,17 +45,19 @@
 	/** Answers like a target; the limit is read when the answer is written. */
 	async answer(daemon: string, attempt: Attempt): Promise<AttemptResult> {
 		const now = performance.now();
-		this.arrivals.push({at: now, isCounted: now - (this.toldAt.get(daemon) ?? Infinity) >= toldDelayMs});
+		this.arrivals.push({at: now, daemon, isCounted: now - (this.toldAt.get(daemon) ?? Infinity) >= toldDelayMs});
 		await new Promise(resolve => {
 			setTimeout(resolve, this.workMs);
 		});
-		attempt.onStatement({...silentStatement, limitPerS: this.limitPerS});
+		attempt.onStatement({
+			...silentStatement, limitPerS: this.limitPerS, isLeaving: this.isLeaving, pauseMs: this.pauseMs, hasRun: this.pauseMs === undefined,
+		});
 		if (this.limitPerS !== undefined && !this.toldAt.has(daemon)) {
 			this.toldAt.set(daemon, performance.now());
 			this.namedAt ??= performance.now();
 		}
 
-		return success;
+		return this.pauseMs === undefined ? success : {end: AttemptEnd.Refused, answer: {status: 503, headers: {}}};
 	}
 
 	/** Forgets whom it told, as the end of the limit or a restart of the daemon does. */
--- a/standins/lone-permits.ts
+++ b/standins/lone-permits.ts
@@ -9,7 +9,7 @@
 
 /** No other daemon answers, and this one issues permits only once it is a member of its view. */
 export function createLonePermits(log: EventLog, view = new FleetView()): {statements: TargetStatements; permits: Permits} {
-	const statements = new TargetStatements(log);
+	const statements = new TargetStatements(log, {onNews: () => undefined, onLeaving: () => undefined});
 	const sender = {request: () => undefined, answer: () => undefined};
 	return {
 		statements,
--- a/standins/permit-fleet.ts
+++ b/standins/permit-fleet.ts
@@ -125,7 +125,7 @@
 
 export class PermitDaemon {
 	readonly permits: Permits;
-	readonly statements = new TargetStatements(silentLog);
+	readonly statements = new TargetStatements(silentLog, {onNews: () => undefined, onLeaving: () => undefined});
 	admittedCount = 0;
 	private readonly view = new FleetView();
 
--- a/standins/relayed-fleet.ts
+++ b/standins/relayed-fleet.ts
@@ -48,8 +48,13 @@
 export class RelayedDaemon {
 	readonly view = new FleetView();
 	readonly loads = new TargetLoads();
-	readonly statements = new TargetStatements(silentLog, () => {
-		this.exchange.announceStatements();
+	readonly statements = new TargetStatements(silentLog, {
+		onNews: () => {
+			this.exchange.announceStatements();
+		},
+		onLeaving: target => {
+			this.view.markLeaving(target);
+		},
 	});
 
 	readonly permits: Permits;
--- /dev/null
+++ b/tests/platform/target-statements.test.ts
@@ -0,0 +1,53 @@
+import test from 'ava';
+import {readTargetStatement} from '../../src/platform/target-statement-reader.js';
+import type {TargetStatement} from '../../src/model/target-statement.js';
+
+const silent: TargetStatement = {
+	limitPerS: undefined, unreadableLimit: undefined, isLeaving: false, pauseMs: undefined, hasRun: true,
+};
+
+type Case = {title: string; status?: number; headers: Record<string, string | string[]>; expected: Partial<TargetStatement>};
+
+const cases: Case[] = [
+	{title: 'no header', headers: {}, expected: {}},
+	{title: 'a whole number', headers: {'server-limit': '4'}, expected: {limitPerS: 4}},
+	{title: 'a fraction', headers: {'server-limit': '0.25'}, expected: {limitPerS: 0.25}},
+	{title: '0', headers: {'server-limit': '0'}, expected: {limitPerS: 0}},
+	{title: 'the lowest of two headers', headers: {'server-limit': ['7', '3.5']}, expected: {limitPerS: 3.5}},
+	{title: 'a comma as a list', headers: {'server-limit': '3,4'}, expected: {limitPerS: 3}},
+	{title: 'a negative number as unreadable', headers: {'server-limit': '-1'}, expected: {unreadableLimit: '-1'}},
+	{title: 'NaN as unreadable', headers: {'server-limit': 'NaN'}, expected: {unreadableLimit: 'NaN'}},
+	{title: 'an exponent as unreadable', headers: {'server-limit': '1e300'}, expected: {unreadableLimit: '1e300'}},
+	{title: 'an empty value as unreadable', headers: {'server-limit': ''}, expected: {unreadableLimit: ''}},
+	{title: '64 KiB as unreadable, shortened', headers: {'server-limit': '9'.repeat(65_536)}, expected: {unreadableLimit: '9'.repeat(32)}},
+	{title: 'a huge number as the highest limit', headers: {'server-limit': '999999999999'}, expected: {limitPerS: 100_000}},
+	{title: 'leaving', headers: {'server-leaving': '1'}, expected: {isLeaving: true}},
+	{title: 'not leaving', headers: {'server-leaving': '0'}, expected: {isLeaving: false}},
+	{
+		title: 'seconds of a pause', status: 503, headers: {'retry-after': '2'}, expected: {pauseMs: 2000},
+	},
+	{
+		title: 'a fraction of a second', status: 503, headers: {'retry-after': '1.5'}, expected: {pauseMs: 1500},
+	},
+	{
+		title: 'a date that has passed', status: 503, headers: {'retry-after': 'Wed, 21 Oct 2015 07:28:00 GMT'}, expected: {},
+	},
+	{
+		title: 'a date far ahead as the longest pause', status: 503, headers: {'retry-after': 'Wed, 21 Oct 2199 07:28:00 GMT'}, expected: {pauseMs: 120_000},
+	},
+	{
+		title: 'text in place of seconds', status: 503, headers: {'retry-after': 'soon'}, expected: {},
+	},
+	{
+		title: 'a negative pause', status: 503, headers: {'retry-after': '-5'}, expected: {},
+	},
+	{
+		title: 'no pause with another status', status: 429, headers: {'retry-after': '2'}, expected: {},
+	},
+];
+
+for (const {title, status = 200, headers, expected} of cases) {
+	test(`should read ${title}`, t => {
+		t.deepEqual(readTargetStatement(status, headers, true), {...silent, ...expected});
+	});
+}
