fix(ownership): a target's limit bounds the load of keys that it owns

What callers got: a keyed target that names a limit below its load refuses most requests for its keys, although the others have room. Cause: the leader weighs owners by slots and service time alone. Change: the capacity of an owner is at most the limit that it names.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -250,6 +250,7 @@
 			orders: this.orders,
 			view: this.view,
 			loads,
+			statements: this.statements,
 			log: this.log,
 			leaseMinimumMs,
 			limits: {holdLimitMs, thawSlackMs},
--- a/src/decisions/ownership/assignment-manager.ts
+++ b/src/decisions/ownership/assignment-manager.ts
@@ -14,6 +14,7 @@
 import {storeKeys} from '../fleet/daemon-documents.js';
 import type {FleetView, KnownAssignment} from '../fleet/fleet-view.js';
 import type {TargetLoads} from '../forwarding/target-loads.js';
+import type {TargetStatements} from '../limits/target-statements.js';
 import {AssignmentDraft, initialAssignment} from './assignment-draft.js';
 import type {HoldPolicy} from './hold-policy.js';
 import {balanceKeys, type OwnerCandidate} from './key-balance.js';
@@ -40,6 +41,7 @@
 	orders: KeyOrders;
 	view: FleetView;
 	loads: TargetLoads;
+	statements: TargetStatements;
 	leadership: Leadership;
 	policy: HoldPolicy;
 	responsiveness: TargetResponsiveness;
@@ -295,10 +297,13 @@
 
 	/** Targets that are eligible to own keys. */
 	private candidates(now: number): OwnerCandidate[] {
-		const {view, responsiveness, loads} = this.options;
+		const {view, responsiveness, loads, statements} = this.options;
 		return view.readyTargets(this.rule.name, now)
 			.filter(target => !responsiveness.isUnreachable(target) && !responsiveness.hasEnded(target))
-			.map(target => ({incarnation: incarnationOf(target), capacity: target.slots * secondMs / loads.estimatedServiceMs(target)}));
+			.map(target => ({
+				incarnation: incarnationOf(target),
+				capacity: Math.min(target.slots * secondMs / loads.estimatedServiceMs(target), statements.limitOf(target) ?? Infinity),
+			}));
 	}
 
 	/** Raises the token of every range with the next write, because a target has seen a higher one than the assignment contains. */
--- a/standins/keyed-fleet.ts
+++ b/standins/keyed-fleet.ts
@@ -4,12 +4,14 @@
 import {FleetSync} from '../src/decisions/fleet/fleet-sync.js';
 import {FleetView} from '../src/decisions/fleet/fleet-view.js';
 import {TargetLoads} from '../src/decisions/forwarding/target-loads.js';
+import type {TargetStatements} from '../src/decisions/limits/target-statements.js';
 import {KeyLeader} from '../src/decisions/ownership/key-leader.js';
 import type {EventLog, LogEvent, LogFields} from '../src/model/events.js';
 import {TargetState, type Member, type Target} from '../src/model/fleet.js';
 import {findRange, lastKey} from '../src/model/key-ownership.js';
 import type {RouteConfiguration} from '../src/model/route-configuration.js';
 import {KeyHolder, KeyHolderOrders} from './key-holder.js';
+import {createLonePermits} from './lone-permits.js';
 import {MemoryCoordinationStore, type MemoryStoreClient} from './memory-coordination-store.js';
 
 /** Name of the service. */
@@ -41,6 +43,7 @@
 	readonly client: MemoryStoreClient;
 	readonly orders: KeyHolderOrders;
 	readonly leader: KeyLeader;
+	readonly statements: TargetStatements;
 	isPaused = false;
 	private readonly sync: FleetSync;
 
@@ -60,12 +63,14 @@
 			decodeConfiguration: () => configuration,
 			decodeTarget: (_key, text) => JSON.parse(text) as Target,
 		}, {log});
+		this.statements = createLonePermits(log).statements;
 		this.leader = new KeyLeader({
 			daemon: name,
 			store: this.client,
 			orders: this.orders,
 			view: this.view,
 			loads: new TargetLoads(),
+			statements: this.statements,
 			log,
 			leaseMinimumMs: 1000,
 			limits: {holdLimitMs: 10_000, thawSlackMs: 300},
--- a/tests/decisions/key-ownership.test.ts
+++ b/tests/decisions/key-ownership.test.ts
@@ -272,3 +272,34 @@
 		clock.uninstall();
 	}
 });
+
+test.serial('should move the load of a target that names a low limit to others', async t => {
+	const clock = install();
+	const fleet = new KeyedFleet(2, 4);
+	const run = async (durationMs: number): Promise<void> => fleet.run(durationMs, async ms => clock.tickAsync(ms));
+	const keys = Array.from({length: 40}, (_, index) => index * 1637);
+	const loadOf = (id: string): number => keys.filter(key => fleet.ownerOf(key) === id).length;
+	const load = async (durationMs: number): Promise<void> => {
+		for (let passedMs = 0; passedMs < durationMs; passedMs += 200) {
+			for (const {leader, statements} of fleet.daemons) {
+				const {incarnation} = fleet.holder(0);
+				statements.receiveLimit(incarnation, {limitPerS: 4, namedAgeMs: 0});
+				leader.recordKeys('registry', keys.slice(0, 8 + ((passedMs / 200) % 33)));
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- load arrives over time.
+			await run(200);
+		}
+	};
+
+	try {
+		await run(5000);
+		const before = loadOf('target-0');
+		await load(8000);
+		t.true(loadOf('target-0') <= before / 2, `${loadOf('target-0')} of ${before} busy keys are left`);
+		t.deepEqual(fleet.overlappingHolds, []);
+	} finally {
+		fleet.stop();
+		clock.uninstall();
+	}
+});
