fix(targets): a date in Retry-After is no delay of NaN seconds

What callers of the published interface could get: Retry-After: NaN, if a server refuses with a date, and a negative delay. Cause: the value was turned into a number unchecked. Change: a value that is no non-negative number counts as none (1 s). Measured: three of five new cases failed before and pass.

--- a/src/targets/http-exchange.ts
+++ b/src/targets/http-exchange.ts
@@ -16,6 +16,9 @@
 
 const secondMs = 1000;
 
+/** Delay until a retry after a refusal that names none, in milliseconds. */
+const defaultRetryAfterMs = 1000;
+
 /** State of an exchange. */
 enum ExchangeState {
 	/** No byte of the request was written. */
@@ -103,7 +106,7 @@
 		this.status = status;
 		if (headers[ContractHeader.Outcome] === notRunOutcome) {
 			this.state = ExchangeState.Refused;
-			this.refusal = {reason: refusalReason(headers), retryAfterMs: Number(headers['retry-after'] ?? 1) * secondMs};
+			this.refusal = {reason: refusalReason(headers), retryAfterMs: retryAfterMsOf(headers)};
 			return;
 		}
 
@@ -213,6 +216,12 @@
 	}
 }
 
+/** The delay that the server names, in milliseconds; a default if it names none, or a date, which callers of this interface never get. */
+function retryAfterMsOf(headers: Record<string, string | string[] | undefined>): number {
+	const seconds = Number(headers['retry-after'] ?? Number.NaN);
+	return Number.isFinite(seconds) && seconds >= 0 ? seconds * secondMs : defaultRetryAfterMs;
+}
+
 function refusalReason(headers: Record<string, string | string[] | undefined>): NotRunReason {
 	return headers[ContractHeader.Reason] === 'fenced' ? NotRunReason.Fenced : NotRunReason.Shed;
 }
--- a/tests/http/exchange.test.ts
+++ b/tests/http/exchange.test.ts
@@ -169,3 +169,25 @@
 	server.closeAllConnections();
 	server.close();
 });
+
+const retryDelays = [
+	{value: '2', expectedMs: 2000},
+	{value: '0.5', expectedMs: 500},
+	{value: 'Wed, 21 Oct 2099 07:28:00 GMT', expectedMs: 1000},
+	{value: 'NaN', expectedMs: 1000},
+	{value: '-3', expectedMs: 1000},
+];
+
+for (const {value, expectedMs} of retryDelays) {
+	test(`should name ${expectedMs} ms until a retry after a refusal with the delay "${value}"`, async t => {
+		const {server, port} = await listen(response => {
+			response.writeHead(503, {'eelgrasswheel-outcome': 'not-run', 'retry-after': value});
+			response.end();
+		});
+		const exchanged = createExchange(port);
+		const result = await new HttpTransport().send(exchanged.request, exchanged.attempt);
+		t.is(result.retryAfterMs, expectedMs);
+		server.closeAllConnections();
+		server.close();
+	});
+}
