fix(limits): a denial does not outlast the limit or the incarnation

What callers got: up to four seconds after a limit of 0.25 a second had ended, or for the next incarnation of the target, an undivided service passed the target over and a daemon refused its keys. Cause: the time of the next turn was kept by id alone. Change: a denial counts only while the limit of this incarnation stands. Numbers of requests for permits start at the time of day, so that an answer to an earlier process of the daemon is not taken for one to this process.

--- a/src/decisions/limits/permits.ts
+++ b/src/decisions/limits/permits.ts
@@ -86,7 +86,8 @@
 	/** Until when requests of a priority or a lower one have no turn, by target. */
 	private readonly deniedUntil = new Map<string, {priority: number; until: number}>();
 	private readonly passedOverUntil = new Map<string, number>();
-	private nextNumber = 1;
+	/** Starts at the time of day, so that answers to an earlier process of this daemon have lower numbers. */
+	private nextNumber = Date.now();
 	private denials = 0;
 	private issued = 0;
 
@@ -102,10 +103,10 @@
 		return this.issued;
 	}
 
-	/** Time until requests of this priority may have a turn again, in milliseconds; 0 unless one was denied lately. */
-	deniedMs({id}: TargetIncarnation, priority: number, now = performance.now()): number {
-		const denied = this.deniedUntil.get(id);
-		return denied && priority >= denied.priority ? Math.max(0, denied.until - now) : 0;
+	/** Time until requests of this priority may have a turn again, in milliseconds; 0 unless one was denied lately and the limit stands. */
+	deniedMs(target: TargetIncarnation, priority: number, now = performance.now()): number {
+		const denied = this.deniedUntil.get(target.id);
+		return denied && this.options.statements.limitOf(target) !== undefined && priority >= denied.priority ? Math.max(0, denied.until - now) : 0;
 	}
 
 	/** Waits for a permit for one attempt. Settles at once if the target names no limit, or if no turn comes in time. */
--- a/tests/decisions/permits.test.ts
+++ b/tests/decisions/permits.test.ts
@@ -4,8 +4,9 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {PermitDecision, PermitQueue} from '../../src/decisions/limits/permit-queue.js';
-import {allowedCount} from '../../standins/limited-target.js';
+import {allowedCount, silentStatement} from '../../standins/limited-target.js';
 import {PermitFleet} from '../../standins/permit-fleet.js';
+import {target} from '../../standins/relayed-fleet.js';
 
 /** Time until the first issuers begin, in milliseconds. */
 const settleMs = 2000;
@@ -158,6 +159,19 @@
 	});
 });
 
+test.serial('should not hold a denial against a target whose limit has ended, or against its next incarnation', async t => {
+	await withFleet(2, 1, async ({fleet, load}) => {
+		fleet.limited.limitPerS = 0.25;
+		await load(2000, 20);
+		const {permits, statements} = fleet.daemons[0];
+		const limited = target('a');
+		t.true(permits.deniedMs(limited, 1) > 0);
+		t.is(permits.deniedMs({...limited, bornAt: 2}, 1), 0);
+		statements.record(limited, silentStatement, performance.now());
+		t.is(permits.deniedMs(limited, 1), 0);
+	});
+});
+
 const request = {daemon: 'daemon', number: 1, waitMs: 200};
 
 test('should give the turn to the request that matters most, and deny at once what it displaces', t => {
