fix(limits): a permit is not lost because another key changes owner

Cause: after waiting for a permit, a request took any newer assignment of the service for a move of its own key, dropped the permit and asked again. Change: only the owner of the request's own key counts.

--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -300,18 +300,24 @@
 		const {service, route, request: {cancellation}} = context;
 		const hasAlternative = !service.isKeyed && view.readyTargets(service.name)
 			.some(({id, bornAt, address}) => !context.triedTargets.has(id) && !context.deniedTargets.has(id) && statements.limitOf({id, bornAt, address}) === undefined);
-		const known = view.assignments.get(service.name);
 		const waitMs = hasAlternative ? 0 : permitWaitMs(loads.estimate(target), context);
 		const {isAdmitted, retryAfterMs} = await permits.acquire(target, route.priority, waitMs, cancellation);
 		if (isAdmitted) {
 			// The target may have left, or the key may have moved, while the request waited for its turn.
-			return statements.pauseLeftMs(target) === 0 && view.isReady(target) && view.assignments.get(service.name) === known;
+			return statements.pauseLeftMs(target) === 0 && view.isReady(target) && (!service.isKeyed || this.isOwner(context, target));
 		}
 
 		context.deniedTargets.set(target.id, retryAfterMs);
 		return service.isKeyed ? this.giveUp(context, OutcomeReason.TargetLimit, retryAfterMs) : false;
 	}
 
+	/** True if the target owns the request's key and serves it now. */
+	private isOwner({request, service}: ForwardingContext, target: Target): boolean {
+		const ranges = this.options.view.assignments.get(service.name)?.assignment.ranges ?? [];
+		const range = findRange(ranges, request.key ?? 0);
+		return range?.previous.length === 0 && !range.isBlocked && isSameIncarnation(range.owner, target);
+	}
+
 	/** Returns the owner of the request's key; undefined if the assignment changed during a wait, so that the lookup starts again. */
 	private async findOwner(context: ForwardingContext): Promise<Target | Outcome | undefined> {
 		const {view} = this.options;
