feat(ownership): tell whether a failed order was sent

OrderFailed said that an order got no answer, but not whether any byte of it had left, although the transport knows it: an order of which nothing was sent leaves no hold behind, any other may act later. Orders now reject with OrderUnsentError if nothing was sent, and OrderFailed has the field wasSent.

--- a/src/decisions/ownership/range-orders.ts
+++ b/src/decisions/ownership/range-orders.ts
@@ -1,7 +1,7 @@
 /**
  * Orders to the targets of one keyed service: grants, renewals, releases, and identity probes of targets that do not answer.
  */
-import {FenceRejectedError, RouterError} from '../../model/errors.js';
+import {FenceRejectedError, OrderUnsentError, RouterError} from '../../model/errors.js';
 import {LogEvent, type EventLog} from '../../model/events.js';
 import type {TargetIncarnation} from '../../model/fleet.js';
 import type {KeyOrders} from '../../model/key-orders.js';
@@ -190,7 +190,7 @@
 
 			responsiveness.recordUnansweredProbe(incarnation);
 			log.record(LogEvent.OrderFailed, {
-				service: this.options.rule().name, order: 'identify', target: incarnation.id, detail: error.message,
+				service: this.options.rule().name, order: 'identify', target: incarnation.id, wasSent: !(error instanceof OrderUnsentError), detail: error.message,
 			});
 		}
 	}
@@ -208,7 +208,7 @@
 
 		const {responsiveness, log} = this.options;
 		log.record(LogEvent.OrderFailed, {
-			service: this.options.rule().name, order, target: incarnation.id, detail: error.message,
+			service: this.options.rule().name, order, target: incarnation.id, wasSent: !(error instanceof OrderUnsentError), detail: error.message,
 		});
 		if (responsiveness.recordFailure(incarnation)) {
 			log.record(LogEvent.TargetSuspected, {service: this.options.rule().name, target: incarnation.id});
--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -170,6 +170,11 @@
 	}
 }
 
+/** An order to a target failed before any byte of it was sent, so that it cannot arrive. */
+export class OrderUnsentError extends TargetUnavailableError {
+	override name = 'OrderUnsentError';
+}
+
 /** A compare-and-swap failed because another writer changed the value first. */
 export class ConflictError extends RouterError {
 	override name = 'ConflictError';
--- a/src/model/key-orders.ts
+++ b/src/model/key-orders.ts
@@ -8,7 +8,7 @@
 export type KeyOrder = {
 	range: KeyRange;
 	fence: number;
-	/** Timeout of the order in milliseconds, after which it can no longer arrive. */
+	/** Timeout of the order in milliseconds. An order that was sent may arrive later. */
 	timeoutMs: number;
 };
 
@@ -19,7 +19,10 @@
 	handover?: string;
 };
 
-/** Calls reject with `TargetUnavailableError` if no success answer arrives; the target may have executed the order or may still do so. */
+/**
+ * Calls reject with `TargetUnavailableError` if no success answer arrives; the target may have executed the order or may still do
+ * so, unless the error is an `OrderUnsentError`.
+ */
 export type KeyOrders = {
 	/** Rejects with `FenceRejectedError` if the target has received a higher fencing token for the range. */
 	grant(target: TargetIncarnation, grant: KeyGrant): Promise<void>;
--- a/src/platform/key-orders.ts
+++ b/src/platform/key-orders.ts
@@ -2,7 +2,7 @@
  * Sends grants and releases of key ranges to the targets of keyed services.
  */
 import type {KeyOrders, KeyOrder, KeyGrant} from '../model/key-orders.js';
-import {FenceRejectedError, TargetUnavailableError} from '../model/errors.js';
+import {FenceRejectedError, OrderUnsentError, TargetUnavailableError} from '../model/errors.js';
 import type {TargetIncarnation} from '../model/fleet.js';
 import type {KeyRange} from '../model/key-ownership.js';
 import {ConnectionPool} from '../transport/connection-pool.js';
@@ -58,7 +58,7 @@
 			}
 
 			this.pool.discardIdle(target.address);
-			throw new TargetUnavailableError(target.id, error.message);
+			throw error.wasSent ? new TargetUnavailableError(target.id, error.message) : new OrderUnsentError(target.id, error.message);
 		}
 	}
 }
