test(ownership): late orders give two targets the same keys

The leader predicts the expiry of a hold from the time of the tick, 300 ms and the hold, whether or not the grant was answered; a grant that arrives later outlasts that. The stand-in of targets now has a link with delays in each direction, late connections, lost answers and a busy sender, and counts a suspended daemon as one that sends nothing and notices nothing.

--- a/standins/key-holder.ts
+++ b/standins/key-holder.ts
@@ -1,7 +1,7 @@
 /**
  * Stand-in of targets that hold keys: fencing tokens, holds and handovers, with faults in the delivery of orders.
  */
-import {FenceRejectedError, TargetUnavailableError} from '../src/model/errors.js';
+import {FenceRejectedError, OrderUnsentError, TargetUnavailableError} from '../src/model/errors.js';
 import type {TargetIncarnation} from '../src/model/fleet.js';
 import type {KeyGrant, KeyOrder, KeyOrders} from '../src/model/key-orders.js';
 import type {KeyRange} from '../src/model/key-ownership.js';
@@ -12,6 +12,17 @@
 /** Time until a delayed order is carried out, in milliseconds; a hold still counts from the arrival of its order. */
 const lateOrderDelayMs = 3000;
 
+/** Link between the daemons and a target. Each property applies to the calls that use it from then on. */
+export type OrderLink = {
+	/** Time until a connection is open, in milliseconds. */
+	connectMs: number;
+	/** Time until an order arrives, in milliseconds; it arrives even if its sender has given up. */
+	toTargetMs: number;
+	/** Time until an answer arrives, in milliseconds. */
+	toDaemonMs: number;
+	losesAnswers: boolean;
+};
+
 type Hold = KeyRange & {
 	fence: number;
 	expiresAt: number;
@@ -21,9 +32,18 @@
 export class KeyHolder {
 	/** True while orders do not reach the target, although it continues to serve requests. */
 	isUnreachable = false;
+	/** True once the process has ended; orders to it get no answer. */
 	isStopped = false;
+	/** True while connections are refused, as after the end of the process on a VM that still runs. */
+	isRefusing = false;
 	/** True while orders get no answer and are carried out after a delay. */
 	delaysOrders = false;
+	/** Factor by which the clock of the target runs slow. */
+	clockFactor = 1;
+	link: OrderLink = {
+		connectMs: 0, toTargetMs: orderDelayMs, toDaemonMs: orderDelayMs, losesAnswers: false,
+	};
+
 	/** Grants accepted by this incarnation. */
 	grantCount = 0;
 	private holds: Hold[] = [];
@@ -49,7 +69,7 @@
 		this.fencedRanges.push({...range, fence});
 		this.fencedRanges = this.fencedRanges.slice(-500);
 		this.holds = this.holds.flatMap(hold => subtract(hold, range));
-		this.holds.push({...range, fence, expiresAt: arrivedAt + holdDurationMs});
+		this.holds.push({...range, fence, expiresAt: arrivedAt + (holdDurationMs * this.clockFactor)});
 	}
 
 	release({range, fence}: KeyOrder): string {
@@ -63,74 +83,115 @@
 export class KeyHolderOrders implements KeyOrders {
 	/** Ids of targets that only this daemon cannot reach. */
 	readonly unreachable = new Set<string>();
-	/** True while the daemon is suspended and sends nothing. */
-	isSuspended = false;
+	/** Time between a call and the sending of its order, in milliseconds, as with a busy event loop. Timeouts count from the sending. */
+	sendDelayMs = 0;
+	private resume: (() => void) | undefined;
+	private resumption: Promise<void> | undefined;
 
 	constructor(private readonly holders: Map<string, KeyHolder>) {}
 
-	async grant(target: TargetIncarnation, grant: KeyGrant): Promise<void> {
-		const holder = await this.reach(target, grant.timeoutMs);
-		const arrivedAt = performance.now();
-		if (holder.delaysOrders) {
-			setTimeout(() => {
-				grantUnlessFenced(holder, grant, arrivedAt);
-			}, lateOrderDelayMs);
-			await this.timeOut(target, grant.timeoutMs);
+	/** True while the daemon is suspended: it sends nothing and notices neither answers nor timeouts; what it has sent arrives. */
+	get isSuspended(): boolean {
+		return this.resumption !== undefined;
+	}
+
+	set isSuspended(isSuspended: boolean) {
+		if (isSuspended) {
+			this.resumption ??= new Promise(resolve => {
+				this.resume = resolve;
+			});
+			return;
 		}
 
-		holder.grant(grant, arrivedAt);
-		await pause(orderDelayMs);
+		this.resume?.();
+		this.resumption = undefined;
 	}
 
-	async release(target: TargetIncarnation, order: KeyOrder): Promise<string | undefined> {
-		const holder = await this.reach(target, order.timeoutMs);
-		if (holder.delaysOrders) {
-			setTimeout(() => {
-				holder.release(order);
-			}, lateOrderDelayMs);
-			await this.timeOut(target, order.timeoutMs);
-		}
+	async grant(target: TargetIncarnation, grant: KeyGrant): Promise<void> {
+		await this.call(target, grant, (holder, arrivedAt) => {
+			holder.grant(grant, arrivedAt);
+		});
+	}
 
-		const handover = holder.release(order);
-		await pause(orderDelayMs);
-		return handover;
+	async release(target: TargetIncarnation, order: KeyOrder): Promise<string | undefined> {
+		return this.call(target, order, holder => holder.release(order));
 	}
 
 	async identify(target: TargetIncarnation, _healthPath: string, timeoutMs: number): Promise<string | undefined> {
-		const holder = await this.reach(target, timeoutMs);
-		return holder.incarnation.id;
+		return this.call(target, {timeoutMs}, holder => holder.incarnation.id);
 	}
 
 	close(): void {
 		this.unreachable.clear();
 	}
 
-	private async reach(target: TargetIncarnation, timeoutMs: number): Promise<KeyHolder> {
-		await pause(orderDelayMs);
+	private async call<Answer>(target: TargetIncarnation, {timeoutMs}: {timeoutMs: number}, carryOut: CarryOut<Answer>): Promise<Answer> {
+		if (this.sendDelayMs > 0) {
+			await pause(this.sendDelayMs);
+		}
+
+		await this.resumption;
 		const holder = this.holders.get(target.address);
-		if (!holder || holder.isStopped || holder.isUnreachable || this.unreachable.has(target.id)) {
-			await this.timeOut(target, timeoutMs);
+		if (!holder || holder.isRefusing) {
+			await pause(orderDelayMs);
+			throw new OrderUnsentError(target.id, 'the connection was refused');
 		}
 
-		return holder!;
+		const {connectMs} = holder.link;
+		await pause(Math.min(connectMs, timeoutMs));
+		await this.resumption;
+		if (connectMs >= timeoutMs) {
+			throw new OrderUnsentError(target.id, 'no connection in time');
+		}
+
+		const answer = await Promise.race([this.deliver(target, carryOut), pause(timeoutMs - connectMs)]);
+		await this.resumption;
+		if (!answer) {
+			throw new TargetUnavailableError(target.id, 'no answer in time');
+		}
+
+		return answer();
 	}
 
-	private async timeOut(target: TargetIncarnation, timeoutMs: number): Promise<never> {
-		await pause(timeoutMs);
-		throw new TargetUnavailableError(target.id, 'no answer in time');
+	/** Resolves once the answer arrives, with a function that returns or throws it. */
+	private async deliver<Answer>(target: TargetIncarnation, carryOut: CarryOut<Answer>): Promise<() => Answer> {
+		await pause(this.holders.get(target.address)?.link.toTargetMs ?? orderDelayMs);
+		const holder = this.holders.get(target.address);
+		if (!holder || holder.isStopped || holder.isUnreachable || this.unreachable.has(target.id)) {
+			return never();
+		}
+
+		const arrivedAt = performance.now();
+		if (holder.delaysOrders) {
+			await pause(lateOrderDelayMs);
+		}
+
+		const answer = settle(() => carryOut(holder, arrivedAt));
+		await pause(holder.link.toDaemonMs);
+		return holder.delaysOrders || holder.link.losesAnswers ? never() : answer;
 	}
 }
 
-function grantUnlessFenced(holder: KeyHolder, grant: KeyGrant, arrivedAt: number): void {
+type CarryOut<Answer> = (holder: KeyHolder, arrivedAt: number) => Answer;
+
+/** Calls a function now; the result returns or throws its outcome. */
+function settle<Answer>(carryOut: () => Answer): () => Answer {
 	try {
-		holder.grant(grant, arrivedAt);
+		const answer = carryOut();
+		return () => answer;
 	} catch (error) {
-		if (!(error instanceof FenceRejectedError)) {
+		return () => {
 			throw error;
-		}
+		};
 	}
 }
 
+async function never(): Promise<never> {
+	return new Promise(() => {
+		// The answer is lost.
+	});
+}
+
 function overlaps(left: KeyRange, right: KeyRange): boolean {
 	return left.first <= right.last && right.first <= left.last;
 }
--- a/standins/keyed-fleet.ts
+++ b/standins/keyed-fleet.ts
@@ -44,7 +44,6 @@
 	readonly orders: KeyHolderOrders;
 	readonly leader: KeyLeader;
 	readonly statements: TargetStatements;
-	isPaused = false;
 	private readonly sync: FleetSync;
 
 	constructor(readonly name: string, fleet: KeyedFleet) {
@@ -82,6 +81,15 @@
 		void this.sync.run();
 	}
 
+	/** True while the process is suspended, or once it has stopped. */
+	get isPaused(): boolean {
+		return this.orders.isSuspended;
+	}
+
+	set isPaused(isPaused: boolean) {
+		this.orders.isSuspended = isPaused;
+	}
+
 	tick(): void {
 		if (!this.isPaused) {
 			this.leader.tick();
@@ -131,17 +139,20 @@
 		this.store.put(`eelgrasswheel/members/${name}`, JSON.stringify(member));
 	}
 
-	/** Starts a target, or a new incarnation of it. */
-	addTarget(id: string): KeyHolder {
+	/** Starts a target, or a new incarnation of it at the same address. */
+	addTarget(id: string, hasEntry = true): KeyHolder {
 		this.incarnationCount += 1;
 		const address = `${id}:1`;
 		const holder = new KeyHolder({id, bornAt: this.incarnationCount, address});
 		this.holders.set(address, holder);
-		this.putEntry(holder, TargetState.Ready);
+		if (hasEntry) {
+			this.putEntry(holder, TargetState.Ready);
+		}
+
 		return holder;
 	}
 
-	putEntry({incarnation}: KeyHolder, state: TargetState): void {
+	putEntry({incarnation}: Pick<KeyHolder, 'incarnation'>, state: TargetState): void {
 		const target: Target = {
 			...incarnation, service: keyedService, availabilityZone: 'zone', softwareVersion: 'v1', slots: 3, state, warmUpLeftMs: 0,
 		};
--- a/standins/platform-deployment.ts
+++ b/standins/platform-deployment.ts
@@ -7,6 +7,7 @@
 import type {EventLog} from '../src/model/events.js';
 import type {PlatformSettings} from '../src/platform/settings.js';
 import {WireHeader, wireKeys, wirePaths} from '../src/platform/wire.js';
+import {DelayingProxy} from './delaying-proxy.js';
 import {MemoryCoordinationStore} from './memory-coordination-store.js';
 import {PlatformStoreServer} from './platform-store-server.js';
 import {PlatformTargetServer} from './platform-target-server.js';
@@ -23,6 +24,8 @@
 	isKeyed: boolean;
 	workMs: number;
 	shutdownGraceS?: number;
+	/** True if daemons reach the targets through proxies. */
+	hasProxies?: boolean;
 	log?: EventLog;
 	onRun(target: string, requestId: string): void;
 };
@@ -30,23 +33,31 @@
 export class PlatformDeployment {
 	readonly daemons: PlatformDaemon[] = [];
 	readonly targets: PlatformTargetServer[];
+	/** Proxies of the targets, in the same order. */
+	readonly proxies: DelayingProxy[];
 	readonly store = new MemoryCoordinationStore();
 	private readonly storeServer: PlatformStoreServer;
 	private readonly agent = new Agent({connections: 60});
 	private requestCount = 0;
 
 	constructor(private readonly options: DeploymentOptions) {
-		const {network, targetCount, isKeyed, workMs, onRun} = options;
+		const {
+			network, targetCount, isKeyed, workMs, hasProxies = false, onRun,
+		} = options;
 		this.storeServer = new PlatformStoreServer(this.store);
-		this.targets = Array.from({length: targetCount}, (_, index) => new PlatformTargetServer({
+		const indexes = Array.from({length: targetCount}, (_, index) => index);
+		this.targets = indexes.map(index => new PlatformTargetServer({
 			id: `target-${index}`, service: 'registry', ip: `${network}.1.${index + 1}`, port: ports.target, workMs, isKeyed, onRun,
+			...(hasProxies && {entryAddress: `${this.proxyIp(index)}:${ports.target}`}),
 		}, this.store));
+		this.proxies = hasProxies ? indexes.map(index => new DelayingProxy(`${network}.1.${index + 1}:${ports.target}`)) : [];
 	}
 
 	async start(): Promise<void> {
 		const {network, daemonCount, shutdownGraceS = 6, log = {record: () => undefined}} = this.options;
 		await this.storeServer.listen(ports.store, `${network}.0.1`);
 		this.putConfiguration();
+		await Promise.all(this.proxies.map(async (proxy, index) => proxy.listen(this.proxyIp(index), ports.target)));
 		for (const target of this.targets) {
 			// eslint-disable-next-line no-await-in-loop -- one after another.
 			await target.listen();
@@ -114,9 +125,17 @@
 			target.close();
 		}
 
+		for (const proxy of this.proxies) {
+			proxy.close();
+		}
+
 		this.storeServer.close();
 	}
 
+	private proxyIp(index: number): string {
+		return `${this.options.network}.3.${index + 1}`;
+	}
+
 	private ipOf(daemon: number): string {
 		return `${this.options.network}.2.${daemon + 1}`;
 	}
--- a/standins/platform-target-server.ts
+++ b/standins/platform-target-server.ts
@@ -16,6 +16,8 @@
 	/** Address on loopback. */
 	ip?: string;
 	port: number;
+	/** Address in the target's entry, if it differs. */
+	entryAddress?: string;
 	workMs: number;
 	isKeyed: boolean;
 	/** Called when the execution of a request starts. */
@@ -33,7 +35,9 @@
 	private sequence = 0;
 
 	constructor(private readonly options: PlatformTargetOptions, private readonly store: MemoryCoordinationStore) {
-		this.holder = new KeyHolder({id: options.id, bornAt: Date.now(), address: `${options.ip ?? '127.0.0.1'}:${options.port}`});
+		this.holder = new KeyHolder({
+			id: options.id, bornAt: Date.now(), address: options.entryAddress ?? `${options.ip ?? '127.0.0.1'}:${options.port}`,
+		});
 	}
 
 	async listen(): Promise<void> {
