feat(standins): a daemon in a process of its own

Faults of signals, of the start and of the exit act between processes, so that tests in one process cannot show them. DaemonProcess starts one real daemon with its own settings file, sends signals and collects log lines, and its promise settles with exit code and time once all output was read. The settings of daemons on loopback, of which there were two copies, are one function now.

--- a/bench/platform-demo.ts
+++ b/bench/platform-demo.ts
@@ -1,19 +1,15 @@
 /**
  * Demo of the users' platform on loopback: daemons are processes; the store and the targets are stand-ins in this process.
  */
-import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import {spawn, type ChildProcess} from 'node:child_process';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
 import process from 'node:process';
-import {fileURLToPath} from 'node:url';
 import {Agent, request} from 'undici';
 import {TargetState} from '../src/model/fleet.js';
-import {WireHeader, wireKeys, wirePaths} from '../src/platform/wire.js';
+import {WireHeader, wireKeys} from '../src/platform/wire.js';
+import {DaemonProcess} from '../standins/daemon-process.js';
 import {MemoryCoordinationStore} from '../standins/memory-coordination-store.js';
+import {createPlatformSettings} from '../standins/platform-settings.js';
 import {PlatformStoreServer} from '../standins/platform-store-server.js';
 import {PlatformTargetServer} from '../standins/platform-target-server.js';
-import {settingsVariable} from '../src/platform/settings.js';
 import {basePort} from './processes.js';
 
 const daemonCount = 3;
@@ -24,9 +20,8 @@
 /** Time until the keys of a target that stopped without notice are served again, in milliseconds: detection, expiry of the hold and the store writes. */
 const recoveryLimitMs = 4500;
 
-const programPath = fileURLToPath(new URL('../src/daemon/platform-main.js', import.meta.url));
 const ports = {
-	store: basePort + 300, caller: basePort + 310, ready: basePort + 320, peer: basePort + 330, target: basePort + 350,
+	store: basePort + 300, caller: basePort + 310, readiness: basePort + 320, peer: basePort + 330, target: basePort + 350,
 };
 
 /** Numbers of requests by outcome. */
@@ -50,8 +45,8 @@
 		executionCounts.set(requestId, (executionCounts.get(requestId) ?? 0) + 1);
 	},
 }, store));
-const daemons: ChildProcess[] = [];
-const expectedExits = new Set<ChildProcess>();
+const daemons: DaemonProcess[] = [];
+const expectedExits = new Set<DaemonProcess>();
 const agent = new Agent({connections: 40});
 const counts: OutcomeCounts = {
 	answered: 0, notRun: 0, unknown: 0, lost: 0,
@@ -74,64 +69,31 @@
 	});
 }
 
-async function startDaemon(folder: string, index: number): Promise<void> {
-	const settingsFile = path.join(folder, `daemon-${index}.json`);
-	await writeFile(settingsFile, JSON.stringify({
-		daemon: `daemon-${index}`,
-		availabilityZone: 'zone-a',
-		ip: `127.0.0.${index + 1}`,
-		callerAddress: `127.0.0.${index + 1}:${ports.caller}`,
-		readinessAddress: `127.0.0.${index + 1}:${ports.ready}`,
-		peerPorts: [ports.peer, ports.peer + 10],
-		storeAddress: `127.0.0.1:${ports.store}`,
-		cores: 1,
-		linkMbps: 1000,
-		leaseMinimumMs: 1000,
-		targetHeartbeatMs: 1000,
-		drainMs: 2000,
-		configurationApplyMs: 2000,
-		shutdownGraceS: 6,
-		retryRatio: 0.2,
-		retryWindowS: 10,
-		retryReserve: 60,
-		holdLimitMs: 10_000,
-		thawSlackMs: 300,
+function startDaemon(index: number): void {
+	const daemon = new DaemonProcess(createPlatformSettings({
+		daemon: `daemon-${index}`, ip: `127.0.0.${index + 1}`, storeIp: '127.0.0.1', ports,
 	}));
-	const child = spawn(process.execPath, [programPath], {env: {...process.env, [settingsVariable]: settingsFile}, stdio: ['ignore', process.env.DEMO_LOG ? 'inherit' : 'ignore', 'inherit']});
-	child.once('exit', (code, signal) => {
-		if (!expectedExits.has(child)) {
-			check(false, `daemon-${index} keeps running: it exited with ${signal ?? `code ${code}`}`);
-		}
-	});
-	daemons.push(child);
+	daemons.push(daemon);
+	void reportExit(daemon);
 }
 
-/** Kills a daemon on purpose; any other exit of a daemon is reported as a failed check. */
-function killDaemon(daemon: ChildProcess | undefined): void {
-	if (daemon) {
-		expectedExits.add(daemon);
-		daemon.kill('SIGKILL');
+async function reportExit(daemon: DaemonProcess): Promise<void> {
+	const {code, signal} = await daemon.exit;
+	if (process.env.DEMO_LOG) {
+		console.log(daemon.lines.map(line => JSON.stringify(line)).join('\n'));
 	}
-}
 
-async function isReady(index: number): Promise<boolean> {
-	try {
-		const {statusCode, body} = await request(`http://127.0.0.${index + 1}:${ports.ready}${wirePaths.ready}`, {dispatcher: agent});
-		await body.dump();
-		return statusCode === 200;
-	} catch {
-		// Not listening yet.
-		return false;
+	if (!expectedExits.has(daemon)) {
+		check(false, `${daemon.settings.daemon} keeps running: it exited with ${signal ?? `code ${code}`}`);
+		console.error(daemon.otherOutput.join('\n'));
 	}
 }
 
-async function waitUntilReady(): Promise<void> {
-	for (let index = 0; index < daemonCount; index += 1) {
-		// eslint-disable-next-line no-await-in-loop -- polling.
-		while (failedChecks.length === 0 && !await isReady(index)) {
-			// eslint-disable-next-line no-await-in-loop -- polling.
-			await delay(100);
-		}
+/** Kills a daemon on purpose; any other exit of a daemon is reported as a failed check. */
+function killDaemon(daemon: DaemonProcess | undefined): void {
+	if (daemon) {
+		expectedExits.add(daemon);
+		daemon.signal('SIGKILL');
 	}
 }
 
@@ -207,12 +169,15 @@
 	}));
 }
 
-async function runDemo(folder: string): Promise<void> {
+async function runDemo(): Promise<void> {
 	await storeServer.listen(ports.store);
 	await Promise.all(targets.map(async target => target.listen()));
 	writeConfiguration(1);
-	await Promise.all(Array.from({length: daemonCount}, async (_, index) => startDaemon(folder, index)));
-	await waitUntilReady();
+	for (let index = 0; index < daemonCount; index += 1) {
+		startDaemon(index);
+	}
+
+	await Promise.all(daemons.map(async daemon => daemon.waitUntilReady()));
 	if (failedChecks.length > 0) {
 		return;
 	}
@@ -249,21 +214,20 @@
 	console.log(JSON.stringify(counts));
 }
 
-const folder = await mkdtemp(path.join(tmpdir(), 'eelgrasswheel-'));
 try {
-	await runDemo(folder);
+	await runDemo();
 } finally {
 	for (const daemon of daemons) {
 		killDaemon(daemon);
 	}
 
+	await Promise.all(daemons.map(async ({exit}) => exit));
 	for (const target of targets) {
 		target.close();
 	}
 
 	storeServer.close();
 	await agent.destroy();
-	await rm(folder, {recursive: true});
 }
 
 process.exitCode = failedChecks.length === 0 ? 0 : 1;
--- a/standins/platform-deployment.ts
+++ b/standins/platform-deployment.ts
@@ -5,16 +5,12 @@
 import {Agent, request} from 'undici';
 import {PlatformDaemon} from '../src/daemon/platform-daemon.js';
 import type {EventLog} from '../src/model/events.js';
-import type {PlatformSettings} from '../src/platform/settings.js';
 import {WireHeader, wireKeys, wirePaths} from '../src/platform/wire.js';
 import {MemoryCoordinationStore} from './memory-coordination-store.js';
+import {createPlatformSettings, platformPorts as ports} from './platform-settings.js';
 import {PlatformStoreServer} from './platform-store-server.js';
 import {PlatformTargetServer} from './platform-target-server.js';
 
-const ports = {
-	store: 8642, caller: 8641, readiness: 8640, peer: 7620, target: 8647,
-};
-
 export type DeploymentOptions = {
 	/** First two parts of the addresses, one for each test file, so that files can run at the same time. */
 	network: string;
@@ -53,16 +49,9 @@
 		}
 
 		for (let index = 0; index < daemonCount; index += 1) {
-			const ip = this.ipOf(index);
-			const daemon = new PlatformDaemon({
-				...settings,
-				daemon: `daemon-${index}`,
-				ip,
-				callerAddress: `${ip}:${ports.caller}`,
-				readinessAddress: `${ip}:${ports.readiness}`,
-				storeAddress: `${network}.0.1:${ports.store}`,
-				shutdownGraceS,
-			}, log);
+			const daemon = new PlatformDaemon(createPlatformSettings({
+				daemon: `daemon-${index}`, ip: this.ipOf(index), storeIp: `${network}.0.1`,
+			}, {shutdownGraceS}), log);
 			this.daemons.push(daemon);
 			// eslint-disable-next-line no-await-in-loop -- one after another.
 			await daemon.start();
@@ -144,19 +133,3 @@
 		}));
 	}
 }
-
-const settings: Omit<PlatformSettings, 'daemon' | 'ip' | 'callerAddress' | 'readinessAddress' | 'storeAddress' | 'shutdownGraceS'> = {
-	availabilityZone: 'zone-a',
-	peerPorts: [ports.peer, ports.peer + 10],
-	cores: 1,
-	linkMbps: 1000,
-	leaseMinimumMs: 1000,
-	targetHeartbeatMs: 1000,
-	drainMs: 2000,
-	configurationApplyMs: 2000,
-	retryRatio: 0.2,
-	retryWindowS: 10,
-	retryReserve: 60,
-	holdLimitMs: 10_000,
-	thawSlackMs: 300,
-};
