feat(daemon): log which signal came and what the exit cuts

Callers saw connections end around SIGTERM, and the daemon's log had no line about it: a second signal was not logged, and the process did not say that it left requests without an answer. The gateway now lists its open requests with the stage that each has reached, instead of counting them; SignalReceived names every stop signal and its place in the series, RequestCut each request that the end of the process leaves without an answer (the log limits the lines), and ProcessExiting the reason, the exit code and the number of cut requests.

--- a/src/cli/request-timeline.ts
+++ b/src/cli/request-timeline.ts
@@ -11,7 +11,16 @@
 
 /** Events that may affect any request of the daemon. */
 const daemonEvents = new Set<number>([
-	LogEvent.DaemonStarted, LogEvent.DaemonStopping, LogEvent.StoreLost, LogEvent.StoreRegained, LogEvent.StoreReadFailed, LogEvent.ConfigurationInForce, LogEvent.LeaderChanged, LogEvent.LinesDropped,
+	LogEvent.DaemonStarted,
+	LogEvent.DaemonStopping,
+	LogEvent.SignalReceived,
+	LogEvent.ProcessExiting,
+	LogEvent.StoreLost,
+	LogEvent.StoreRegained,
+	LogEvent.StoreReadFailed,
+	LogEvent.ConfigurationInForce,
+	LogEvent.LeaderChanged,
+	LogEvent.LinesDropped,
 ]);
 
 /** Events that may affect any request of any daemon. */
--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -29,6 +29,7 @@
 import type {PlatformSettings} from '../platform/settings.js';
 import {PlatformTargetProtocol, readCallerHeaders} from '../platform/target-protocol.js';
 import {wireKeys, wirePaths} from '../platform/wire.js';
+import {OpenRequests} from '../services/open-requests.js';
 import {createPlatformGatewayService} from '../services/platform-gateway-service.js';
 import {createPlatformKernel} from '../services/platform-kernel.js';
 import {createPlatformMetricsService, PlatformMetrics} from '../services/platform-metrics-service.js';
@@ -70,6 +71,7 @@
 	private readonly kernel: ServiceBroker;
 	private readonly statements: TargetStatements;
 	private readonly permits: Permits;
+	private readonly openRequests = new OpenRequests();
 	private servedCount = 0;
 	private isStopping = false;
 
@@ -143,7 +145,7 @@
 
 		this.isStopping = true;
 		const exitBy = performance.now() + (this.settings.shutdownGraceS * secondMs) - exitReserveMs;
-		this.log.record(LogEvent.DaemonStopping, {load: await this.kernel.call<number>('gateway.load')});
+		this.log.record(LogEvent.DaemonStopping, {load: this.openRequests.count});
 		await this.kernel.call('dispatcher.endAt', {time: exitBy});
 		await this.kernel.call('readiness.drain');
 		await Promise.all([this.resignAndLeave(), delay(readinessPropagationMs)]);
@@ -158,11 +160,24 @@
 		this.log.record(LogEvent.DaemonStopped, {});
 	}
 
+	/** Logs the requests that the end of the process leaves without a complete answer, and returns their number. */
+	recordCutRequests(): number {
+		const now = performance.now();
+		const requests = this.openRequests.list();
+		for (const {
+			requestId, method, path, stage, receivedAt,
+		} of requests) {
+			this.log.record(LogEvent.RequestCut, {
+				request: requestId, method, path, stage, ageMs: Math.round(now - receivedAt),
+			});
+		}
+
+		return requests.length;
+	}
+
 	private async waitForRequests(exitBy: number): Promise<void> {
 		for (;;) {
-			// eslint-disable-next-line no-await-in-loop -- polling.
-			const load = await this.kernel.call<number>('gateway.load');
-			if (load === 0 || performance.now() >= exitBy) {
+			if (this.openRequests.count === 0 || performance.now() >= exitBy) {
 				return;
 			}
 
@@ -265,6 +280,7 @@
 		const gateway = createPlatformGatewayService({
 			...splitAddress(this.settings.callerAddress),
 			log: this.log,
+			openRequests: this.openRequests,
 			readHeaders: readCallerHeaders,
 			limits: () => this.view.configuration?.limits,
 			confirmLimits: async cancellation => this.view.confirmLimits(cancellation),
--- a/src/daemon/platform-main.ts
+++ b/src/daemon/platform-main.ts
@@ -37,19 +37,26 @@
 const daemon = new PlatformDaemon(settings, log);
 const failures = new FailureCounter();
 
-async function drainLogAndExit(code: number): Promise<never> {
+/** Monotonic times at which signals came that stop the daemon, in milliseconds. */
+const signalTimes: number[] = [];
+
+async function exit(code: number, reason: string): Promise<never> {
+	log.record(LogEvent.ProcessExiting, {code, reason, cut: daemon.recordCutRequests()});
 	await writer.drain(logDrainMs);
 	process.exit(code);
 }
 
-async function stop(): Promise<void> {
+async function stop(signal: NodeJS.Signals): Promise<void> {
+	const now = performance.now();
+	signalTimes.push(now);
+	log.record(LogEvent.SignalReceived, {signal, count: signalTimes.length, sinceFirstMs: Math.round(now - (signalTimes[0] ?? now))});
 	await daemon.shutdown();
-	await drainLogAndExit(0);
+	await exit(0, signal);
 }
 
 for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 	process.on(signal, () => {
-		void stop();
+		void stop(signal);
 	});
 }
 
@@ -65,7 +72,7 @@
 process.on('uncaughtException', error => {
 	log.record(LogEvent.InternalFailure, {detail: describeFailure(error)});
 	if (failures.record()) {
-		void drainLogAndExit(1);
+		void exit(1, 'repeated_failures');
 	}
 });
 
--- /dev/null
+++ b/src/services/open-requests.ts
@@ -0,0 +1,42 @@
+/**
+ * Callers' requests that were read and have no complete answer.
+ */
+
+/** How far a request has come. */
+export enum RequestStage {
+	/** Its body is being read. */
+	Receiving = 'receiving',
+	/** A target is being chosen, or works on it. */
+	Forwarding = 'forwarding',
+	/** Its answer is being written. */
+	Answering = 'answering',
+}
+
+/** A request without a complete answer. */
+export class OpenRequest {
+	stage = RequestStage.Receiving;
+	requestId = '';
+
+	constructor(readonly method: string, readonly path: string, readonly receivedAt = performance.now()) {}
+}
+
+/** The requests without a complete answer; the end of the process cuts them. */
+export class OpenRequests {
+	private readonly requests = new Set<OpenRequest>();
+
+	get count(): number {
+		return this.requests.size;
+	}
+
+	add(request: OpenRequest): void {
+		this.requests.add(request);
+	}
+
+	remove(request: OpenRequest): void {
+		this.requests.delete(request);
+	}
+
+	list(): OpenRequest[] {
+		return [...this.requests];
+	}
+}
--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -20,6 +20,7 @@
 	OutcomeKind, OutcomeReason, type CallerRequest, type Outcome,
 } from '../model/forwarding.js';
 import {initialLimits, type CallerLimits} from '../model/route-configuration.js';
+import {OpenRequest, RequestStage, type OpenRequests} from './open-requests.js';
 import {openBody} from './request-body.js';
 
 /** Adapter that extracts what the gateway needs from the headers of a request. */
@@ -34,6 +35,7 @@
 	ip: string;
 	port: number;
 	log: EventLog;
+	openRequests: OpenRequests;
 	readHeaders: CallerHeaderReader;
 	/** Active limits; undefined before the first configuration. */
 	limits(): CallerLimits | undefined;
@@ -77,6 +79,12 @@
 	isNew: boolean;
 };
 
+/** State of a request while it is handled. */
+type RequestState = {
+	cancellation: Cancellation;
+	openRequest: OpenRequest;
+};
+
 /** Result of forwarding a request. */
 type ForwardResult = {
 	caller: CallerRequest;
@@ -98,9 +106,6 @@
 			closeListener(this: Service) {
 				gatewayOf(this).closeListener();
 			},
-			load(this: Service) {
-				return gatewayOf(this).inFlightCount;
-			},
 		},
 		created(this: Service) {
 			(this as unknown as {gateway: Gateway}).gateway = new Gateway(options, this.broker);
@@ -123,7 +128,6 @@
 	private readonly server: Server;
 	private readonly connections = new Map<Socket, Connection>();
 	private isDraining = false;
-	private pendingCount = 0;
 
 	constructor(private readonly options: PlatformGatewayOptions, private readonly broker: ServiceBroker) {
 		this.server = createServer({
@@ -145,11 +149,6 @@
 		this.applyLimits();
 	}
 
-	/** Requests without a final answer. */
-	get inFlightCount(): number {
-		return this.pendingCount;
-	}
-
 	async listen(): Promise<void> {
 		const {ip, port} = this.options;
 		return new Promise((resolve, reject) => {
@@ -191,10 +190,12 @@
 		const connection = this.connections.get(socket);
 		const cancellation = new Cancellation();
 		connection?.pending.add(cancellation);
-		this.pendingCount += 1;
+		const openRequest = new OpenRequest(request.method ?? 'GET', request.url ?? '/');
+		this.options.openRequests.add(openRequest);
 		response.sendDate = false;
 		try {
-			const {caller, outcome, refusal} = await this.forward(request, response, cancellation);
+			const {caller, outcome, refusal} = await this.forward(request, response, {cancellation, openRequest});
+			openRequest.stage = RequestStage.Answering;
 			if (refusal) {
 				this.refusePermanently(response, refusal);
 				return;
@@ -205,26 +206,26 @@
 		} catch (error) {
 			await this.answerFailure(response, error, cancellation);
 		} finally {
-			this.pendingCount -= 1;
+			this.options.openRequests.remove(openRequest);
 			connection?.pending.delete(cancellation);
 			this.sendLastAnswer(socket, connection);
 		}
 	}
 
-	private async forward(request: IncomingMessage, response: ServerResponse, cancellation: Cancellation): Promise<ForwardResult> {
-		const receivedAt = performance.now();
+	private async forward(request: IncomingMessage, response: ServerResponse, {cancellation, openRequest}: RequestState): Promise<ForwardResult> {
 		const limits = this.applyLimits();
 		checkHeaderSize(request, limits);
 		const {passed, requestId, key, budgetMs} = this.options.readHeaders(request.rawHeaders);
+		openRequest.requestId = requestId;
 		const caller: CallerRequest = {
-			method: request.method ?? 'GET',
-			path: request.url ?? '/',
+			method: openRequest.method,
+			path: openRequest.path,
 			host: request.headers.host ?? '',
 			headers: passed,
 			requestId,
 			key,
 			budgetMs,
-			receivedAt,
+			receivedAt: openRequest.receivedAt,
 			body: await openBody(request, limits.maxBodyBytes),
 			cancellation,
 			beginStream({status, headers}) {
@@ -236,6 +237,7 @@
 			},
 		};
 		await this.detectEarlyDisconnect(request.socket);
+		openRequest.stage = RequestStage.Forwarding;
 		const outcome = await this.broker.call<Outcome, CallerRequest>('dispatcher.forward', caller);
 		const failure = caller.body instanceof Readable ? caller.body.errored : undefined;
 		if (failure instanceof BadRequestError) {
--- a/standins/daemon-process.ts
+++ b/standins/daemon-process.ts
@@ -9,7 +9,8 @@
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
-import type {LogEvent} from '../src/model/events.js';
+import {parseLogLine, type LogLine} from '../src/cli/request-timeline.js';
+import {LogEvent} from '../src/model/events.js';
 import {settingsVariable, type PlatformSettings} from '../src/platform/settings.js';
 import {wirePaths} from '../src/platform/wire.js';
 
@@ -27,19 +28,11 @@
 	at: number;
 };
 
-/** A parsed line of the log. */
-export type DaemonLine = {
-	event: LogEvent;
-	fields: Record<string, unknown>;
-	/** Unix time in milliseconds. */
-	time: number;
-};
-
 /** Starts the process when it is created; its settings file is deleted when the process has ended. */
 export class DaemonProcess {
 	readonly exit: Promise<DaemonExit>;
 	/** Lines of the log that have been read. */
-	readonly lines: DaemonLine[] = [];
+	readonly lines: LogLine[] = [];
 	/** Lines of standard error that have been read, and of standard output that are no lines of the log. */
 	readonly otherOutput: string[] = [];
 	/** Monotonic time of the start in milliseconds. */
@@ -91,8 +84,8 @@
 	}
 
 	/** Lines of one event. */
-	linesOf(event: LogEvent): DaemonLine[] {
-		return this.lines.filter(line => line.event === event);
+	linesOf(event: LogEvent): LogLine[] {
+		return this.lines.filter(line => line.name === LogEvent[event]);
 	}
 
 	/** True if the daemon answers the readiness check with 200. */
@@ -144,11 +137,10 @@
 	}
 
 	private recordLine(text: string): void {
-		try {
-			const {context, time} = JSON.parse(text) as {context: {event: LogEvent} & Record<string, unknown>; time: number};
-			this.lines.push({event: context.event, fields: context, time});
-		} catch {
-			// Not a line of the log.
+		const line = parseLogLine(text);
+		if (line) {
+			this.lines.push(line);
+		} else {
 			this.otherOutput.push(text);
 		}
 	}
--- a/standins/platform-target-server.ts
+++ b/standins/platform-target-server.ts
@@ -16,7 +16,8 @@
 	/** Address on loopback. */
 	ip?: string;
 	port: number;
-	workMs: number;
+	/** Time that a request takes, in milliseconds; chosen for each request if it is a function. */
+	workMs: number | (() => number);
 	isKeyed: boolean;
 	/** Called when the execution of a request starts. */
 	onRun(target: string, requestId: string, key: number): void;
@@ -112,7 +113,7 @@
 
 		onRun(id, requestId, key);
 		await new Promise(resolve => {
-			setTimeout(resolve, workMs);
+			setTimeout(resolve, typeof workMs === 'number' ? workMs : workMs());
 		});
 		sendJson(response, 200, {target: id}, {[WireHeader.RequestId]: requestId, [WireHeader.Seal]: `${id}.${requestId}`, ...this.statementHeaders});
 	}
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -7,6 +7,7 @@
 import {OutcomeKind, type CallerRequest, type Outcome} from '../../src/model/forwarding.js';
 import {readCallerHeaders} from '../../src/platform/target-protocol.js';
 import type {CallerLimits} from '../../src/model/route-configuration.js';
+import {OpenRequests} from '../../src/services/open-requests.js';
 import {createPlatformGatewayService} from '../../src/services/platform-gateway-service.js';
 
 /** Delay of the test's dispatcher before it answers, in milliseconds. */
@@ -76,6 +77,7 @@
 		ip: '127.0.0.1',
 		port: 0,
 		log: {record: () => undefined},
+		openRequests: new OpenRequests(),
 		readHeaders: readCallerHeaders,
 		limits: () => activeLimits,
 		async confirmLimits() {
