fix(transport): an address that is none is a failed attempt, not an unexpected error

Operators saw daemons end by themselves within seconds, and a later configuration that nobody followed, after one target's entry named port 99999 or address 999.0.0.1. Callers of a service that is not divided by key got 502 for the requests that were sent to that target.

Cause: `new Client('http://127.0.0.1:99999')` of undici throws a `TypeError` in the constructor of a connection, before there is an exchange that could fail. The error passed every `instanceof CallFailure` and `instanceof RouterError`, so that a grant, a release or a probe ended as an unhandled rejection, repeated at each tick of the leader; 20 of them in 10 s end the process. For requests it became the gateway's 502, and the connection stayed counted as in use for ever.

The address is now parsed once, strictly, and a connection without a usable one fails as any other that cannot be opened: attempts end as not sent and are tried elsewhere, orders and probes as `TargetUnavailableError`, calls to the store as `StoreUnavailableError`.

--- a/src/transport/http-connection.ts
+++ b/src/transport/http-connection.ts
@@ -3,6 +3,7 @@
  */
 import {connect, type Socket} from 'node:net';
 import {Client, type buildConnector, type Dispatcher} from 'undici';
+import {parseAddress, type Address} from './address.js';
 
 /** Idle time after which TCP keep-alive probes start, in milliseconds. They detect a peer that vanished without closing. */
 const keepAliveProbeDelayMs = 2000;
@@ -22,9 +23,13 @@
 /** Replaces the code `ECONNRESET`, which undici treats as a possible end of the answer; it then throws if the answer is paused. */
 const maskedResetCode = 'RESET';
 
-/** Opens its socket on the first exchange. */
+/** Replaces an address that is none, which undici rejects with an exception. No connection to it is opened. */
+const placeholderAddress = '0.0.0.0:1';
+
+/** Opens its socket on the first exchange. Exchanges fail unsent if the address is none. */
 export class HttpConnection {
 	private readonly client: Client;
+	private readonly parsedAddress: Address | undefined;
 	private socket: Socket | undefined;
 	private hasSocketFailed = false;
 	private isClosed = false;
@@ -32,7 +37,8 @@
 	private readonly refusedIds = new Set<string>();
 
 	constructor(readonly address: string) {
-		this.client = new Client(`http://${address}`, {
+		this.parsedAddress = parseAddress(address);
+		this.client = new Client(`http://${this.parsedAddress ? address : placeholderAddress}`, {
 			pipelining: 1,
 			keepAliveTimeout: defaultIdleTimeoutMs,
 			keepAliveTimeoutThreshold: idleTimeoutMarginMs,
@@ -82,9 +88,14 @@
 	}
 
 	private open(callback: buildConnector.Callback): void {
-		const [host, port] = this.address.split(':');
+		if (!this.parsedAddress) {
+			callback(new Error('the address is not an IPv4 address with a port'), null);
+			return;
+		}
+
+		const {ip, port} = this.parsedAddress;
 		const socket = connect({
-			host, port: Number(port), noDelay: true, keepAlive: true, keepAliveInitialDelay: keepAliveProbeDelayMs,
+			host: ip, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: keepAliveProbeDelayMs,
 		});
 		this.socket = socket;
 		const connectTimer = setTimeout(() => {
