fix(ownership): a hold ends by evidence, not by prediction

The leader predicted the expiry of a hold before it made the call: time of the tick, 300 ms, the hold and its drift. A grant that arrived later (delayed link, busy event loop, late connection) outlasted that, and each retry was a further grant that could arrive. KeyHolds now records each grant of a term by target and keys. An answered one has arrived by its answer; one in flight blocks; one of which nothing was sent counts for nothing; any other may arrive until 1,700 ms after its timeout, 2 s after its sending. An answer to an order with a higher token voids grants below it, for exactly the keys of that order: knowledge belongs to keys, so that splits and merges of ranges carry nothing over that is true of a part only. Grants of earlier terms are bounded alike from the takeover. After one unanswered grant the target is probed and gets no further one until it answers.

--- a/src/decisions/ownership/assignment-manager.ts
+++ b/src/decisions/ownership/assignment-manager.ts
@@ -8,7 +8,9 @@
 import {LogEvent, type EventLog} from '../../model/events.js';
 import {isSameIncarnation, type Target, type TargetIncarnation} from '../../model/fleet.js';
 import type {KeyOrders} from '../../model/key-orders.js';
-import {findRange, type KeyAssignment, type OwnedRange} from '../../model/key-ownership.js';
+import {
+	findRange, isWithin, type KeyAssignment, type OwnedRange,
+} from '../../model/key-ownership.js';
 import type {ServiceRule} from '../../model/route-configuration.js';
 import {decodeAssignment, encodeAssignment} from '../fleet/assignment-codec.js';
 import {storeKeys} from '../fleet/daemon-documents.js';
@@ -205,13 +207,11 @@
 	}
 
 	private applyAssignment(assignment: KeyAssignment, revision: number): void {
-		const previousStates = this.rangeStates;
-		const parents = previousStates.map(state => ({first: state.range.first, last: state.range.last, state}));
+		const parents = this.rangeStates.map(state => ({first: state.range.first, last: state.range.last, state}));
 		this.rangeStates = assignment.ranges.map(range => {
 			const parent = findRange(parents, range.first)?.state;
-			const state = parent ? parent.derive(range) : new RangeState(range);
-			this.inheritHolds(state, previousStates);
-			return state;
+			// What is known of a part does not hold for a merged range.
+			return parent && isWithin(range, parent.range) ? parent.derive(range) : new RangeState(range);
 		});
 		this.assignment = assignment;
 		this.revision = revision;
@@ -220,19 +220,6 @@
 		this.options.onOwnersWritten(this.rule.name);
 	}
 
-	/** A range merged from several inherits the latest expiry of each hold. */
-	private inheritHolds(state: RangeState, previousStates: readonly RangeState[]): void {
-		for (const {range, holds} of previousStates) {
-			if (range.last < state.range.first || range.first > state.range.last) {
-				continue;
-			}
-
-			for (const [incarnation, until] of holds) {
-				state.holds.set(incarnation, Math.max(until, state.holds.get(incarnation) ?? 0));
-			}
-		}
-	}
-
 	/** Plans the next change of owners. */
 	private planNextChange(now: number): KeyAssignment | undefined {
 		const candidates = this.candidates(now);
--- a/src/decisions/ownership/hold-policy.ts
+++ b/src/decisions/ownership/hold-policy.ts
@@ -20,9 +20,18 @@
 /** Factor by which the clocks of targets may run slow. */
 const clockDriftFactor = 1.02;
 
-/** Allowance for timers that fire late and bytes in transit, in milliseconds. */
+/** Allowance for timers of targets that fire late, in milliseconds. */
 const expiryMarginMs = 60;
 
+/** Timeout of a grant in milliseconds; targets answer within a few milliseconds, to which the network adds its latency. */
+export const grantTimeoutMs = 300;
+
+/**
+ * Time after the timeout of a grant within which it may still arrive, in milliseconds. TCP sends lost bytes again after 0.2, 0.4
+ * and 0.8 s; a full link adds its queue.
+ */
+const lateArrivalMs = 1700;
+
 /** Limits that the deployment sets. */
 export type HoldLimits = {
 	/** Longest hold of keys in milliseconds. */
@@ -48,13 +57,19 @@
 		return Math.min(holdDurationMs, normalHoldMs) / renewalsPerHold;
 	}
 
-	/** Latest expiry of a hold whose grant cannot be delivered after `deliveredBy`. */
-	latestExpiry(deliveredBy: number, holdDurationMs: number): number {
-		return deliveredBy + (holdDurationMs * clockDriftFactor) + expiryMarginMs;
+	/** Latest arrival of a grant that got no answer. One that failed early is treated like one that timed out. */
+	latestArrival(sentAt: number, failedAt: number): number {
+		return Math.max(sentAt + grantTimeoutMs, failedAt) + Math.max(lateArrivalMs, this.limits.thawSlackMs);
+	}
+
+	/** Latest expiry of a hold whose grant cannot arrive after `arrivesBy`. */
+	latestExpiry(arrivesBy: number, holdDurationMs: number): number {
+		return arrivesBy + (holdDurationMs * clockDriftFactor) + expiryMarginMs;
 	}
 
-	/** Latest expiry of any hold that earlier leaders granted, for a leader that takes over at `takeoverAt`. */
-	latestInheritedExpiry(takeoverAt: number, orderTimeoutMs: number): number {
-		return this.latestExpiry(takeoverAt + orderTimeoutMs + this.limits.thawSlackMs, this.limits.holdLimitMs);
+	/** Latest arrival and expiry of any grant of earlier leaders, for a leader that takes over at `takeoverAt`. */
+	inheritedHold(takeoverAt: number): {arrivesBy: number; expiresBy: number} {
+		const arrivesBy = this.latestArrival(takeoverAt, takeoverAt);
+		return {arrivesBy, expiresBy: this.latestExpiry(arrivesBy, this.limits.holdLimitMs)};
 	}
 }
--- a/src/decisions/ownership/range-orders.ts
+++ b/src/decisions/ownership/range-orders.ts
@@ -2,19 +2,17 @@
  * Orders to the targets of one keyed service: grants, renewals, releases, and identity probes of targets that do not answer.
  */
 import {FenceRejectedError, OrderUnsentError, RouterError} from '../../model/errors.js';
-import {LogEvent, type EventLog} from '../../model/events.js';
+import {LogEvent, type EventLog, type LogFields} from '../../model/events.js';
 import type {TargetIncarnation} from '../../model/fleet.js';
 import type {KeyOrders} from '../../model/key-orders.js';
 import type {ServiceRule} from '../../model/route-configuration.js';
 import type {FleetView} from '../fleet/fleet-view.js';
-import type {HoldPolicy} from './hold-policy.js';
+import {grantTimeoutMs, type HoldPolicy} from './hold-policy.js';
+import {KeyHolds, type HoldEvidence} from './key-holds.js';
 import type {Leadership} from './leadership.js';
 import type {RangeState} from './range-state.js';
 import {incarnationKey, type TargetResponsiveness} from './target-responsiveness.js';
 
-/** Timeout of a grant in milliseconds; targets answer within a few milliseconds, to which the network adds its latency. */
-const grantTimeoutMs = 300;
-
 /** Timeout of a release in milliseconds; requests of usual duration that are being processed end within it. */
 const releaseTimeoutMs = 900;
 
@@ -24,6 +22,13 @@
 /** Most grants in flight; on a small VM, the answers to a larger burst would be processed only after the timeout. */
 const maxConcurrentGrants = 32;
 
+/** Kinds of orders, as the log names them. */
+enum OrderKind {
+	Grant = 'grant',
+	Release = 'release',
+	Identify = 'identify',
+}
+
 /** Dependencies of the orders. */
 export type RangeOrdersOptions = {
 	orders: KeyOrders;
@@ -40,12 +45,14 @@
 
 /** Sends the orders of one term of leadership; the caller makes sure that leadership is confirmed. */
 export class RangeOrders {
-	/** Latest expiry of holds that earlier leaders may have granted. */
-	private readonly inheritedHoldsUntil: number;
+	private readonly holds = new Map<string, KeyHolds>();
 	private grantsInFlight = 0;
 
-	constructor(private readonly options: RangeOrdersOptions, takeoverAt: number) {
-		this.inheritedHoldsUntil = options.policy.latestInheritedExpiry(takeoverAt, grantTimeoutMs);
+	constructor(private readonly options: RangeOrdersOptions, private readonly takeoverAt: number) {}
+
+	/** Number of grants that may arrive after they were given up. */
+	unansweredGrants(now = performance.now()): number {
+		return [...this.holds.values()].reduce((sum, holds) => sum + holds.unansweredCount(now), 0);
 	}
 
 	/** Sends the orders that are due for a range, given its owners in the store. */
@@ -65,10 +72,12 @@
 	private clearPreviousOwner(state: RangeState, incarnation: TargetIncarnation, now: number): void {
 		const {log, responsiveness} = this.options;
 		const key = incarnationKey(incarnation);
-		const until = Math.max(state.holds.get(key) ?? 0, this.hasAcknowledgedGrant(state, incarnation) ? 0 : this.inheritedHoldsUntil);
-		if (this.hasEnded(incarnation) || now > until) {
+		const evidence = this.holdsOf(incarnation).evidenceFor(state.range);
+		if (this.hasEnded(incarnation) || !evidence || now > evidence.expiresBy) {
 			state.cleared.add(key);
-			log.record(LogEvent.HoldRanOut, {...this.logFields(state), target: incarnation.id, hasEnded: this.hasEnded(incarnation)});
+			log.record(LogEvent.HoldRanOut, {
+				...this.logFields(state), target: incarnation.id, hasEnded: this.hasEnded(incarnation), ...evidenceFields(evidence, now),
+			});
 			return;
 		}
 
@@ -84,9 +93,16 @@
 		}
 	}
 
-	/** True if the incarnation acknowledged a grant of this term, which voids older grants of the range. */
-	private hasAcknowledgedGrant(state: RangeState, incarnation: TargetIncarnation): boolean {
-		return state.acknowledged.has(incarnationKey(incarnation));
+	private holdsOf(incarnation: TargetIncarnation): KeyHolds {
+		const key = incarnationKey(incarnation);
+		const known = this.holds.get(key);
+		if (known) {
+			return known;
+		}
+
+		const holds = new KeyHolds(this.options.policy, this.takeoverAt);
+		this.holds.set(key, holds);
+		return holds;
 	}
 
 	private hasEnded(incarnation: TargetIncarnation): boolean {
@@ -101,11 +117,12 @@
 		try {
 			const handover = await orders.release(incarnation, {range, fence: range.fence, timeoutMs: releaseTimeoutMs});
 			this.recordAnswer(incarnation);
+			this.holdsOf(incarnation).recordRelease(range, range.fence);
 			state.handover = range.previous.length === 1 ? handover : undefined;
 			state.cleared.add(key);
 			log.record(LogEvent.RangeReleased, {...this.logFields(state), target: incarnation.id, handover: handover !== undefined});
 		} catch (error) {
-			this.recordFailure(incarnation, error, 'release');
+			this.recordFailure(incarnation, error, OrderKind.Release);
 			state.unresponsive.add(key);
 			state.nextReleaseAt.set(key, performance.now() + orderRetryDelayMs);
 		}
@@ -128,7 +145,6 @@
 
 		state.isGranting = true;
 		this.grantsInFlight += 1;
-		state.extendHold(owner, policy.latestExpiry(now + grantTimeoutMs, holdDurationMs));
 		void this.sendGrant(state, holdDurationMs);
 	}
 
@@ -136,14 +152,16 @@
 		const {orders, policy, log} = this.options;
 		const {range, handover} = state;
 		const isFirst = state.grantedAt === undefined;
+		const holds = this.holdsOf(range.owner);
+		const grant = holds.add(range, range.fence, holdDurationMs, performance.now());
 		try {
 			await orders.grant(range.owner, {
 				range, fence: range.fence, holdDurationMs, handover, timeoutMs: grantTimeoutMs,
 			});
 			state.grantedAt = performance.now();
+			holds.recordAnswer(grant, state.grantedAt);
 			state.grantedHoldMs = holdDurationMs;
 			state.nextGrantAt = state.grantedAt + policy.renewalIntervalMs(holdDurationMs);
-			state.acknowledged.add(incarnationKey(range.owner));
 			this.recordAnswer(range.owner);
 			if (isFirst) {
 				log.record(LogEvent.RangeGranted, {
@@ -153,11 +171,18 @@
 		} catch (error) {
 			state.nextGrantAt = performance.now() + orderRetryDelayMs;
 			if (error instanceof FenceRejectedError) {
+				holds.discard(grant);
 				this.options.onFenceRejected(error);
 				return;
 			}
 
-			this.recordFailure(range.owner, error, 'grant');
+			if (error instanceof OrderUnsentError) {
+				holds.discard(grant);
+			} else {
+				holds.recordTimeout(grant, performance.now());
+			}
+
+			this.recordFailure(range.owner, error, OrderKind.Grant);
 		} finally {
 			state.isGranting = false;
 			this.grantsInFlight -= 1;
@@ -190,7 +215,7 @@
 
 			responsiveness.recordUnansweredProbe(incarnation);
 			log.record(LogEvent.OrderFailed, {
-				service: this.options.rule().name, order: 'identify', target: incarnation.id, wasSent: !(error instanceof OrderUnsentError), detail: error.message,
+				service: this.options.rule().name, order: OrderKind.Identify, target: incarnation.id, wasSent: !(error instanceof OrderUnsentError), detail: error.message,
 			});
 		}
 	}
@@ -201,16 +226,17 @@
 		}
 	}
 
-	private recordFailure(incarnation: TargetIncarnation, error: unknown, order: string): void {
+	private recordFailure(incarnation: TargetIncarnation, error: unknown, order: OrderKind): void {
 		if (!(error instanceof RouterError)) {
 			throw error;
 		}
 
 		const {responsiveness, log} = this.options;
+		const wasSent = !(error instanceof OrderUnsentError);
 		log.record(LogEvent.OrderFailed, {
-			service: this.options.rule().name, order, target: incarnation.id, wasSent: !(error instanceof OrderUnsentError), detail: error.message,
+			service: this.options.rule().name, order, target: incarnation.id, wasSent, detail: error.message,
 		});
-		if (responsiveness.recordFailure(incarnation)) {
+		if (responsiveness.recordFailure(incarnation, wasSent && order === OrderKind.Grant)) {
 			log.record(LogEvent.TargetSuspected, {service: this.options.rule().name, target: incarnation.id});
 		}
 	}
@@ -221,3 +247,15 @@
 		};
 	}
 }
+
+/** Fields of the log that name why a hold counts as expired. */
+function evidenceFields(evidence: HoldEvidence | undefined, now: number): LogFields {
+	return evidence
+		? {
+			lastGrant: evidence.outcome,
+			grantFence: evidence.fence,
+			grantAgeMs: evidence.sentAt === undefined ? undefined : Math.round(now - evidence.sentAt),
+			arrivalAgeMs: Math.round(now - evidence.arrivesBy),
+		}
+		: {lastGrant: 'none'};
+}
--- a/src/decisions/ownership/range-state.ts
+++ b/src/decisions/ownership/range-state.ts
@@ -6,14 +6,10 @@
 import {incarnationKey} from './target-responsiveness.js';
 
 export class RangeState {
-	/** Latest time at which the hold of an incarnation expires, by incarnation. */
-	readonly holds = new Map<string, number>();
 	/** Previous incarnations that no longer hold the range. */
 	readonly cleared = new Set<string>();
 	/** Previous incarnations that do not respond: they are suspected, or their release failed. */
 	readonly unresponsive = new Set<string>();
-	/** Incarnations that acknowledged a grant of the range during this term of leadership. */
-	readonly acknowledged = new Set<string>();
 	readonly nextReleaseAt = new Map<string, number>();
 	handover: string | undefined;
 	/** When the owner last acknowledged a grant of this range. */
@@ -25,7 +21,7 @@
 
 	constructor(public range: OwnedRange) {}
 
-	/** Returns the state of a range derived from this one; returns this state if keys, owner and fencing token are unchanged. */
+	/** Returns the state of this range or a part of it after a change; returns this state if keys, owner and fencing token are unchanged. */
 	derive(range: OwnedRange): RangeState {
 		const isSameOwner = isSameIncarnation(range.owner, this.range.owner) && range.fence === this.range.fence;
 		if (isSameOwner && range.first === this.range.first && range.last === this.range.last) {
@@ -34,14 +30,6 @@
 		}
 
 		const state = new RangeState(range);
-		for (const [incarnation, until] of this.holds) {
-			state.holds.set(incarnation, until);
-		}
-
-		for (const incarnation of this.acknowledged) {
-			state.acknowledged.add(incarnation);
-		}
-
 		if (isSameOwner) {
 			state.grantedAt = this.grantedAt;
 			state.grantedHoldMs = this.grantedHoldMs;
@@ -76,9 +64,4 @@
 	isGrantActive(now = performance.now()): boolean {
 		return this.grantedAt !== undefined && now - this.grantedAt < this.grantedHoldMs;
 	}
-
-	extendHold(incarnation: TargetIncarnation, until: number): void {
-		const key = incarnationKey(incarnation);
-		this.holds.set(key, Math.max(this.holds.get(key) ?? 0, until));
-	}
 }
--- a/src/decisions/ownership/target-responsiveness.ts
+++ b/src/decisions/ownership/target-responsiveness.ts
@@ -3,9 +3,12 @@
  */
 import type {TargetIncarnation} from '../../model/fleet.js';
 
-/** Consecutive unanswered orders after which a target is suspected; two answers in a row are rarely lost by chance. */
+/** Consecutive failed orders after which a target is suspected; two answers in a row are rarely lost by chance. */
 const suspicionThreshold = 2;
 
+/** Consecutive failed orders and probes after which a suspected target is unreachable. */
+const unreachableThreshold = 3;
+
 /** Interval of identity probes of a suspected target, in milliseconds. */
 const probeIntervalMs = 250;
 
@@ -34,10 +37,10 @@
 		return this.states.get(incarnationKey(incarnation))?.isSuspected ?? false;
 	}
 
-	/** True once a suspected target has also left a probe unanswered. */
+	/** True once a suspected target has also left probes unanswered. */
 	isUnreachable(incarnation: TargetIncarnation): boolean {
 		const state = this.states.get(incarnationKey(incarnation));
-		return state !== undefined && state.isSuspected && state.unansweredProbes > 0;
+		return state !== undefined && state.isSuspected && state.unansweredProbes > 0 && state.failures + state.unansweredProbes >= unreachableThreshold;
 	}
 
 	/** Records an answer; returns true if the target was suspected. */
@@ -50,11 +53,14 @@
 		return wasSuspected;
 	}
 
-	/** Records an unanswered order; returns true if it makes the target suspected. */
-	recordFailure(incarnation: TargetIncarnation): boolean {
+	/**
+	 * Records a failed order; returns true if it makes the target suspected. A grant that may arrive later does so at once: the
+	 * target's keys have to wait longer for each one that follows.
+	 */
+	recordFailure(incarnation: TargetIncarnation, mayGrantLater: boolean): boolean {
 		const state = this.stateOf(incarnation);
 		state.failures += 1;
-		const isNew = !state.isSuspected && state.failures >= suspicionThreshold;
+		const isNew = !state.isSuspected && (mayGrantLater || state.failures >= suspicionThreshold);
 		state.isSuspected ||= isNew;
 		return isNew;
 	}
--- a/src/model/key-ownership.ts
+++ b/src/model/key-ownership.ts
@@ -12,6 +12,24 @@
 	last: number;
 };
 
+export function areOverlapping(left: KeyRange, right: KeyRange): boolean {
+	return left.first <= right.last && right.first <= left.last;
+}
+
+/** True if the outer range contains all keys of the inner one. */
+export function isWithin(inner: KeyRange, outer: KeyRange): boolean {
+	return outer.first <= inner.first && inner.last <= outer.last;
+}
+
+/** The parts of a range that are left without the keys of another; none, one or two. */
+export function subtractRange<Range extends KeyRange>(range: Range, removed: KeyRange): Range[] {
+	if (!areOverlapping(range, removed)) {
+		return [range];
+	}
+
+	return [{...range, last: removed.first - 1}, {...range, first: removed.last + 1}].filter(({first, last}) => first <= last);
+}
+
 /** A range with its owner. */
 export type OwnedRange = KeyRange & {
 	owner: TargetIncarnation;
