fix(ownership): an entry is no proof that a target holds nothing

A larger start in the entry of a target cleared its keys at once, without a word from the target. A process that restarts at the same address takes the renewal that was meant for the one before, until its entry is seen; when it then leaves, its keys were given away while it held them, without any delay on a link. And whoever writes an entry with a larger start, for another address even, ended a hold that went on. The same was true of an identity probe that another target answers. Keys are now cleared by an answered release at the address, which a restarted process answers at once, or by time. A later start, or another id at the address, only stops further grants; no release goes to another target, whose keys it might take.

--- a/src/decisions/ownership/range-orders.ts
+++ b/src/decisions/ownership/range-orders.ts
@@ -73,14 +73,20 @@
 		const {log, responsiveness} = this.options;
 		const key = incarnationKey(incarnation);
 		const evidence = this.holdsOf(incarnation).evidenceFor(state.range);
-		if (this.hasEnded(incarnation) || !evidence || now > evidence.expiresBy) {
+		if (!evidence || now > evidence.expiresBy) {
 			state.cleared.add(key);
 			log.record(LogEvent.HoldRanOut, {
-				...this.logFields(state), target: incarnation.id, hasEnded: this.hasEnded(incarnation), ...evidenceFields(evidence, now),
+				...this.logFields(state), target: incarnation.id, isSuperseded: this.isSuperseded(incarnation), ...evidenceFields(evidence, now),
 			});
 			return;
 		}
 
+		// Another target answers at the address; it may hold keys under tokens of its own.
+		if (responsiveness.hasEnded(incarnation)) {
+			state.unresponsive.add(key);
+			return;
+		}
+
 		if (responsiveness.isSuspected(incarnation)) {
 			state.unresponsive.add(key);
 			this.probeIfDue(incarnation, now);
@@ -105,7 +111,11 @@
 		return holds;
 	}
 
-	private hasEnded(incarnation: TargetIncarnation): boolean {
+	/**
+	 * True if the incarnation has probably ended. That is no proof that it holds nothing: an entry may name any start, and a process
+	 * at the same address may have taken a grant that was meant for this one.
+	 */
+	private isSuperseded(incarnation: TargetIncarnation): boolean {
 		const listed = this.options.view.listedTarget(incarnation.id);
 		return this.options.responsiveness.hasEnded(incarnation) || (listed !== undefined && listed.bornAt > incarnation.bornAt);
 	}
@@ -139,7 +149,7 @@
 		const confirmationAgeMs = leadership.confirmationAgeMs();
 		const holdDurationMs = policy.holdDurationMs(confirmationAgeMs);
 		const isExtension = policy.isStoreOutage(confirmationAgeMs) && state.grantedHoldMs < holdDurationMs;
-		if (this.grantsInFlight >= maxConcurrentGrants || state.isGranting || (now < state.nextGrantAt && !isExtension) || this.hasEnded(owner)) {
+		if (this.grantsInFlight >= maxConcurrentGrants || state.isGranting || (now < state.nextGrantAt && !isExtension) || this.isSuperseded(owner)) {
 			return;
 		}
 
--- a/src/decisions/ownership/target-responsiveness.ts
+++ b/src/decisions/ownership/target-responsiveness.ts
@@ -24,8 +24,8 @@
 };
 
 /** Key of an incarnation in maps and sets. */
-export function incarnationKey({id, bornAt}: TargetIncarnation): string {
-	return `${id}@${bornAt}`;
+export function incarnationKey({id, bornAt, address}: TargetIncarnation): string {
+	return `${id}@${bornAt}@${address}`;
 }
 
 /** Tracks the responsiveness of the targets of keyed services. */
--- a/src/model/fleet.ts
+++ b/src/model/fleet.ts
@@ -46,7 +46,7 @@
 	return right.room - left.room || (left.daemon < right.daemon ? -1 : 1);
 }
 
-/** True if both are the same incarnation of a target. */
+/** True if both are the same incarnation of a target at the same address, which is where orders go. */
 export function isSameIncarnation(left: TargetIncarnation, right: TargetIncarnation): boolean {
-	return left.id === right.id && left.bornAt === right.bornAt;
+	return left.id === right.id && left.bornAt === right.bornAt && left.address === right.address;
 }
--- a/standins/key-holder.ts
+++ b/standins/key-holder.ts
@@ -144,7 +144,7 @@
 			throw new OrderUnsentError(target.id, 'no connection in time');
 		}
 
-		const answer = await Promise.race([this.deliver(target, carryOut), pause(timeoutMs - connectMs)]);
+		const answer = await Promise.race([this.deliver(target, holder, carryOut), pause(timeoutMs - connectMs)]);
 		await this.resumption;
 		if (!answer) {
 			throw new TargetUnavailableError(target.id, 'no answer in time');
@@ -153,11 +153,10 @@
 		return answer();
 	}
 
-	/** Resolves once the answer arrives, with a function that returns or throws it. */
-	private async deliver<Answer>(target: TargetIncarnation, carryOut: CarryOut<Answer>): Promise<() => Answer> {
-		await pause(this.holders.get(target.address)?.link.toTargetMs ?? orderDelayMs);
-		const holder = this.holders.get(target.address);
-		if (!holder || holder.isStopped || holder.isUnreachable || this.unreachable.has(target.id)) {
+	/** Resolves once the answer arrives, with a function that returns or throws it. The connection ends with the process that accepted it. */
+	private async deliver<Answer>(target: TargetIncarnation, holder: KeyHolder, carryOut: CarryOut<Answer>): Promise<() => Answer> {
+		await pause(holder.link.toTargetMs);
+		if (holder.isStopped || holder.isUnreachable || this.unreachable.has(target.id)) {
 			return never();
 		}
 
--- a/tests/decisions/key-ownership.test.ts
+++ b/tests/decisions/key-ownership.test.ts
@@ -93,7 +93,7 @@
 	{
 		title: 'a target restarts under the same id',
 		gapLimitMs: 500,
-		events: [LogEvent.HoldRanOut],
+		events: [LogEvent.RangeReleased],
 		async simulate({fleet, run}) {
 			fleet.holder(1).isStopped = true;
 			fleet.addTarget('target-1');
--- a/tests/decisions/late-orders.test.ts
+++ b/tests/decisions/late-orders.test.ts
@@ -181,31 +181,39 @@
 			fleet.putEntry({incarnation}, TargetState.Ready);
 		},
 	},
-	...['target-1:1', 'target-9:1'].map((address): Case => ({
-		title: `the entry of a target at target-1:1 names a later start at ${address}`,
+	...[
+		{startsLaterMs: 1000, address: 'target-1:1'}, {startsLaterMs: 1000, address: 'target-9:1'}, {startsLaterMs: 0, address: 'target-9:1'},
+	].map(({startsLaterMs, address}): Case => ({
+		title: `the entry of a target that cannot be reached at target-1:1 names ${address} and a start ${startsLaterMs} ms later`,
 		async simulate({fleet, run}) {
 			const holder = fleet.holder(1);
 			const {id, bornAt} = holder.incarnation;
 			fleet.holder(1).isUnreachable = true;
-			fleet.putEntry({incarnation: {id, bornAt: bornAt + 1000, address}}, TargetState.Draining);
+			fleet.putEntry({incarnation: {id, bornAt: bornAt + startsLaterMs, address}}, TargetState.Draining);
 			await run(6000);
 			fleet.holder(1).isUnreachable = false;
 			fleet.putEntry(holder, TargetState.Ready);
 		},
 	})),
+	{
+		title: 'the entry of a target names the address of another one',
+		async simulate({fleet, run}) {
+			const holder = fleet.holder(1);
+			const {id, bornAt} = holder.incarnation;
+			fleet.putEntry({incarnation: {id, bornAt, address: fleet.holder(2).incarnation.address}}, TargetState.Ready);
+			await run(1500);
+			fleet.holder(1).isUnreachable = true;
+			fleet.putEntry(holder, TargetState.Draining);
+			await run(6000);
+			fleet.holder(1).isUnreachable = false;
+			fleet.putEntry(holder, TargetState.Ready);
+		},
+	},
 ];
 
-/** Cases that are listed in KNOWN-RED.txt. */
-const failingTitles = new Set([
-	'a restarted target gets a grant that was meant for the incarnation before, and leaves',
-	'the entry of a target at target-1:1 names a later start at target-1:1',
-	'the entry of a target at target-1:1 names a later start at target-9:1',
-]);
-
 for (const {title, simulate, daemonCounts = [1, 3, 5]} of cases) {
 	for (const daemonCount of daemonCounts) {
-		const declare = failingTitles.has(title) ? test.serial.failing : test.serial;
-		declare(`should not grant keys that another target may hold when ${title}, with ${daemonCount} daemons`, async t => {
+		test.serial(`should not grant keys that another target may hold when ${title}, with ${daemonCount} daemons`, async t => {
 			await checkOneHolder(t, daemonCount, simulate);
 		});
 	}
