feat(observability): count grants that may still arrive

While a grant without an answer may still arrive, its keys have to wait if their target is lost, and nothing showed that. The leader now has the gauge eelgrasswheel_unanswered_grants; it counts the grants of its term whose latest arrival lies ahead.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -287,6 +287,7 @@
 			storeCalls: () => this.store.callCount,
 			targetConnections: () => this.transport.pool.openedCount,
 			isLeader: () => this.leader.leadership.isLeader,
+			unansweredGrants: () => this.leader.unansweredGrants,
 			configurationVersion: () => this.view.configuration?.version ?? 0,
 			configurationEvidenceAgeMs: () => this.view.freshness.ageMs,
 			isStoreReachable: () => this.sync.isStoreReachable,
--- a/src/decisions/ownership/assignment-manager.ts
+++ b/src/decisions/ownership/assignment-manager.ts
@@ -80,6 +80,11 @@
 		}, takeoverAt);
 	}
 
+	/** Number of grants that may arrive after they were given up. */
+	get unansweredGrants(): number {
+		return this.rangeOrders.unansweredGrants();
+	}
+
 	/** Called at regular intervals while leadership is confirmed. */
 	tick(now: number): void {
 		if (!this.isTakenOver) {
--- a/src/decisions/ownership/key-leader.ts
+++ b/src/decisions/ownership/key-leader.ts
@@ -28,6 +28,11 @@
 		this.view = options.view;
 	}
 
+	/** Number of grants of this term that may arrive after they were given up. */
+	get unansweredGrants(): number {
+		return [...this.services.values()].reduce((sum, service) => sum + service.unansweredGrants, 0);
+	}
+
 	/** Called at regular intervals. */
 	tick(now = performance.now()): void {
 		this.leadership.tick(now);
--- a/tests/decisions/late-orders.test.ts
+++ b/tests/decisions/late-orders.test.ts
@@ -1,5 +1,7 @@
 import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import test, {type ExecutionContext} from 'ava';
+import {GrantOutcome} from '../../src/decisions/ownership/key-holds.js';
+import {LogEvent} from '../../src/model/events.js';
 import {TargetState} from '../../src/model/fleet.js';
 import type {OrderLink} from '../../standins/key-holder.js';
 import {KeyedFleet} from '../../standins/keyed-fleet.js';
@@ -279,3 +281,24 @@
 		}
 	});
 }
+
+test.serial('should count grants that may still arrive, and name the last one when its hold has run out', async t => {
+	const clock = install();
+	const fleet = new KeyedFleet(1, 4);
+	const run = async (durationMs: number): Promise<void> => fleet.run(durationMs, async ms => clock.tickAsync(ms));
+	try {
+		await run(6000);
+		t.is(fleet.daemons[0].leader.unansweredGrants, 0);
+		fleet.holder(1).isUnreachable = true;
+		await run(1200);
+		t.is(fleet.daemons[0].leader.unansweredGrants, 1);
+		await run(unownedLimitMs);
+		t.is(fleet.daemons[0].leader.unansweredGrants, 0);
+		const line = fleet.events.find(({event}) => event === LogEvent.HoldRanOut);
+		t.is(line?.lastGrant, GrantOutcome.Unanswered);
+		t.true(fleet.events.some(({event, order, wasSent}) => event === LogEvent.OrderFailed && order === 'grant' && wasSent === true));
+	} finally {
+		fleet.stop();
+		clock.uninstall();
+	}
+});
