fix(ownership): a target that resumes reads a release after the stale grant

A target that is suspended reads a grant from its socket when it resumes, and its hold counts from then; no bound in time covers that. The leader sent no release to a suspected target, only identity probes, so that nothing followed the grant: in the test, a target that resumes after 9 s held its keys for 2.1 s beside the new owner. A range now gets a release at once when it leaves a silent target, and again each second until it is cleared; 32 are in flight at most. A release is never refused and makes grants with lower tokens fail, so that it ends the hold in whichever order the two are read. It also reaches a target whose answers alone are lost, or whose orders are delayed, before the time is up. A target that refuses connections gets none: another one may listen there next. What remains: the moment between the reading of the grant and that of the release.

--- a/src/decisions/ownership/range-orders.ts
+++ b/src/decisions/ownership/range-orders.ts
@@ -22,6 +22,12 @@
 /** Most grants in flight; on a small VM, the answers to a larger burst would be processed only after the timeout. */
 const maxConcurrentGrants = 32;
 
+/** Interval of releases to a target that does not answer, in milliseconds; each opens a connection. */
+const silentReleaseIntervalMs = 1000;
+
+/** Most releases in flight to targets that do not answer. */
+const maxSilentReleases = 32;
+
 /** Kinds of orders, as the log names them. */
 enum OrderKind {
 	Grant = 'grant',
@@ -47,6 +53,7 @@
 export class RangeOrders {
 	private readonly holds = new Map<string, KeyHolds>();
 	private grantsInFlight = 0;
+	private silentReleasesInFlight = 0;
 
 	constructor(private readonly options: RangeOrdersOptions, private readonly takeoverAt: number) {}
 
@@ -87,15 +94,23 @@
 			return;
 		}
 
-		if (responsiveness.isSuspected(incarnation)) {
-			state.unresponsive.add(key);
-			this.probeIfDue(incarnation, now);
+		if (!responsiveness.isSuspected(incarnation)) {
+			this.releaseIfDue(state, incarnation, now, {timeoutMs: releaseTimeoutMs, retryDelayMs: orderRetryDelayMs});
 			return;
 		}
 
-		if (now >= (state.nextReleaseAt.get(key) ?? 0)) {
-			state.nextReleaseAt.set(key, Infinity);
-			void this.release(state, incarnation);
+		state.unresponsive.add(key);
+		this.probeIfDue(incarnation, now);
+		// A suspended target reads all orders when it resumes. The release voids the grant before it, which no time bounds.
+		if (responsiveness.isSilent(incarnation) && this.silentReleasesInFlight < maxSilentReleases) {
+			this.releaseIfDue(state, incarnation, now, {timeoutMs: grantTimeoutMs, retryDelayMs: silentReleaseIntervalMs});
+		}
+	}
+
+	private releaseIfDue(state: RangeState, incarnation: TargetIncarnation, now: number, timing: {timeoutMs: number; retryDelayMs: number}): void {
+		const key = incarnationKey(incarnation);
+		if (!state.releasing.has(key) && now >= (state.releaseFailedAt.get(key) ?? -Infinity) + timing.retryDelayMs) {
+			void this.release(state, incarnation, timing.timeoutMs);
 		}
 	}
 
@@ -120,12 +135,15 @@
 		return this.options.responsiveness.hasEnded(incarnation) || (listed !== undefined && listed.bornAt > incarnation.bornAt);
 	}
 
-	private async release(state: RangeState, incarnation: TargetIncarnation): Promise<void> {
+	private async release(state: RangeState, incarnation: TargetIncarnation, timeoutMs: number): Promise<void> {
 		const {orders, log} = this.options;
 		const {range} = state;
 		const key = incarnationKey(incarnation);
+		const silentCount = Number(this.options.responsiveness.isSilent(incarnation));
+		state.releasing.add(key);
+		this.silentReleasesInFlight += silentCount;
 		try {
-			const handover = await orders.release(incarnation, {range, fence: range.fence, timeoutMs: releaseTimeoutMs});
+			const handover = await orders.release(incarnation, {range, fence: range.fence, timeoutMs});
 			this.recordAnswer(incarnation);
 			this.holdsOf(incarnation).recordRelease(range, range.fence);
 			state.handover = range.previous.length === 1 ? handover : undefined;
@@ -134,7 +152,10 @@
 		} catch (error) {
 			this.recordFailure(incarnation, error, OrderKind.Release);
 			state.unresponsive.add(key);
-			state.nextReleaseAt.set(key, performance.now() + orderRetryDelayMs);
+			state.releaseFailedAt.set(key, performance.now());
+		} finally {
+			state.releasing.delete(key);
+			this.silentReleasesInFlight -= silentCount;
 		}
 	}
 
@@ -223,9 +244,10 @@
 				throw error;
 			}
 
-			responsiveness.recordUnansweredProbe(incarnation);
+			const wasSent = !(error instanceof OrderUnsentError);
+			responsiveness.recordUnansweredProbe(incarnation, wasSent);
 			log.record(LogEvent.OrderFailed, {
-				service: this.options.rule().name, order: OrderKind.Identify, target: incarnation.id, wasSent: !(error instanceof OrderUnsentError), detail: error.message,
+				service: this.options.rule().name, order: OrderKind.Identify, target: incarnation.id, wasSent, detail: error.message,
 			});
 		}
 	}
@@ -246,7 +268,7 @@
 		log.record(LogEvent.OrderFailed, {
 			service: this.options.rule().name, order, target: incarnation.id, wasSent, detail: error.message,
 		});
-		if (responsiveness.recordFailure(incarnation, wasSent && order === OrderKind.Grant)) {
+		if (responsiveness.recordFailure(incarnation, {wasSent, isGrant: order === OrderKind.Grant})) {
 			log.record(LogEvent.TargetSuspected, {service: this.options.rule().name, target: incarnation.id});
 		}
 	}
--- a/src/decisions/ownership/range-state.ts
+++ b/src/decisions/ownership/range-state.ts
@@ -10,7 +10,10 @@
 	readonly cleared = new Set<string>();
 	/** Previous incarnations that do not respond: they are suspected, or their release failed. */
 	readonly unresponsive = new Set<string>();
-	readonly nextReleaseAt = new Map<string, number>();
+	/** Incarnations with a release in flight. */
+	readonly releasing = new Set<string>();
+	/** When the last release failed, by incarnation. */
+	readonly releaseFailedAt = new Map<string, number>();
 	handover: string | undefined;
 	/** When the owner last acknowledged a grant of this range. */
 	grantedAt: number | undefined;
--- a/src/decisions/ownership/target-responsiveness.ts
+++ b/src/decisions/ownership/target-responsiveness.ts
@@ -18,6 +18,8 @@
 type ResponseState = {
 	failures: number;
 	isSuspected: boolean;
+	/** True if the last failed call may have reached the target. */
+	wasSent: boolean;
 	/** Unanswered probes since the target became suspected. */
 	unansweredProbes: number;
 	nextProbeAt: number;
@@ -37,6 +39,12 @@
 		return this.states.get(incarnationKey(incarnation))?.isSuspected ?? false;
 	}
 
+	/** True if a suspected target may have received what it does not answer; false if its connections are refused. */
+	isSilent(incarnation: TargetIncarnation): boolean {
+		const state = this.states.get(incarnationKey(incarnation));
+		return state !== undefined && state.isSuspected && state.wasSent;
+	}
+
 	/** True once a suspected target has also left probes unanswered. */
 	isUnreachable(incarnation: TargetIncarnation): boolean {
 		const state = this.states.get(incarnationKey(incarnation));
@@ -57,10 +65,11 @@
 	 * Records a failed order; returns true if it makes the target suspected. A grant that may arrive later does so at once: the
 	 * target's keys have to wait longer for each one that follows.
 	 */
-	recordFailure(incarnation: TargetIncarnation, mayGrantLater: boolean): boolean {
+	recordFailure(incarnation: TargetIncarnation, {wasSent, isGrant}: {wasSent: boolean; isGrant: boolean}): boolean {
 		const state = this.stateOf(incarnation);
 		state.failures += 1;
-		const isNew = !state.isSuspected && (mayGrantLater || state.failures >= suspicionThreshold);
+		state.wasSent = wasSent;
+		const isNew = !state.isSuspected && ((wasSent && isGrant) || state.failures >= suspicionThreshold);
 		state.isSuspected ||= isNew;
 		return isNew;
 	}
@@ -76,8 +85,10 @@
 		return true;
 	}
 
-	recordUnansweredProbe(incarnation: TargetIncarnation): void {
-		this.stateOf(incarnation).unansweredProbes += 1;
+	recordUnansweredProbe(incarnation: TargetIncarnation, wasSent: boolean): void {
+		const state = this.stateOf(incarnation);
+		state.unansweredProbes += 1;
+		state.wasSent = wasSent;
 	}
 
 	recordEnded(incarnation: TargetIncarnation, now: number): void {
@@ -105,7 +116,7 @@
 		}
 
 		const state = {
-			failures: 0, isSuspected: false, unansweredProbes: 0, nextProbeAt: 0,
+			failures: 0, isSuspected: false, wasSent: false, unansweredProbes: 0, nextProbeAt: 0,
 		};
 		this.states.set(key, state);
 		return state;
--- a/standins/key-holder.ts
+++ b/standins/key-holder.ts
@@ -28,6 +28,29 @@
 	expiresAt: number;
 };
 
+/** State of a process that can be stopped and continued. */
+class Suspension {
+	/** Resolves once the process continues; undefined while it runs. */
+	end: Promise<void> | undefined;
+	private resume: (() => void) | undefined;
+
+	get isActive(): boolean {
+		return this.end !== undefined;
+	}
+
+	set isActive(isActive: boolean) {
+		if (isActive) {
+			this.end ??= new Promise(resolve => {
+				this.resume = resolve;
+			});
+			return;
+		}
+
+		this.resume?.();
+		this.end = undefined;
+	}
+}
+
 /** One incarnation of a target. */
 export class KeyHolder {
 	/** True while orders do not reach the target, although it continues to serve requests. */
@@ -44,6 +67,8 @@
 		connectMs: 0, toTargetMs: orderDelayMs, toDaemonMs: orderDelayMs, losesAnswers: false,
 	};
 
+	/** While the target is suspended, orders wait in its sockets. */
+	readonly suspension = new Suspension();
 	/** Grants accepted by this incarnation. */
 	grantCount = 0;
 	private holds: Hold[] = [];
@@ -85,26 +110,17 @@
 	readonly unreachable = new Set<string>();
 	/** Time between a call and the sending of its order, in milliseconds, as with a busy event loop. Timeouts count from the sending. */
 	sendDelayMs = 0;
-	private resume: (() => void) | undefined;
-	private resumption: Promise<void> | undefined;
+	/** While the daemon is suspended, it sends nothing and notices neither answers nor timeouts; what it has sent arrives. */
+	private readonly suspension = new Suspension();
 
 	constructor(private readonly holders: Map<string, KeyHolder>) {}
 
-	/** True while the daemon is suspended: it sends nothing and notices neither answers nor timeouts; what it has sent arrives. */
 	get isSuspended(): boolean {
-		return this.resumption !== undefined;
+		return this.suspension.isActive;
 	}
 
 	set isSuspended(isSuspended: boolean) {
-		if (isSuspended) {
-			this.resumption ??= new Promise(resolve => {
-				this.resume = resolve;
-			});
-			return;
-		}
-
-		this.resume?.();
-		this.resumption = undefined;
+		this.suspension.isActive = isSuspended;
 	}
 
 	async grant(target: TargetIncarnation, grant: KeyGrant): Promise<void> {
@@ -130,7 +146,7 @@
 			await pause(this.sendDelayMs);
 		}
 
-		await this.resumption;
+		await this.suspension.end;
 		const holder = this.holders.get(target.address);
 		if (!holder || holder.isRefusing) {
 			await pause(orderDelayMs);
@@ -139,13 +155,13 @@
 
 		const {connectMs} = holder.link;
 		await pause(Math.min(connectMs, timeoutMs));
-		await this.resumption;
+		await this.suspension.end;
 		if (connectMs >= timeoutMs) {
 			throw new OrderUnsentError(target.id, 'no connection in time');
 		}
 
 		const answer = await Promise.race([this.deliver(target, holder, carryOut), pause(timeoutMs - connectMs)]);
-		await this.resumption;
+		await this.suspension.end;
 		if (!answer) {
 			throw new TargetUnavailableError(target.id, 'no answer in time');
 		}
@@ -156,6 +172,7 @@
 	/** Resolves once the answer arrives, with a function that returns or throws it. The connection ends with the process that accepted it. */
 	private async deliver<Answer>(target: TargetIncarnation, holder: KeyHolder, carryOut: CarryOut<Answer>): Promise<() => Answer> {
 		await pause(holder.link.toTargetMs);
+		await holder.suspension.end;
 		if (holder.isStopped || holder.isUnreachable || this.unreachable.has(target.id)) {
 			return never();
 		}
--- a/tests/decisions/late-orders.test.ts
+++ b/tests/decisions/late-orders.test.ts
@@ -172,6 +172,14 @@
 			await run(16_000);
 		},
 	},
+	{
+		title: 'a target is suspended for 9 s with a grant in its socket',
+		async simulate({fleet, run}) {
+			fleet.holder(1).suspension.isActive = true;
+			await run(9000);
+			fleet.holder(1).suspension.isActive = false;
+		},
+	},
 	{
 		title: 'a restarted target gets a grant that was meant for the incarnation before, and leaves',
 		async simulate({fleet, run}) {
