fix(deploy): the bundled daemon handles signals while it is compiled

A signal ended the process by the default action of the runtime while the bundle was read and compiled. The starter now has listeners before that; the event loop delivers the signals once the program has added its own.

--- a/deploy/eelgrasswheeld.cjs
+++ b/deploy/eelgrasswheeld.cjs
@@ -3,6 +3,7 @@
  */
 const {readFileSync} = require('node:fs');
 const path = require('node:path');
+const process = require('node:process');
 const {Script} = require('node:vm');
 
 const filename = path.join(__dirname, 'daemon.cjs');
@@ -30,5 +31,11 @@
 module.exports = {compile, run};
 
 if (require.main === module) {
+	// Until there is a listener, the default action of the runtime ends the process. The event loop delivers the signals once
+	// the program has added its own listeners.
+	for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+		process.on(signal, () => undefined);
+	}
+
 	run(compile(readCode()));
 }
