fix(platform): an odd entry of a target is rejected whole, with one short line

Operators saw entries of another writer believed: slots of 2^53-1, a start time far in the future, a warm-up of 1e308 ms, port 0, octets above 255. Such a "target" takes keys and requests, so that callers get 503 although good targets are there. A field 20,000 levels deep made `JSON.stringify` of the fault throw a `RangeError`, which is not the decoder's own error type.

Cause: the decoder checked types, and lower bounds only; it described faults by printing whatever it found, and names were any text. Each field now has both bounds, an address has to be one that can be connected to, and names hold no unreadable characters: bytes that are no UTF-8 arrive as U+FFFD. Size and depth are checked before anything is parsed; a fault shows at most 60 characters of a value and none of an array or object, and the message of an error names at most five faults. The start time is bounded by the year 2100 and not by the VM's clock, because clocks jump. `__proto__` is no name, because daemons send each other objects with names as keys, in which it would be lost.

--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -211,12 +211,18 @@
 	}
 }
 
+/** Faults that the message of a malformed document names, and most characters of each; the message becomes a line of the log. */
+const namedFaults = 5;
+const faultCharacters = 400;
+
 /** A document from outside the router does not have the expected form. */
 export class MalformedDocumentError extends RouterError {
 	override name = 'MalformedDocumentError';
 
 	constructor(document: string, readonly faults: string[]) {
-		super(ErrorCode.MalformedDocument, `${document}: ${faults.join('; ')}.`, 'Correct the document.');
+		const named = faults.slice(0, namedFaults).map(fault => fault.slice(0, faultCharacters));
+		const unnamed = faults.length > namedFaults ? `; and ${faults.length - namedFaults} more` : '';
+		super(ErrorCode.MalformedDocument, `${document.slice(0, faultCharacters)}: ${named.join('; ')}${unnamed}.`, 'Correct the document.');
 	}
 }
 
--- a/src/platform/document-reader.ts
+++ b/src/platform/document-reader.ts
@@ -2,13 +2,47 @@
  * Validates the fields of untrusted JSON documents and collects every fault.
  */
 import {MalformedDocumentError} from '../model/errors.js';
+import {parseAddress} from '../transport/address.js';
+
+/** Longest name, in characters; a key of the store has at most 200 bytes. */
+const longestName = 200;
+
+/** Characters of a value, or of the path of a field, that a fault repeats. */
+const shownCharacters = 60;
+
+/** Most faults that are kept of one document; each may become a line of the log. */
+const faultLimit = 100;
+
+/** Bounds of a number; both ends are allowed. */
+export type NumberBounds = {
+	minimum?: number;
+	maximum?: number;
+	/** Replaces a malformed value; the minimum if not stated. */
+	fallback?: number;
+};
+
+/** Bounds of a document, which hold before any of it is decoded. */
+export type DocumentBounds = {
+	/** Most characters of the text. */
+	maxCharacters: number;
+	/** Most levels of objects and arrays; not bounded if not stated. */
+	maxDepth?: number;
+};
 
 type Fields = Record<string, unknown>;
 
 /** Reads the fields of one object. Readers of nested objects add to the same list of faults. */
 export class DocumentReader {
-	/** @throws {MalformedDocumentError} if the text is not a JSON object */
-	static parse(document: string, text: string): DocumentReader {
+	/** @throws {MalformedDocumentError} if the text is not a JSON object within the bounds */
+	static parse(document: string, text: string, {maxCharacters, maxDepth}: DocumentBounds): DocumentReader {
+		if (text.length > maxCharacters) {
+			throw new MalformedDocumentError(document, [`expected at most ${maxCharacters} characters, found ${text.length}`]);
+		}
+
+		if (maxDepth !== undefined && exceedsDepth(text, maxDepth)) {
+			throw new MalformedDocumentError(document, [`expected at most ${maxDepth} levels`]);
+		}
+
 		let value: unknown;
 		try {
 			value = JSON.parse(text);
@@ -20,11 +54,13 @@
 	}
 
 	private readonly fields: Fields;
+	private readonly path: string;
 
-	constructor(private readonly path: string, value: unknown, private readonly faults: string[] = []) {
+	constructor(path: string, value: unknown, private readonly faults: string[] = []) {
+		this.path = shorten(path);
 		if (!isObject(value)) {
 			this.fields = {};
-			faults.push(`${path}: expected an object`);
+			this.addFault('expected an object');
 			return;
 		}
 
@@ -41,22 +77,26 @@
 	}
 
 	addFault(detail: string): void {
-		this.faults.push(`${this.path}: ${detail}`);
+		this.pushFault(`${this.path}: ${detail}`);
 	}
 
 	text(name: string, fallback = ''): string {
-		const value = this.fields[name];
-		return this.hasText(name) ? value as string : this.addTypeFault(name, 'a non-empty string', fallback);
+		if (!this.hasText(name)) {
+			return this.addTypeFault(name, 'a non-empty string', fallback);
+		}
+
+		const value = this.fields[name] as string;
+		return isName(value) ? value : this.addTypeFault(name, `at most ${longestName} characters, none of them unreadable`, fallback);
 	}
 
-	integer(name: string, minimum = 0, fallback = minimum): number {
+	integer(name: string, {minimum = 0, maximum = Number.MAX_SAFE_INTEGER, fallback = minimum}: NumberBounds = {}): number {
 		const value = this.fields[name];
-		return Number.isSafeInteger(value) && (value as number) >= minimum ? value as number : this.addTypeFault(name, `an integer of at least ${minimum}`, fallback);
+		return Number.isSafeInteger(value) && isWithin(value, minimum, maximum) ? value : this.addTypeFault(name, `an integer from ${minimum} to ${maximum}`, fallback);
 	}
 
-	number(name: string, minimum = 0, fallback = minimum): number {
+	number(name: string, {minimum = 0, maximum = Number.MAX_SAFE_INTEGER, fallback = minimum}: NumberBounds = {}): number {
 		const value = this.fields[name];
-		return typeof value === 'number' && Number.isFinite(value) && value >= minimum ? value : this.addTypeFault(name, `a number of at least ${minimum}`, fallback);
+		return isWithin(value, minimum, maximum) ? value : this.addTypeFault(name, `a number from ${minimum} to ${maximum}`, fallback);
 	}
 
 	oneOf<Choice extends string>(name: string, choices: readonly Choice[]): Choice {
@@ -67,7 +107,7 @@
 	/** IPv4 address and port. */
 	address(name: string): string {
 		const value = this.fields[name];
-		return typeof value === 'string' && /^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v.test(value) ? value : this.addTypeFault(name, 'IP:PORT', '');
+		return typeof value === 'string' && parseAddress(value) ? value : this.addTypeFault(name, 'IP:PORT', '');
 	}
 
 	list(name: string): unknown[] {
@@ -107,11 +147,81 @@
 	}
 
 	private addTypeFault<Value>(name: string, expected: string, fallback: Value): Value {
-		this.faults.push(`${this.path}.${name}: expected ${expected}, found ${JSON.stringify(this.fields[name])}`);
+		this.pushFault(`${this.path}.${name}: expected ${expected}, found ${describe(this.fields[name])}`);
 		return fallback;
 	}
+
+	private pushFault(fault: string): void {
+		if (this.faults.length < faultLimit) {
+			this.faults.push(fault);
+		}
+	}
+}
+
+/** True if a text can name a service, an availability zone or a target: daemons use such names as keys of their messages. */
+export function isName(text: string): boolean {
+	return text.length <= longestName && text !== '__proto__' && !/[\p{Cc}\p{Cs}\uFFFD]/v.test(text);
 }
 
 function isObject(value: unknown): value is Fields {
 	return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
+
+function isWithin(value: unknown, minimum: number, maximum: number): value is number {
+	return typeof value === 'number' && value >= minimum && value <= maximum;
+}
+
+/** Describes a value without its contents: a deeply nested one cannot be converted to text. */
+function describe(value: unknown): string {
+	if (typeof value === 'string') {
+		return JSON.stringify(shorten(value));
+	}
+
+	if (typeof value === 'object' && value !== null) {
+		return Array.isArray(value) ? 'an array' : 'an object';
+	}
+
+	return String(value);
+}
+
+function shorten(text: string): string {
+	return text.length > shownCharacters ? `${text.slice(0, shownCharacters)}…` : text;
+}
+
+/** True if objects and arrays are nested deeper than a limit. */
+function exceedsDepth(text: string, limit: number): boolean {
+	let depth = 0;
+	let isInString = false;
+	for (let index = 0; index < text.length && depth <= limit; index += 1) {
+		switch (text[index]) {
+			case '"': {
+				isInString = !isInString;
+				break;
+			}
+
+			case '\\': {
+				// Skips the escaped character, which may be a quote.
+				index += 1;
+				break;
+			}
+
+			case '[':
+			case '{': {
+				depth += isInString ? 0 : 1;
+				break;
+			}
+
+			case ']':
+			case '}': {
+				depth -= isInString ? 0 : 1;
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+	}
+
+	return depth > limit;
+}
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -5,12 +5,33 @@
 import {
 	initialLimits, type CallerLimits, type Route, type RouteConfiguration, type ServiceRule, type ServiceShare,
 } from '../model/route-configuration.js';
-import {DocumentReader} from './document-reader.js';
+import {DocumentReader, isName, type DocumentBounds} from './document-reader.js';
 import {wireKeys} from './wire.js';
 
 /** Milliseconds in a second. */
 const secondMs = 1000;
 
+/** Bounds of a target's entry, which has ten short fields on one level. */
+const entryBounds: DocumentBounds = {maxCharacters: 16_384, maxDepth: 16};
+
+/**
+ * Bounds of the configuration. An answer of the store with a larger one is not read. Its depth is not bounded: unknown parts are
+ * skipped however deep they are, and one of them must not cost the others.
+ */
+const configurationBounds: DocumentBounds = {maxCharacters: 16_777_216};
+
+/** Most requests that a target processes concurrently; far more than one process can. */
+const maxSlots = 100_000;
+
+/** Longest warm-up of a target in milliseconds, one hour; targets warm up within seconds. */
+const maxWarmUpMs = 3_600_000;
+
+/**
+ * Latest start of a target: the year 2100 in Unix milliseconds. The VM's clock is no bound, because clocks jump; an earlier start
+ * than the true one does no harm, because a later one replaces it.
+ */
+const latestBirth = 4_102_444_800_000;
+
 /** For each kind of route, whether its requests may be repeated. */
 const isIdempotentByKind: ReadonlyMap<string, boolean> = new Map([
 	['safe', true],
@@ -32,7 +53,7 @@
  * @throws {MalformedDocumentError} if the version or the list of resources is missing
  */
 export function decodeConfiguration(text: string, earlier?: RouteConfiguration): RouteConfiguration {
-	const reader = DocumentReader.parse('configuration', text);
+	const reader = DocumentReader.parse('configuration', text, configurationBounds);
 	const version = reader.integer('version');
 	const resources = reader.list('resources');
 	reader.throwOnFaults();
@@ -104,18 +125,23 @@
  * @throws {MalformedDocumentError}
  */
 export function decodeTarget(key: string, text: string): Target {
-	const reader = DocumentReader.parse(key, text);
+	const reader = DocumentReader.parse(key, text, entryBounds);
 	const target: Target = {
 		id: key.slice(wireKeys.targets.length),
-		bornAt: reader.integer('born'),
+		bornAt: reader.integer('born', {maximum: latestBirth}),
 		address: reader.address('address'),
 		service: reader.text('service'),
 		availabilityZone: reader.text('zone'),
 		softwareVersion: reader.text('version'),
-		slots: reader.integer('slots', 1),
+		slots: reader.integer('slots', {minimum: 1, maximum: maxSlots}),
 		state: reader.oneOf('state', ['ready', 'draining']) === 'ready' ? TargetState.Ready : TargetState.Draining,
-		warmUpLeftMs: reader.number('warmupLeftMs'),
+		warmUpLeftMs: reader.number('warmupLeftMs', {maximum: maxWarmUpMs}),
 	};
+	// The id is sent to the target in a header.
+	if (!/^[\u0021-\u007E]+$/v.test(target.id) || !isName(target.id)) {
+		reader.addFault('expected a key that ends with the id of a target');
+	}
+
 	// The heartbeat count is not used, but an entry without it was not written by a target.
 	reader.integer('sequence');
 	reader.throwOnFaults();
@@ -146,10 +172,10 @@
 		prefix,
 		shares: isReadable ? shares : [],
 		isIdempotent: isIdempotentByKind.get(kind) ?? false,
-		timeoutMs: reader.number('timeoutMs', 1, earlier?.timeoutMs ?? defaultTimeoutMs),
-		targetLatencyMs: reader.number('targetLatencyMs', 0, earlier?.targetLatencyMs ?? defaultTimeoutMs),
-		priority: reader.integer('priority', 0, earlier?.priority ?? defaultPriority),
-		maxAttempts: reader.integer('maxAttempts', 1, 1),
+		timeoutMs: reader.number('timeoutMs', {minimum: 1, fallback: earlier?.timeoutMs ?? defaultTimeoutMs}),
+		targetLatencyMs: reader.number('targetLatencyMs', {fallback: earlier?.targetLatencyMs ?? defaultTimeoutMs}),
+		priority: reader.integer('priority', {fallback: earlier?.priority ?? defaultPriority}),
+		maxAttempts: reader.integer('maxAttempts', {minimum: 1}),
 	};
 }
 
@@ -173,7 +199,7 @@
 	return {
 		name,
 		healthPath: reader.text('healthPath', earlier?.healthPath ?? '/'),
-		maxConnections: reader.integer('maxConnections', 1, earlier?.maxConnections ?? 1),
+		maxConnections: reader.integer('maxConnections', {minimum: 1, fallback: earlier?.maxConnections ?? 1}),
 		isKeyed: reader.boolean('sharded', earlier?.isKeyed ?? false),
 		keyWarmUpMs: reader.has('warmS') ? reader.number('warmS') * secondMs : 0,
 	};
@@ -181,9 +207,9 @@
 
 function decodeLimits(reader: DocumentReader): CallerLimits {
 	return {
-		maxHeaderBytes: reader.integer('maxHeaderBytes', 1),
+		maxHeaderBytes: reader.integer('maxHeaderBytes', {minimum: 1}),
 		maxBodyBytes: reader.integer('maxBodyBytes'),
-		headerTimeoutMs: reader.integer('headerTimeoutMs', 1),
-		idleTimeoutMs: reader.integer('idleTimeoutMs', 1),
+		headerTimeoutMs: reader.integer('headerTimeoutMs', {minimum: 1}),
+		idleTimeoutMs: reader.integer('idleTimeoutMs', {minimum: 1}),
 	};
 }
