fix(fleet): the load of a target whose id names a property of objects is summed

Operators of a fleet in which another writer chose an id such as "constructor" would have seen a daemon stop reporting its load: the sum for the availability zone threw "function is not iterable" in every tick with an answer of that target, so that what comes later in the tick, such as the catch-up of the view, did not run either. Cause: sums were kept in plain objects, in which such an id finds an inherited function; a count beside it became text, which every peer rejects with the whole message.

Only ids from another writer can cause this; no daemon was seen to fail so.

--- a/src/decisions/fleet/peer-exchange.ts
+++ b/src/decisions/fleet/peer-exchange.ts
@@ -102,7 +102,7 @@
 	private readonly loadForRemoteZones = new ZoneLoad();
 	private readonly loadForLocalPeers = new ZoneLoad();
 	/** Own requests in flight as last reported; the hub's total contains them. */
-	private reportedInFlight: Record<string, number> = {};
+	private reportedInFlight: ReadonlyMap<string, number> = new Map();
 	private reportedAt = 0;
 	private zoneReportedAt = 0;
 	private keysReportedAt = 0;
@@ -347,7 +347,7 @@
 		hubs.recordHubReport(daemon, watcher, now);
 		const inFlight: Record<string, number> = {};
 		for (const [target, count] of Object.entries(zoneLoad?.inFlight ?? {})) {
-			const others = count - (this.reportedInFlight[target] ?? 0);
+			const others = count - (this.reportedInFlight.get(target) ?? 0);
 			if (others > 0) {
 				inFlight[target] = others;
 			}
@@ -420,7 +420,7 @@
 		this.reportedAt = now;
 		this.lastInFlightJson = inFlight;
 		const load = loads.takeReport();
-		this.reportedInFlight = load.inFlight;
+		this.reportedInFlight = new Map(Object.entries(load.inFlight));
 		this.loadForRemoteZones.add(daemon, load, now);
 		this.loadForLocalPeers.add(daemon, load, now);
 		if (hub === daemon) {
--- a/src/decisions/fleet/zone-load.ts
+++ b/src/decisions/fleet/zone-load.ts
@@ -14,27 +14,27 @@
 /** Sums the reports of daemons. */
 export class ZoneLoad {
 	private readonly reports = new Map<string, ReportedLoad>();
-	private samples: LoadReport['samples'] = {};
+	private readonly samples = new Map<string, [number, number]>();
 
 	/** Replaces the requests in flight of a daemon by those in its new report, and adds the answers in it to the earlier ones. */
 	add(daemon: string, {inFlight, samples}: LoadReport, now: number): void {
 		this.reports.set(daemon, {receivedAt: now, inFlight});
 		for (const [target, [count, sumMs]] of Object.entries(samples)) {
-			const [knownCount, knownSumMs] = this.samples[target] ?? [0, 0];
-			this.samples[target] = [knownCount + count, knownSumMs + sumMs];
+			const [knownCount, knownSumMs] = this.samples.get(target) ?? [0, 0];
+			this.samples.set(target, [knownCount + count, knownSumMs + sumMs]);
 		}
 	}
 
 	/** Returns the load of all daemons with the answers since the last call, and resets these. */
 	takeReport(now: number): LoadReport {
-		const {samples} = this;
-		this.samples = {};
+		const samples = Object.fromEntries(this.samples);
+		this.samples.clear();
 		return {inFlight: this.inFlight(now), samples};
 	}
 
 	/** Requests in flight of all daemons, by target. */
 	inFlight(now: number): Record<string, number> {
-		const inFlight: Record<string, number> = {};
+		const inFlight = new Map<string, number>();
 		for (const [daemon, load] of this.reports) {
 			if (now - load.receivedAt > reportLifetimeMs) {
 				this.reports.delete(daemon);
@@ -42,10 +42,10 @@
 			}
 
 			for (const [target, count] of Object.entries(load.inFlight)) {
-				inFlight[target] = (inFlight[target] ?? 0) + count;
+				inFlight.set(target, (inFlight.get(target) ?? 0) + count);
 			}
 		}
 
-		return inFlight;
+		return Object.fromEntries(inFlight);
 	}
 }
