fix(platform): answers of the store are decoded with bounds, each item for itself

Operators of a store that answers oddly would have seen daemons that stop following it: one item without a value or key in a listing or a watch threw a `TypeError`, and the same call was repeated every 250 ms with the same end, so that no later configuration and no target arrived. An answer `null` to a lease threw as well, in the membership at each tick of 20 ms, which reaches the limit of 20 failures in 0.4 s and ends the process. A lease of 1e308 ms was believed, so that a leader would not have noticed that it had lost its keys, and a listing that names the same page again was read for ever.

Cause: answers were cast to the expected type and never checked. They are decoded now: an item whose key or revision cannot be read is left out and reported in one line, one whose value cannot be read counts as a malformed document of its key, and the others hold. If the revision or the list itself cannot be read, a read has failed, and a write has possibly run: its status said that it took effect, but a write that was answered with no JSON was reported as one without effect before. A lease counts for at most the time that was requested.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -76,7 +76,9 @@
 	constructor(private readonly settings: PlatformSettings, private readonly log: EventLog) {
 		const {daemon, availabilityZone, ip, peerPorts: [port]} = settings;
 		this.view = new FleetView(new ConfigurationFreshness(settings.configurationApplyMs));
-		this.store = new PlatformStore(settings.storeAddress);
+		this.store = new PlatformStore(settings.storeAddress, detail => {
+			log.record(LogEvent.DocumentRejected, {detail});
+		});
 		this.sync = this.createSync();
 		const member: Member = {
 			daemon, availabilityZone, ip, port, room: spareCapacity(settings),
--- a/src/platform/document-reader.ts
+++ b/src/platform/document-reader.ts
@@ -110,6 +110,11 @@
 		return typeof value === 'string' && parseAddress(value) ? value : this.addTypeFault(name, 'IP:PORT', '');
 	}
 
+	/** The value of a field as it was parsed. */
+	raw(name: string): unknown {
+		return this.fields[name];
+	}
+
 	list(name: string): unknown[] {
 		const value = this.fields[name];
 		return Array.isArray(value) ? value : this.addTypeFault<unknown[]>(name, 'an array', []);
--- a/src/platform/platform-store.ts
+++ b/src/platform/platform-store.ts
@@ -3,15 +3,18 @@
  */
 import {Buffer} from 'node:buffer';
 import type {
-	CoordinationStore, StoreChange, StoreChanges, StoredItem, StoreLease, StoreListing, StoreTransaction,
+	CoordinationStore, StoreChanges, StoredItem, StoreLease, StoreListing, StoreTransaction,
 } from '../model/coordination-store.js';
 import {
-	ConflictError, HistoryLostError, LeaseEndedError, StoreAmbiguousError, StoreUnavailableError, WatchInterruptedError,
+	ConflictError, HistoryLostError, LeaseEndedError, MalformedDocumentError, StoreAmbiguousError, StoreUnavailableError, WatchInterruptedError,
 } from '../model/errors.js';
 import {ConnectionPool} from '../transport/connection-pool.js';
 import {
 	callJson, CallFailure, type JsonAnswer, type JsonCall,
 } from '../transport/json-call.js';
+import {
+	decodeChanges, decodeItem, decodeLease, decodePage, decodeRevision, type StorePage,
+} from './store-answers.js';
 import {wirePaths} from './wire.js';
 
 /** Timeout of a call in milliseconds. When the store is slow, its calls take 4 ms to about 400 ms. */
@@ -20,7 +23,8 @@
 /** Margin between the end of a watch's wait in the store and its timeout, in milliseconds. */
 const watchTimeoutMarginMs = 1000;
 
-type WireItem = {key: string; value: string; revision: number; tombstone?: boolean};
+/** Called for an answer with items that cannot be read. */
+export type StoreFaultListener = (detail: string) => void;
 
 /** Calls the store over pooled connections. */
 export class PlatformStore implements CoordinationStore {
@@ -29,7 +33,7 @@
 	private interruptionReason: string | undefined;
 	private calls = 0;
 
-	constructor(private readonly address: string) {}
+	constructor(private readonly address: string, private readonly onFault: StoreFaultListener = () => undefined) {}
 
 	/** Number of calls since the start. */
 	get callCount(): number {
@@ -37,20 +41,19 @@
 	}
 
 	async list(prefix: string): Promise<StoreListing> {
-		const items: StoredItem[] = [];
+		let items: StoredItem[] = [];
 		let revision: number | undefined;
 		let after: string | undefined;
 		for (;;) {
 			// eslint-disable-next-line no-await-in-loop -- each page starts after the last key of the previous one.
 			const page = await this.readPage(prefix, after);
 			// The pages are no snapshot. A watch from the first page's revision delivers the changes made while the others were read.
-			revision ??= page.storeRevision;
-			items.push(...page.items.map(item => decodeItem(item)));
-			if (!page.hasMore || page.items.length === 0) {
+			revision ??= page.revision;
+			items = [...items, ...page.items];
+			after = page.nextAfter;
+			if (after === undefined) {
 				return {items, revision};
 			}
-
-			after = page.items.at(-1)?.key;
 		}
 	}
 
@@ -61,14 +64,13 @@
 			throw new HistoryLostError(after);
 		}
 
-		const {events, storeRevision} = parse<{events: WireItem[]; storeRevision: number}>(answer);
-		return {changes: events.map(event => decodeChange(event)), revision: storeRevision};
+		return this.decodeItems(answer, decodeChanges);
 	}
 
 	async read(key: string): Promise<StoredItem | undefined> {
 		const query = new URLSearchParams({key});
 		const answer = await this.call({method: 'GET', path: `${wirePaths.storeItem}?${query.toString()}`, timeoutMs: callTimeoutMs});
-		return answer.status === 404 ? undefined : decodeItem(parse<WireItem>(answer));
+		return answer.status === 404 ? undefined : decode(answer, text => decodeItem(text, key));
 	}
 
 	async write({expected, puts, removals = []}: StoreTransaction): Promise<number> {
@@ -88,15 +90,16 @@
 			throw new LeaseEndedError(puts.find(({lease}) => lease !== undefined)?.lease ?? 0);
 		}
 
-		return parse<{revision: number}>(answer).revision;
+		return decodeWritten(answer, decodeRevision);
 	}
 
 	async openLease(durationMs: number): Promise<StoreLease> {
 		const answer = await this.call({
 			method: 'POST', path: wirePaths.storeLease, body: {ttlMs: durationMs}, timeoutMs: callTimeoutMs,
 		});
-		const {lease, ttlMs} = parse<{lease: number; ttlMs: number}>(answer);
-		return {id: lease, durationMs: ttlMs};
+		const lease = decodeWritten(answer, decodeLease);
+		// A longer lease than the requested one is not relied on.
+		return {id: lease.id, durationMs: Math.min(lease.durationMs, durationMs)};
 	}
 
 	async renewLease(id: number): Promise<void> {
@@ -105,7 +108,7 @@
 			throw new LeaseEndedError(id);
 		}
 
-		parse(answer);
+		requireSuccess(answer);
 	}
 
 	async endLease(id: number): Promise<void> {
@@ -136,9 +139,21 @@
 		}
 	}
 
-	private async readPage(prefix: string, after: string | undefined): Promise<{items: WireItem[]; hasMore: boolean; storeRevision: number}> {
+	private async readPage(prefix: string, after: string | undefined): Promise<StorePage> {
 		const query = new URLSearchParams({prefix, ...(after !== undefined && {after})});
-		return parse(await this.call({method: 'GET', path: `${wirePaths.storeRange}?${query.toString()}`, timeoutMs: callTimeoutMs}));
+		const answer = await this.call({method: 'GET', path: `${wirePaths.storeRange}?${query.toString()}`, timeoutMs: callTimeoutMs});
+		return this.decodeItems(answer, (text, faults) => decodePage(text, after, faults));
+	}
+
+	/** Decodes an answer with items; those that cannot be read are reported and do not affect the others. */
+	private decodeItems<Content>(answer: JsonAnswer, decodeContent: (text: string, faults: string[]) => Content): Content {
+		const faults: string[] = [];
+		const content = decode(answer, text => decodeContent(text, faults));
+		if (faults.length > 0) {
+			this.onFault(new MalformedDocumentError('answer of the store', faults).message);
+		}
+
+		return content;
 	}
 
 	private async call(call: JsonCall, onStart?: (abort: (reason: string) => void) => void): Promise<JsonAnswer> {
@@ -163,22 +178,27 @@
 	}
 }
 
-function parse<Body>(answer: JsonAnswer): Body {
+function requireSuccess(answer: JsonAnswer): void {
 	if (answer.status !== 200) {
 		throw new StoreUnavailableError(`status ${answer.status}`);
 	}
+}
 
+function decode<Content>(answer: JsonAnswer, decodeContent: (text: string) => Content): Content {
+	requireSuccess(answer);
 	try {
-		return JSON.parse(answer.text) as Body;
+		return decodeContent(answer.text);
 	} catch (error) {
-		throw new StoreUnavailableError(`the answer is not JSON: ${error instanceof Error ? error.message : String(error)}`);
+		throw error instanceof MalformedDocumentError ? new StoreUnavailableError(error.message) : error;
 	}
 }
 
-function decodeItem({key, value, revision}: WireItem): StoredItem {
-	return {key, value: Buffer.from(value, 'base64').toString('utf8'), revision};
-}
-
-function decodeChange(event: WireItem): StoreChange {
-	return event.tombstone ? {key: event.key, value: undefined, revision: event.revision} : decodeItem(event);
+/** Decodes the answer to a call that changes the store; the call took effect even if its answer cannot be read. */
+function decodeWritten<Content>(answer: JsonAnswer, decodeContent: (text: string) => Content): Content {
+	requireSuccess(answer);
+	try {
+		return decodeContent(answer.text);
+	} catch (error) {
+		throw error instanceof MalformedDocumentError ? new StoreAmbiguousError(error.message) : error;
+	}
 }
