fix(fleet): an unexpected error of one component neither ends the daemon nor stops the others

Operators would have seen a daemon end by itself in 0.4 s, or stop catching up with the store, after one unexpected error that repeats: the membership threw it again as an unhandled rejection without setting the time of its next attempt, so that each tick of 20 ms counted towards the 20 failures that end the process. The messages to peers and the synchronization shared one timer callback, so that an error in the first skipped the second in every tick.

The membership logs such an error and retries it after half a second, as it does after a failure of the store; each component of a tick runs in its own guard. Both are logged as `InternalFailure`, so that nothing is hidden.

--- a/src/decisions/fleet/membership.ts
+++ b/src/decisions/fleet/membership.ts
@@ -2,7 +2,7 @@
  * This daemon's entry in the store, by which peers find it. The entry is bound to a lease.
  */
 import type {CoordinationStore} from '../../model/coordination-store.js';
-import {LeaseEndedError, RouterError} from '../../model/errors.js';
+import {describeFailure, LeaseEndedError, RouterError} from '../../model/errors.js';
 import {LogEvent, type EventLog} from '../../model/events.js';
 import type {Member} from '../../model/fleet.js';
 import {storeKeys} from './daemon-documents.js';
@@ -55,11 +55,12 @@
 			this.nextCallAt = performance.now() + renewalMs;
 			this.onAnswer();
 		} catch (error) {
+			this.nextCallAt = performance.now() + retryMs;
 			if (!(error instanceof RouterError)) {
-				throw error;
+				this.log.record(LogEvent.InternalFailure, {detail: describeFailure(error)});
+				return;
 			}
 
-			this.nextCallAt = performance.now() + retryMs;
 			if (error instanceof LeaseEndedError) {
 				this.lease = undefined;
 				this.nextCallAt = 0;
--- a/src/services/platform-kernel.ts
+++ b/src/services/platform-kernel.ts
@@ -71,15 +71,20 @@
 		name: 'fleet',
 		started() {
 			void sync.run();
+			const isKnown = (id: string): boolean => view.findTarget(id) !== undefined;
 			timers.repeat(tickMs, () => {
 				membership.tick();
+			}, () => {
 				exchange.tick();
+			}, () => {
 				sync.tick();
 			});
 			timers.repeat(pruneMs, () => {
 				view.prune();
-				statements.prune(id => view.findTarget(id) !== undefined);
-				loads.prune(id => view.findTarget(id) !== undefined);
+			}, () => {
+				statements.prune(isKnown);
+			}, () => {
+				loads.prune(isKnown);
 			});
 		},
 		stopped() {
@@ -137,13 +142,11 @@
 
 	constructor(private readonly log: EventLog) {}
 
-	/** Logs what the callback throws and keeps the interval running. */
-	repeat(intervalMs: number, callback: () => void): void {
+	/** Logs what a callback throws; neither the other callbacks nor the interval end. */
+	repeat(intervalMs: number, ...callbacks: ReadonlyArray<() => void>): void {
 		this.timers.push(setInterval(() => {
-			try {
-				callback();
-			} catch (error) {
-				this.log.record(LogEvent.InternalFailure, {detail: describeFailure(error)});
+			for (const callback of callbacks) {
+				this.run(callback);
 			}
 		}, intervalMs));
 	}
@@ -153,4 +156,12 @@
 			clearInterval(timer);
 		}
 	}
+
+	private run(callback: () => void): void {
+		try {
+			callback();
+		} catch (error) {
+			this.log.record(LogEvent.InternalFailure, {detail: describeFailure(error)});
+		}
+	}
 }
