fix(gateway): a request is open until its answer was passed to the kernel

A caller that reads slowly, or that waits for a pipelined answer ahead, could lose the rest of an answer at the exit: the gateway stopped counting a request when its answer was decided, while up to the whole answer was still in buffers of the process, which its end destroys. A request is now open until Node reports its answer as passed to the kernel, or its connection is closed; RequestCut names these requests with the stage answering.

--- a/src/services/open-requests.ts
+++ b/src/services/open-requests.ts
@@ -8,7 +8,7 @@
 	Receiving = 'receiving',
 	/** A target is being chosen, or works on it. */
 	Forwarding = 'forwarding',
-	/** Its answer is being written. */
+	/** Its answer was decided, but parts of it have not been passed to the kernel. */
 	Answering = 'answering',
 }
 
--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -73,6 +73,8 @@
 type Connection = {
 	/** Cancellations of requests that were read and not yet answered. */
 	pending: Set<Cancellation>;
+	/** Requests whose answers have not been passed to the kernel. */
+	unwritten: Set<OpenRequest>;
 	/** Raw answer to a malformed request; sent once all earlier requests are answered, then the connection closes. */
 	lastAnswer: string | undefined;
 	/** True until the first request is read. */
@@ -140,8 +142,14 @@
 			void this.handle(request, response);
 		});
 		this.server.on('connection', socket => {
-			this.connections.set(socket, {
-				pending: new Set(), lastAnswer: undefined, isNew: true, latest: undefined, isClosing: false,
+			const connection: Connection = {
+				pending: new Set(), unwritten: new Set(), lastAnswer: undefined, isNew: true, latest: undefined, isClosing: false,
+			};
+			this.connections.set(socket, connection);
+			socket.once('close', () => {
+				for (const request of connection.unwritten) {
+					this.options.openRequests.remove(request);
+				}
 			});
 			for (const event of ['end', 'close']) {
 				socket.once(event, () => {
@@ -211,7 +219,6 @@
 		response.sendDate = false;
 		try {
 			const {caller, outcome, refusal} = await this.forward(request, response, {cancellation, openRequest});
-			openRequest.stage = RequestStage.Answering;
 			if (refusal) {
 				this.refusePermanently(response, refusal);
 				return;
@@ -222,12 +229,27 @@
 		} catch (error) {
 			await this.answerFailure(response, error, cancellation);
 		} finally {
-			this.options.openRequests.remove(openRequest);
+			this.removeWhenWritten(response, openRequest, connection);
 			connection?.pending.delete(cancellation);
 			this.sendLastAnswer(socket, connection);
 		}
 	}
 
+	/** The end of the process destroys what has not been passed to the kernel. */
+	private removeWhenWritten(response: ServerResponse, request: OpenRequest, connection: Connection | undefined): void {
+		if (response.writableFinished || response.req.socket.destroyed || !connection) {
+			this.options.openRequests.remove(request);
+			return;
+		}
+
+		request.stage = RequestStage.Answering;
+		connection.unwritten.add(request);
+		response.once('close', () => {
+			connection.unwritten.delete(request);
+			this.options.openRequests.remove(request);
+		});
+	}
+
 	private async forward(request: IncomingMessage, response: ServerResponse, {cancellation, openRequest}: RequestState): Promise<ForwardResult> {
 		const limits = this.applyLimits();
 		checkHeaderSize(request, limits);
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -381,7 +381,7 @@
 	});
 });
 
-test.failing('should count a request as open until its whole answer was passed to the kernel', async t => {
+test('should count a request as open until its whole answer was passed to the kernel', async t => {
 	await withGateway(t, async ({port, outcomes, openRequests}) => {
 		const socket = await openUnread(port);
 		socket.write(get(`/1/${answerBytes.largest}`));
