fix(gateway): a caller's next request does not destroy the answer before it

A daemon that stops closes a connection after the answer on it. Node closes the descriptor as soon as the kernel has the answer; bytes that the caller has sent by then, or sends later, make the kernel reset the connection, which destroys the part of the answer that the caller has not received. Pipelining callers do this, and slow links or small windows make it likely.

The connection is now closed for writing only, what the caller sends is discarded, and it is closed when the caller closes it, or after 1 s. A shutdown waits for that within its grace period, because the exit would reset the connection too.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -151,7 +151,7 @@
 	/** Logs the requests that the end of the process leaves without a complete answer, and returns their number. */
 	recordCutRequests(): number {
 		const now = performance.now();
-		const requests = this.openRequests.list();
+		const requests = this.openRequests.listUnanswered();
 		for (const {
 			requestId, method, path, stage, receivedAt,
 		} of requests) {
--- a/src/services/open-requests.ts
+++ b/src/services/open-requests.ts
@@ -10,6 +10,8 @@
 	Forwarding = 'forwarding',
 	/** Its answer was decided, but parts of it have not been passed to the kernel. */
 	Answering = 'answering',
+	/** Its answer was passed to the kernel, and its caller has not closed the connection yet. */
+	Closing = 'closing',
 }
 
 /** A request without a complete answer. */
@@ -36,7 +38,8 @@
 		this.requests.delete(request);
 	}
 
-	list(): OpenRequest[] {
-		return [...this.requests];
+	/** The requests without a complete answer. */
+	listUnanswered(): OpenRequest[] {
+		return [...this.requests].filter(({stage}) => stage !== RequestStage.Closing);
 	}
 }
--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -54,6 +54,9 @@
 /** Time a caller has to send the body after the headers, in milliseconds. */
 const bodyTimeoutMs = 30_000;
 
+/** Time for a caller to close a connection after its last answer, in milliseconds; as long as callers wait to connect. */
+const callerCloseMs = 1000;
+
 /** Bytes of a header line in addition to its name and value: colon, space and line end. */
 const headerLineBytes = 4;
 
@@ -73,8 +76,8 @@
 type Connection = {
 	/** Cancellations of requests that were read and not yet answered. */
 	pending: Set<Cancellation>;
-	/** Requests whose answers have not been passed to the kernel. */
-	unwritten: Set<OpenRequest>;
+	/** Requests whose answers have not been passed to the kernel, and the one whose answer closes the connection. */
+	unfinished: Set<OpenRequest>;
 	/** Raw answer to a malformed request; sent once all earlier requests are answered, then the connection closes. */
 	lastAnswer: string | undefined;
 	/** True until the first request is read. */
@@ -143,11 +146,12 @@
 		});
 		this.server.on('connection', socket => {
 			const connection: Connection = {
-				pending: new Set(), unwritten: new Set(), lastAnswer: undefined, isNew: true, latest: undefined, isClosing: false,
+				pending: new Set(), unfinished: new Set(), lastAnswer: undefined, isNew: true, latest: undefined, isClosing: false,
 			};
 			this.connections.set(socket, connection);
+			delayClose(socket);
 			socket.once('close', () => {
-				for (const request of connection.unwritten) {
+				for (const request of connection.unfinished) {
 					this.options.openRequests.remove(request);
 				}
 			});
@@ -229,25 +233,38 @@
 		} catch (error) {
 			await this.answerFailure(response, error, cancellation);
 		} finally {
-			this.removeWhenWritten(response, openRequest, connection);
+			this.removeWhenFinished(response, openRequest, connection);
 			connection?.pending.delete(cancellation);
 			this.sendLastAnswer(socket, connection);
 		}
 	}
 
-	/** The end of the process destroys what has not been passed to the kernel. */
-	private removeWhenWritten(response: ServerResponse, request: OpenRequest, connection: Connection | undefined): void {
-		if (response.writableFinished || response.req.socket.destroyed || !connection) {
+	/**
+	 * The end of the process destroys what has not been passed to the kernel, and resets a connection with unread bytes, which
+	 * may destroy its last answer.
+	 */
+	private removeWhenFinished(response: ServerResponse, request: OpenRequest, connection: Connection | undefined): void {
+		if (response.req.socket.destroyed || !connection) {
 			this.options.openRequests.remove(request);
 			return;
 		}
 
 		request.stage = RequestStage.Answering;
-		connection.unwritten.add(request);
-		response.once('close', () => {
-			connection.unwritten.delete(request);
-			this.options.openRequests.remove(request);
-		});
+		connection.unfinished.add(request);
+		const onWritten = (): void => {
+			request.stage = RequestStage.Closing;
+			if (!connection.isClosing || connection.latest !== request) {
+				connection.unfinished.delete(request);
+				this.options.openRequests.remove(request);
+			}
+		};
+
+		if (response.writableFinished) {
+			onWritten();
+			return;
+		}
+
+		response.once('close', onWritten);
 	}
 
 	private async forward(request: IncomingMessage, response: ServerResponse, {cancellation, openRequest}: RequestState): Promise<ForwardResult> {
@@ -444,6 +461,24 @@
 	}
 }
 
+/**
+ * Node closes a connection as soon as its last answer was passed to the kernel. If the caller has sent more by then, the kernel
+ * resets the connection, which destroys the rest of the answer. So the connection is closed for writing, and what the caller
+ * sends is discarded until it closes the connection as well.
+ */
+function delayClose(socket: Socket): void {
+	socket.destroySoon = () => {
+		socket.end(() => {
+			const timer = setTimeout(() => {
+				socket.destroy();
+			}, callerCloseMs);
+			socket.once('close', () => {
+				clearTimeout(timer);
+			});
+		});
+	};
+}
+
 /** Seconds with fractions, the format that the platform's callers expect. */
 function retryAfterText(delayMs: number): string {
 	return (delayMs / secondMs).toFixed(2);
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -364,7 +364,7 @@
 	});
 });
 
-test.failing('should deliver the whole answer that closes the connection although the caller sends another request', async t => {
+test('should deliver the whole answer that closes the connection although the caller sends another request', async t => {
 	await withGateway(t, async ({port, forwarded, outcomes, stop}) => {
 		const socket = await openUnread(port);
 		socket.write(get(`/1/${answerBytes.buffered}`));
