--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -54,6 +54,9 @@
 /** Time a caller has to send the body after the headers, in milliseconds. */
 const bodyTimeoutMs = 30_000;
 
+/** Time for a caller to close a connection after its last answer, in milliseconds; as long as callers wait to connect. */
+const callerCloseMs = 1000;
+
 /** Bytes of a header line in addition to its name and value: colon, space and line end. */
 const headerLineBytes = 4;
 
@@ -73,10 +76,16 @@
 type Connection = {
 	/** Cancellations of requests that were read and not yet answered. */
 	pending: Set<Cancellation>;
+	/** Requests whose answers have not been passed to the kernel, and the one whose answer closes the connection. */
+	unfinished: Set<OpenRequest>;
 	/** Raw answer to a malformed request; sent once all earlier requests are answered, then the connection closes. */
 	lastAnswer: string | undefined;
 	/** True until the first request is read. */
 	isNew: boolean;
+	/** The last request that was read. */
+	latest: OpenRequest | undefined;
+	/** True once an answer was begun that closes the connection; requests behind it get no answer. */
+	isClosing: boolean;
 };
 
 /** State of a request while it is handled. */
@@ -136,7 +145,16 @@
 			void this.handle(request, response);
 		});
 		this.server.on('connection', socket => {
-			this.connections.set(socket, {pending: new Set(), lastAnswer: undefined, isNew: true});
+			const connection: Connection = {
+				pending: new Set(), unfinished: new Set(), lastAnswer: undefined, isNew: true, latest: undefined, isClosing: false,
+			};
+			this.connections.set(socket, connection);
+			delayClose(socket);
+			socket.once('close', () => {
+				for (const request of connection.unfinished) {
+					this.options.openRequests.remove(request);
+				}
+			});
 			for (const event of ['end', 'close']) {
 				socket.once(event, () => {
 					this.removeConnection(socket);
@@ -188,30 +206,67 @@
 	private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {socket} = request;
 		const connection = this.connections.get(socket);
+		if (connection?.isClosing) {
+			// The caller repeats a request that it sent behind the last answer.
+			request.resume();
+			return;
+		}
+
 		const cancellation = new Cancellation();
 		connection?.pending.add(cancellation);
 		const openRequest = new OpenRequest(request.method ?? 'GET', request.url ?? '/');
 		this.options.openRequests.add(openRequest);
+		if (connection) {
+			connection.latest = openRequest;
+		}
+
 		response.sendDate = false;
 		try {
 			const {caller, outcome, refusal} = await this.forward(request, response, {cancellation, openRequest});
-			openRequest.stage = RequestStage.Answering;
 			if (refusal) {
 				this.refusePermanently(response, refusal);
 				return;
 			}
 
-			this.answer(response, outcome, connection);
+			this.answer(response, outcome, connection?.latest === openRequest);
 			this.options.onOutcome(caller, outcome);
 		} catch (error) {
 			await this.answerFailure(response, error, cancellation);
 		} finally {
-			this.options.openRequests.remove(openRequest);
+			this.removeWhenFinished(response, openRequest, connection);
 			connection?.pending.delete(cancellation);
 			this.sendLastAnswer(socket, connection);
 		}
 	}
 
+	/**
+	 * The end of the process destroys what has not been passed to the kernel, and resets a connection with unread bytes, which
+	 * may destroy its last answer.
+	 */
+	private removeWhenFinished(response: ServerResponse, request: OpenRequest, connection: Connection | undefined): void {
+		if (response.req.socket.destroyed || !connection) {
+			this.options.openRequests.remove(request);
+			return;
+		}
+
+		request.stage = RequestStage.Answering;
+		connection.unfinished.add(request);
+		const onWritten = (): void => {
+			request.stage = RequestStage.Closing;
+			if (!connection.isClosing || connection.latest !== request) {
+				connection.unfinished.delete(request);
+				this.options.openRequests.remove(request);
+			}
+		};
+
+		if (response.writableFinished) {
+			onWritten();
+			return;
+		}
+
+		response.once('close', onWritten);
+	}
+
 	private async forward(request: IncomingMessage, response: ServerResponse, {cancellation, openRequest}: RequestState): Promise<ForwardResult> {
 		const limits = this.applyLimits();
 		checkHeaderSize(request, limits);
@@ -242,7 +297,7 @@
 		const failure = caller.body instanceof Readable ? caller.body.errored : undefined;
 		if (failure instanceof BadRequestError) {
 			// The rest of the body stays unread.
-			closeConnectionAfter(response);
+			this.closeConnectionAfter(response);
 			if (await this.isFinalRefusal(failure, cancellation)) {
 				return {caller, outcome, refusal: failure};
 			}
@@ -277,12 +332,10 @@
 		await nextTurn();
 	}
 
-	private answer(response: ServerResponse, outcome: Outcome, connection: Connection | undefined): void {
-		// Later requests on the same connection still get their answers.
-		const isLast = (connection?.pending.size ?? 0) <= 1;
-		const closes = this.isDraining || outcome.reason === OutcomeReason.DaemonStopping;
-		if (closes && isLast && !response.headersSent) {
-			response.setHeader('connection', 'close');
+	/** @param isLatest false if the caller sent another request behind this one, whose answer closes the connection instead */
+	private answer(response: ServerResponse, outcome: Outcome, isLatest: boolean): void {
+		if (isLatest && (this.isDraining || outcome.reason === OutcomeReason.DaemonStopping)) {
+			this.closeConnectionAfter(response);
 		}
 
 		switch (outcome.kind) {
@@ -323,6 +376,18 @@
 		}
 	}
 
+	private closeConnectionAfter(response: ServerResponse): void {
+		if (response.headersSent) {
+			return;
+		}
+
+		response.setHeader('connection', 'close');
+		const connection = this.connections.get(response.req.socket);
+		if (connection) {
+			connection.isClosing = true;
+		}
+	}
+
 	private async answerFailure(response: ServerResponse, error: unknown, cancellation: Cancellation): Promise<void> {
 		const {log} = this.options;
 		if (error instanceof BadRequestError) {
@@ -348,14 +413,14 @@
 	private refusePermanently(response: ServerResponse, error: BadRequestError): void {
 		this.options.log.record(LogEvent.RequestMalformed, {status: error.status, detail: error.message});
 		// The rest of a refused body stays unread.
-		closeConnectionAfter(response);
+		this.closeConnectionAfter(response);
 		sendFailure(response, error.status, error.code);
 	}
 
 	/** Refuses a request that did not run and that a newer configuration may allow. */
 	private refuseTemporarily(response: ServerResponse, error: BadRequestError): void {
 		this.options.log.record(LogEvent.RequestRefused, {reason: OutcomeReason.ConfigurationUnconfirmed, detail: error.message, retryAfterMs: unconfirmedRetryMs});
-		closeConnectionAfter(response);
+		this.closeConnectionAfter(response);
 		if (!response.headersSent) {
 			response.setHeader('retry-after', retryAfterText(unconfirmedRetryMs));
 		}
@@ -396,17 +461,29 @@
 	}
 }
 
+/**
+ * Node closes a connection as soon as its last answer was passed to the kernel. If the caller has sent more by then, the kernel
+ * resets the connection, which destroys the rest of the answer. So the connection is closed for writing, and what the caller
+ * sends is discarded until it closes the connection as well.
+ */
+function delayClose(socket: Socket): void {
+	socket.destroySoon = () => {
+		socket.end(() => {
+			const timer = setTimeout(() => {
+				socket.destroy();
+			}, callerCloseMs);
+			socket.once('close', () => {
+				clearTimeout(timer);
+			});
+		});
+	};
+}
+
 /** Seconds with fractions, the format that the platform's callers expect. */
 function retryAfterText(delayMs: number): string {
 	return (delayMs / secondMs).toFixed(2);
 }
 
-function closeConnectionAfter(response: ServerResponse): void {
-	if (!response.headersSent) {
-		response.setHeader('connection', 'close');
-	}
-}
-
 function checkHeaderSize(request: IncomingMessage, {maxHeaderBytes}: CallerLimits): void {
 	let bytes = (request.method?.length ?? 0) + (request.url?.length ?? 0);
 	for (const text of request.rawHeaders) {
