fix(transport): a call that was given up is reset

An order that timed out was closed, not reset: the system then goes on delivering bytes that it holds, and a grant that a cut held up arrived after the link had healed, long after the leader counted its hold as expired. callJson now resets the connection of a call that got no answer, which drops what has not been delivered; the same holds for writes to the store, which could take effect late.

--- a/src/transport/connection-pool.ts
+++ b/src/transport/connection-pool.ts
@@ -70,6 +70,12 @@
 		connection.destroy();
 	}
 
+	/** Resets a connection on which a call was given up, so that the call is not delivered later. */
+	reset(connection: HttpConnection): void {
+		this.decrementInUse(connection.address);
+		connection.reset();
+	}
+
 	/** Closes the idle connections to a server, which may be as unresponsive as the one on which a call failed. */
 	discardIdle(address: string): void {
 		for (const connection of this.idleConnections.get(address) ?? []) {
--- a/src/transport/http-connection.ts
+++ b/src/transport/http-connection.ts
@@ -81,6 +81,15 @@
 		void this.client.destroy();
 	}
 
+	/** Resets the socket, so that bytes that the system has not delivered yet are dropped. */
+	reset(): void {
+		if (this.socket && !this.socket.connecting) {
+			this.socket.resetAndDestroy();
+		}
+
+		this.destroy();
+	}
+
 	private open(callback: buildConnector.Callback): void {
 		const [host, port] = this.address.split(':');
 		const socket = connect({
--- a/src/transport/json-call.ts
+++ b/src/transport/json-call.ts
@@ -56,7 +56,7 @@
 
 			isSettled = true;
 			clearTimeout(timer);
-			pool.discard(connection);
+			pool.reset(connection);
 			reject(new CallFailure(`${call.method} ${call.path} at ${address}: ${detail}`, wasSent));
 		};
 
--- a/tests/platform/key-orders.test.ts
+++ b/tests/platform/key-orders.test.ts
@@ -66,3 +66,26 @@
 		}
 	});
 }
+
+test('should reset the connection of an order that timed out, because its bytes could still be delivered', async t => {
+	const port = 7659;
+	const ends: string[] = [];
+	const server = await listen(socket => {
+		socket.resume();
+		socket.once('end', () => {
+			ends.push('end');
+		});
+		socket.once('error', (error: NodeJS.ErrnoException) => {
+			ends.push(error.code ?? '');
+		});
+	}, port);
+	const orders = new PlatformKeyOrders();
+	await t.throwsAsync(orders.grant({id: 'target-1', bornAt: 1, address: `${ip}:${port}`}, grant), {instanceOf: TargetUnavailableError});
+	await new Promise<void>(resolve => {
+		server.close(() => {
+			resolve();
+		});
+	});
+	orders.close();
+	t.deepEqual(ends, ['ECONNRESET']);
+});
