fix(fleet): documents of daemons and messages between them are believed within bounds only

Operators could have seen a daemon that no longer follows the owners of a service after one wrong datagram: a change inside an update could name a higher revision than the update itself, up to 2^53-1, and every later assignment or correction of that key was then older. A fencing token of 2^53-1 in an assignment could not be raised any more, a sum of service times of 1e308 ms made the estimate of a target infinite, and a turn of 2^53-1 ms let a daemon pass over a target for ever. An entry under one daemon's key could name another daemon, and an `ip` could be any text, which is looked up as a host name for each message.

Cause: the schemas checked types and signs. They now have upper bounds, the entry of a daemon has to name the daemon of its key and an IPv4 address, and a change may not be later than its update. Owners' addresses in assignments stay any text: rejecting a stored assignment would leave its service without owners, and an address that is none is a failed attempt.

--- a/src/decisions/fleet/assignment-codec.ts
+++ b/src/decisions/fleet/assignment-codec.ts
@@ -5,9 +5,13 @@
 import {MalformedDocumentError} from '../../model/errors.js';
 import {isSameIncarnation, type TargetIncarnation} from '../../model/fleet.js';
 import {lastKey, type KeyAssignment, type OwnedRange} from '../../model/key-ownership.js';
+import {counter, decodeDocument, documentName} from './document-schema.js';
 import type {KnownAssignment} from './fleet-view.js';
 
-const counter = z.int().check(z.nonnegative());
+/** Highest fencing token; far more than a service gets, and low enough that it can still be raised. */
+const highestFence = 2 ** 48;
+
+const fencingToken = z.int().check(z.minimum(0), z.maximum(highestFence));
 
 const key = z.int().check(z.minimum(0), z.maximum(lastKey));
 
@@ -15,11 +19,11 @@
 const ownerSchema = z.tuple([z.string(), counter, z.string()]);
 
 /** A range: first and last key, index of its owner, fencing token, indexes of previous owners, 1 if it is blocked. */
-const rangeSchema = z.tuple([key, key, counter, counter, z.array(counter), z.literal([0, 1])]);
+const rangeSchema = z.tuple([key, key, counter, fencingToken, z.array(counter), z.literal([0, 1])]);
 
 const assignmentSchema = z.object({
-	service: z.string(),
-	fence: counter,
+	service: documentName,
+	fence: fencingToken,
 	writeId: z.string(),
 	owners: z.array(ownerSchema),
 	ranges: z.array(rangeSchema),
@@ -44,19 +48,7 @@
  * @throws {MalformedDocumentError} unless the ranges cover every key once
  */
 export function decodeAssignment(text: string): KeyAssignment {
-	let content: unknown;
-	try {
-		content = JSON.parse(text);
-	} catch (error) {
-		throw new MalformedDocumentError('assignment', [error instanceof Error ? error.message : String(error)]);
-	}
-
-	const parsed = assignmentSchema.safeParse(content);
-	if (!parsed.success) {
-		throw new MalformedDocumentError('assignment', parsed.error.issues.map(({path, message}) => `${path.join('.')}: ${message}`));
-	}
-
-	return requireFullCoverage(fromDocument(parsed.data));
+	return requireFullCoverage(fromDocument(decodeDocument('assignment', assignmentSchema, text)));
 }
 
 /** Returns the changes of an assignment since a base, or the whole assignment without one. */
--- a/src/decisions/fleet/daemon-documents.ts
+++ b/src/decisions/fleet/daemon-documents.ts
@@ -4,6 +4,7 @@
 import * as z from 'zod/mini';
 import {MalformedDocumentError} from '../../model/errors.js';
 import type {Member} from '../../model/fleet.js';
+import {decodeDocument, documentName} from './document-schema.js';
 
 /** Prefix of all keys of the daemons. */
 const prefix = 'eelgrasswheel/';
@@ -15,23 +16,32 @@
 	assignments: `${prefix}assignments/`,
 } as const;
 
+/** Most spare capacity of a VM, in cores; the members with the most become hubs and leaders. */
+const maxRoom = 4096;
+
 const memberSchema = z.object({
-	daemon: z.string().check(z.minLength(1)),
-	availabilityZone: z.string(),
-	ip: z.string(),
+	daemon: documentName,
+	availabilityZone: documentName,
+	ip: z.ipv4(),
 	port: z.int().check(z.minimum(1), z.maximum(65_535)),
-	room: z.number(),
+	room: z.number().check(z.minimum(0), z.maximum(maxRoom)),
 });
 
-const leaderSchema = z.object({daemon: z.string()});
+const leaderSchema = z.object({daemon: documentName});
 
 /**
  * Decodes the entry of a daemon.
  *
- * @throws {MalformedDocumentError}
+ * @param daemon name of the daemon in the entry's key
+ * @throws {MalformedDocumentError} also if the entry names another daemon
  */
-export function decodeMember(text: string): Member {
-	return parse('member', memberSchema, text);
+export function decodeMember(daemon: string, text: string): Member {
+	const member = decodeDocument('member', memberSchema, text);
+	if (member.daemon !== daemon) {
+		throw new MalformedDocumentError('member', ['daemon: expected the name in the key']);
+	}
+
+	return member;
 }
 
 /**
@@ -40,21 +50,5 @@
  * @throws {MalformedDocumentError}
  */
 export function decodeLeader(text: string): {daemon: string} {
-	return parse('leader', leaderSchema, text);
-}
-
-function parse<Document>(name: string, schema: z.ZodMiniType<Document>, text: string): Document {
-	let content: unknown;
-	try {
-		content = JSON.parse(text);
-	} catch (error) {
-		throw new MalformedDocumentError(name, [error instanceof Error ? error.message : String(error)]);
-	}
-
-	const parsed = schema.safeParse(content);
-	if (!parsed.success) {
-		throw new MalformedDocumentError(name, parsed.error.issues.map(({path, message}) => `${path.join('.')}: ${message}`));
-	}
-
-	return parsed.data;
+	return decodeDocument('leader', leaderSchema, text);
 }
--- a/src/decisions/fleet/peer-message.ts
+++ b/src/decisions/fleet/peer-message.ts
@@ -2,21 +2,35 @@
  * Messages between daemons, and the validation of received ones.
  */
 import * as z from 'zod/mini';
-import {MalformedDocumentError} from '../../model/errors.js';
 import {lastKey} from '../../model/key-ownership.js';
 import {PermitDecision} from '../limits/permit-queue.js';
 import {assignmentChangeSchema} from './assignment-codec.js';
+import {counter, decodeContent, documentName} from './document-schema.js';
 
-const counter = z.int().check(z.nonnegative());
+/** Most requests in flight, or answers in one report; far more than the connections of a VM allow. */
+const maxRequests = 1_000_000;
+
+/** Highest sum of the service times in one report, in milliseconds; far more than the answers of a second take. */
+const maxServiceMs = 1e10;
+
+/** Longest wait in milliseconds, one day; timers of more than 24 days end at once. */
+const longestWaitMs = 86_400_000;
+
+/** Highest limit in requests a second; higher than any target can take. */
+const highestLimitPerS = 100_000;
+
+const requestCount = z.int().check(z.minimum(0), z.maximum(maxRequests));
+
+const waitDuration = z.int().check(z.minimum(0), z.maximum(longestWaitMs));
 
 /** Revisions by service. */
 const revisionsSchema = z.record(z.string(), counter);
 
 const loadSchema = z.object({
 	/** Requests in flight by target. */
-	inFlight: z.record(z.string(), counter),
+	inFlight: z.record(z.string(), requestCount),
 	/** Number and total service time in milliseconds of the answers since the last report, by target. */
-	samples: z.record(z.string(), z.tuple([z.int().check(z.positive()), z.number().check(z.nonnegative())])),
+	samples: z.record(z.string(), z.tuple([z.int().check(z.minimum(1), z.maximum(maxRequests)), z.number().check(z.minimum(0), z.maximum(maxServiceMs))])),
 });
 
 const updateSchema = z.object({
@@ -30,14 +44,14 @@
 	revision: counter,
 	/** True if the changes come from a listing, so that the receiver has to be at exactly the revision `after`. */
 	isListing: z.optional(z.boolean()),
-});
+}).check(z.refine(({changes, revision}) => changes.every(change => change.revision <= revision), 'expected no change after the revision'));
 
 /** The limit of a target; ages in milliseconds. */
-const limitSchema = z.object({limitPerS: z.optional(z.number().check(z.positive())), namedAgeMs: z.optional(counter), clearedAgeMs: z.optional(counter)});
+const limitSchema = z.object({limitPerS: z.optional(z.number().check(z.positive(), z.maximum(highestLimitPerS))), namedAgeMs: z.optional(counter), clearedAgeMs: z.optional(counter)});
 
 const messageSchema = z.object({
-	daemon: z.string().check(z.minLength(1)),
-	availabilityZone: z.string(),
+	daemon: documentName,
+	availabilityZone: documentName,
 	/** Revision of the store up to which the sender's view is complete. */
 	revision: counter,
 	/** Revisions of the assignments that the sender has. */
@@ -68,10 +82,10 @@
 	statements: z.optional(z.record(z.string(), z.extend(limitSchema, {bornAt: counter, isLeaving: z.optional(z.boolean())}))),
 	/** Asks for a permit to send a request to a target that names a limit. */
 	permitRequest: z.optional(z.object({
-		number: counter, target: z.string(), bornAt: counter, priority: counter, waitMs: counter, limit: limitSchema,
+		number: counter, target: z.string(), bornAt: counter, priority: counter, waitMs: waitDuration, limit: limitSchema,
 	})),
 	/** Answer to a request for a permit. */
-	permitAnswer: z.optional(z.object({number: counter, decision: z.enum(PermitDecision), turnMs: counter})),
+	permitAnswer: z.optional(z.object({number: counter, decision: z.enum(PermitDecision), turnMs: waitDuration})),
 	/** True if a hub forwards the message to its own availability zone. */
 	isForwarded: z.optional(z.boolean()),
 });
@@ -85,10 +99,5 @@
  * @throws {MalformedDocumentError} if it does not match the schema
  */
 export function decodePeerMessage(content: unknown): PeerMessage {
-	const parsed = messageSchema.safeParse(content);
-	if (!parsed.success) {
-		throw new MalformedDocumentError('message', parsed.error.issues.map(({path, message}) => `${path.join('.')}: ${message}`));
-	}
-
-	return parsed.data;
+	return decodeContent('message', messageSchema, content);
 }
--- a/src/decisions/fleet/view-writer.ts
+++ b/src/decisions/fleet/view-writer.ts
@@ -135,7 +135,7 @@
 			return;
 		}
 
-		this.view.members.set(daemon, decodeMember(value));
+		this.view.members.set(daemon, decodeMember(daemon, value));
 	}
 
 	private applyLeader(value: string | undefined, revision: number): void {
