fix(ownership): an order is dropped if the term has ended before its first byte

A leader that is suspended while a connection to a target opens writes the grant when it resumes, seconds after its lease has ended: the check of the lease was made at the tick, not at the sending. In the test, its successor had waited for the longest hold of the target, which it could not reach, and had given the keys away; the resumed leader's grant then made the target hold them again. Orders now carry mayBeSent, which callJson asks when the connection is open, right before the first byte: false once the leadership is not confirmed on both clocks, or is that of a later term of the same daemon. Every order of a term is therefore sent before its lease ends, which is what a successor counts from.

--- a/src/decisions/ownership/leadership.ts
+++ b/src/decisions/ownership/leadership.ts
@@ -17,7 +17,7 @@
 /** Interval of renewals in milliseconds; four fit into the duration of the lease. */
 const renewalIntervalMs = 250;
 
-/** Final part of the lease in which no order is sent, in milliseconds; an order sent just before is delivered within it. */
+/** Final part of the lease in which no order is sent, in milliseconds, for clocks of different speed and the time until the first byte. */
 const confirmationMarginMs = 200;
 
 /** Interval between the candidacies of daemons, in milliseconds; about as long as the write of a candidate, so that few compete. */
--- a/src/decisions/ownership/range-orders.ts
+++ b/src/decisions/ownership/range-orders.ts
@@ -55,7 +55,11 @@
 	private grantsInFlight = 0;
 	private silentReleasesInFlight = 0;
 
-	constructor(private readonly options: RangeOrdersOptions, private readonly takeoverAt: number) {}
+	private readonly term: number;
+
+	constructor(private readonly options: RangeOrdersOptions, private readonly takeoverAt: number) {
+		this.term = options.leadership.termCount;
+	}
 
 	/** Number of grants that may arrive after they were given up. */
 	unansweredGrants(now = performance.now()): number {
@@ -75,6 +79,12 @@
 		}
 	}
 
+	/** False once the term may have ended while an order waited for its connection. */
+	private readonly mayBeSent = (): boolean => {
+		const {leadership} = this.options;
+		return leadership.isConfirmed && leadership.termCount === this.term;
+	};
+
 	/** Makes sure that a previous incarnation no longer holds the range. */
 	private clearPreviousOwner(state: RangeState, incarnation: TargetIncarnation, now: number): void {
 		const {log, responsiveness} = this.options;
@@ -143,7 +153,9 @@
 		state.releasing.add(key);
 		this.silentReleasesInFlight += silentCount;
 		try {
-			const handover = await orders.release(incarnation, {range, fence: range.fence, timeoutMs});
+			const handover = await orders.release(incarnation, {
+				range, fence: range.fence, timeoutMs, mayBeSent: this.mayBeSent,
+			});
 			this.recordAnswer(incarnation);
 			this.holdsOf(incarnation).recordRelease(range, range.fence);
 			state.handover = range.previous.length === 1 ? handover : undefined;
@@ -187,7 +199,7 @@
 		const grant = holds.add(range, range.fence, holdDurationMs, performance.now());
 		try {
 			await orders.grant(range.owner, {
-				range, fence: range.fence, holdDurationMs, handover, timeoutMs: grantTimeoutMs,
+				range, fence: range.fence, holdDurationMs, handover, timeoutMs: grantTimeoutMs, mayBeSent: this.mayBeSent,
 			});
 			state.grantedAt = performance.now();
 			holds.recordAnswer(grant, state.grantedAt);
--- a/src/model/key-orders.ts
+++ b/src/model/key-orders.ts
@@ -10,6 +10,8 @@
 	fence: number;
 	/** Timeout of the order in milliseconds. An order that was sent may arrive later. */
 	timeoutMs: number;
+	/** Checked right before the first byte is sent; the order is dropped if the sender may no longer give it. */
+	mayBeSent?(): boolean;
 };
 
 /** Lets a target serve a range for a hold that starts when the order arrives. */
--- a/src/platform/key-orders.ts
+++ b/src/platform/key-orders.ts
@@ -13,12 +13,13 @@
 export class PlatformKeyOrders implements KeyOrders {
 	private readonly pool = new ConnectionPool();
 
-	async grant(target: TargetIncarnation, {range, fence, holdDurationMs, handover, timeoutMs}: KeyGrant): Promise<void> {
+	async grant(target: TargetIncarnation, grant: KeyGrant): Promise<void> {
+		const {range, fence, holdDurationMs, handover} = grant;
 		// In the platform's protocol, the last key of the range is named "target".
 		const body = {
 			from: range.first, target: range.last, fence, holdMs: holdDurationMs, ...(handover !== undefined && {handover}),
 		};
-		const answer = await this.send(target, wirePaths.grant, body, timeoutMs);
+		const answer = await this.send(target, wirePaths.grant, body, grant);
 		if (answer.status === 409) {
 			throw new FenceRejectedError(target.id, fence);
 		}
@@ -26,8 +27,8 @@
 		expectSuccess(target, answer);
 	}
 
-	async release(target: TargetIncarnation, {range, fence, timeoutMs}: KeyOrder): Promise<string | undefined> {
-		const answer = await this.send(target, wirePaths.release, encodeRange(range, fence), timeoutMs);
+	async release(target: TargetIncarnation, order: KeyOrder): Promise<string | undefined> {
+		const answer = await this.send(target, wirePaths.release, encodeRange(order.range, order.fence), order);
 		expectSuccess(target, answer);
 		const handover = answer.headers[WireHeader.Handover];
 		return typeof handover === 'string' && handover !== '' ? handover : undefined;
@@ -43,9 +44,9 @@
 		this.pool.close();
 	}
 
-	private async send(target: TargetIncarnation, path: string, body: unknown, timeoutMs: number): Promise<JsonAnswer> {
+	private async send(target: TargetIncarnation, path: string, body: unknown, {timeoutMs, mayBeSent}: KeyOrder): Promise<JsonAnswer> {
 		return this.call(target, async () => callJson(this.pool, target.address, {
-			method: 'POST', path, body, timeoutMs,
+			method: 'POST', path, body, timeoutMs, ...(mayBeSent && {mayBeSent}),
 		}));
 	}
 
--- a/src/transport/json-call.ts
+++ b/src/transport/json-call.ts
@@ -14,6 +14,8 @@
 	path: string;
 	body?: unknown;
 	timeoutMs: number;
+	/** Checked right before the first byte is sent, for a call that is no longer allowed once its connection has opened late. */
+	mayBeSent?(): boolean;
 };
 
 /** Answer to a call. */
@@ -66,7 +68,12 @@
 		onStart?.(fail);
 
 		const handler: Dispatcher.DispatchHandler = {
-			onRequestStart() {
+			onRequestStart(controller) {
+				if (call.mayBeSent?.() === false) {
+					controller.abort(new Error('the call is no longer allowed'));
+					return;
+				}
+
 				wasSent = true;
 			},
 			onResponseStart(_controller, statusCode, answerHeaders) {
--- a/standins/key-holder.ts
+++ b/standins/key-holder.ts
@@ -141,7 +141,7 @@
 		this.unreachable.clear();
 	}
 
-	private async call<Answer>(target: TargetIncarnation, {timeoutMs}: {timeoutMs: number}, carryOut: CarryOut<Answer>): Promise<Answer> {
+	private async call<Answer>(target: TargetIncarnation, {timeoutMs, mayBeSent}: Partial<KeyOrder> & {timeoutMs: number}, carryOut: CarryOut<Answer>): Promise<Answer> {
 		if (this.sendDelayMs > 0) {
 			await pause(this.sendDelayMs);
 		}
@@ -156,7 +156,7 @@
 		const {connectMs} = holder.link;
 		await pause(Math.min(connectMs, timeoutMs));
 		await this.suspension.end;
-		if (connectMs >= timeoutMs) {
+		if (connectMs >= timeoutMs || mayBeSent?.() === false) {
 			throw new OrderUnsentError(target.id, 'no connection in time');
 		}
 
--- a/tests/decisions/late-orders.test.ts
+++ b/tests/decisions/late-orders.test.ts
@@ -180,6 +180,34 @@
 			fleet.holder(1).suspension.isActive = false;
 		},
 	},
+	{
+		title: 'a suspended leader has a connection open after its successor gave the keys away',
+		daemonCounts: [3],
+		async simulate({fleet, run}) {
+			const leader = fleet.leaderDaemon();
+			if (!leader) {
+				return;
+			}
+
+			for (const {orders} of fleet.daemons.filter(daemon => daemon !== leader)) {
+				orders.unreachable.add('target-1');
+			}
+
+			delayLink(fleet, 1, {connectMs: 290});
+			const before = fleet.holder(1).grantCount;
+			while (fleet.holder(1).grantCount === before) {
+				// eslint-disable-next-line no-await-in-loop -- polling.
+				await run(10);
+			}
+
+			// In the middle of the next renewal.
+			await run(800);
+			leader.isPaused = true;
+			await run(16_000);
+			leader.isPaused = false;
+			await run(1000);
+		},
+	},
 	{
 		title: 'a restarted target gets a grant that was meant for the incarnation before, and leaves',
 		async simulate({fleet, run}) {
--- a/tests/platform/key-orders.test.ts
+++ b/tests/platform/key-orders.test.ts
@@ -89,3 +89,26 @@
 	orders.close();
 	t.deepEqual(ends, ['ECONNRESET']);
 });
+
+test('should not send an order that is no longer allowed once its connection is open', async t => {
+	const port = 7658;
+	let received = '';
+	const server = await listen(socket => {
+		socket.on('data', data => {
+			received += data.toString('latin1');
+		});
+		socket.on('error', () => {
+			// The connection was reset.
+		});
+	}, port);
+	const orders = new PlatformKeyOrders();
+	const order = {...grant, mayBeSent: () => false};
+	await t.throwsAsync(orders.grant({id: 'target-1', bornAt: 1, address: `${ip}:${port}`}, order), {instanceOf: OrderUnsentError});
+	await new Promise<void>(resolve => {
+		server.close(() => {
+			resolve();
+		});
+	});
+	orders.close();
+	t.is(received, '');
+});
