fix(forwarding): a daemon that stops refuses only requests that it does not expect to answer

Callers of a daemon that stops got 503 for almost everything although it ran for seconds: each request was refused whose deadline was after the exit, and with a route timeout of 5 s of a grace period of 6 s that is every request from the first 0.1 s on. What a route's requests take is known, however: the forwarder now learns the average and the deviation of each route (the weights of TCP's timer). A request whose deadline is after the exit is accepted if it is idempotent, came within 2.8 s of the signal and its average duration fits, since the users' rules allow such a request to be cut in the last sixth; later, and always if it must not be repeated, only if the average and four deviations fit. The exit stays within the last sixth for every grace period, as a share of 0.15 instead of 0.9 s.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -39,8 +39,11 @@
 /** Time for the load balancer to detect that the daemon is not ready, in milliseconds: two failed checks, one a second. */
 const readinessPropagationMs = 2600;
 
-/** Part of the grace period reserved for the steps after the last request, in milliseconds. */
-const exitReserveMs = 900;
+/**
+ * Share of the grace period reserved for the steps after the last request. By the users' rules, requests may be cut in the last
+ * sixth of the grace period.
+ */
+const exitReserveShare = 0.15;
 
 /** Interval at which a shutdown checks for requests in flight, in milliseconds. */
 const drainPollMs = 20;
@@ -164,7 +167,7 @@
 	}
 
 	private async shutDownOnce(): Promise<void> {
-		const exitBy = performance.now() + (this.settings.shutdownGraceS * secondMs) - exitReserveMs;
+		const exitBy = performance.now() + (this.settings.shutdownGraceS * secondMs * (1 - exitReserveShare));
 		this.log.record(LogEvent.DaemonStopping, {load: this.openRequests.count});
 		await this.callService('dispatcher.endAt', {time: exitBy});
 		await this.callService('readiness.drain');
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -16,6 +16,8 @@
 import {
 	cannotServe, requestLogFields, isBodyConsumed, isServerFailure, remainingMs, type ForwardingContext,
 } from './forwarding-context.js';
+import {RouteDurations} from './route-durations.js';
+import {StopAdmission} from './stop-admission.js';
 import {chooseTarget} from './target-choice.js';
 import type {LoadEstimate, TargetLoads} from './target-loads.js';
 
@@ -79,8 +81,8 @@
 	private readonly budgets = new Map<string, RetryBudget>();
 	private inFlight = 0;
 	private limitedAttempts = 0;
-	/** Monotonic time at which requests in flight are cut off because the daemon stops, in milliseconds. */
-	private endsAt = Infinity;
+	private readonly durations = new RouteDurations();
+	private readonly admission = new StopAdmission();
 
 	constructor(private readonly options: ForwarderOptions) {}
 
@@ -94,21 +96,29 @@
 		return this.limitedAttempts;
 	}
 
-	/** Refuses requests from now on that may last longer than this time: they would get no answer although a target ran them. */
+	/** From now on, refuses requests that are not expected to end by this time. */
 	endAt(time: number): void {
-		this.endsAt = time;
+		this.admission.begin(time);
 	}
 
 	/** Never rejects because of a failing target. */
 	async forward(request: CallerRequest): Promise<Outcome> {
 		this.inFlight += 1;
 		try {
-			return await this.route(request);
+			const outcome = await this.route(request);
+			this.recordDuration(request, outcome);
+			return outcome;
 		} finally {
 			this.inFlight -= 1;
 		}
 	}
 
+	private recordDuration({receivedAt}: CallerRequest, {kind, route}: Outcome): void {
+		if (route && [OutcomeKind.Answered, OutcomeKind.Streamed, OutcomeKind.TimedOut].includes(kind)) {
+			this.durations.record(route.name, performance.now() - receivedAt);
+		}
+	}
+
 	private async route(request: CallerRequest): Promise<Outcome> {
 		const {view} = this.options;
 		if (!view.routeIndex) {
@@ -134,7 +144,11 @@
 		}
 
 		const context = this.createContext(request, route, service);
-		if (context.deadlineAt > this.endsAt) {
+		const {receivedAt} = request;
+		const {isIdempotent, name} = route;
+		if (!this.admission.isAccepted({
+			receivedAt, deadlineAt: context.deadlineAt, isIdempotent, duration: this.durations.estimate(name),
+		})) {
 			return {...this.giveUp(context, OutcomeReason.DaemonStopping, retryDelaysMs.stopping), route};
 		}
 
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -123,7 +123,7 @@
 	TargetPaused = 'target_paused',
 	/** The target names a limit that leaves no turn for the request in time. */
 	TargetLimit = 'target_limit',
-	/** The daemon stops before the request has certainly ended. */
+	/** The daemon stops before the request is expected to end. */
 	DaemonStopping = 'daemon_stopping',
 	AttemptsUsed = 'attempts_used',
 	RetryBudgetSpent = 'retry_budget_spent',
--- a/src/services/platform-kernel.ts
+++ b/src/services/platform-kernel.ts
@@ -120,7 +120,7 @@
 			async forward(context: Context<CallerRequest>): Promise<Outcome> {
 				return forwarder.forward(context.params);
 			},
-			/** From now on, requests that may last longer than this time are refused. */
+			/** From now on, requests that are not expected to end by this time are refused. */
 			endAt(context: Context<{time: number}>): void {
 				forwarder.endAt(context.params.time);
 			},
--- a/tests/platform/signals.test.ts
+++ b/tests/platform/signals.test.ts
@@ -72,6 +72,8 @@
 			t.is(code, 0);
 			t.true(at - startedAt > balancerMs, 'the process accepts connections until the balancer sends no more');
 			t.true(at - startedAt < graceS * secondMs, 'the process ends before SIGKILL would');
+			const statuses = deployment.exchanges.filter(({sentAt}) => sentAt > startedAt && sentAt < startedAt + balancerMs).map(({status}) => status);
+			t.true(statuses.filter(status => status === 503).length < statuses.length / 10, 'requests that end in time are accepted');
 			const inFlight = deployment.exchanges.filter(({sentAt, endedAt}) => sentAt < startedAt && endedAt > startedAt);
 			t.true(inFlight.length > callerCount / 3, 'requests were in flight');
 		} finally {
