fix(daemon): a stop before anything was started ends at once

On a busy VM a daemon that got SIGTERM while its modules were loaded went on loading them for seconds, in one run for longer than its grace period of 6 s, and then stopped. Nothing is in flight by then, so that the program now exits at once until it has read its settings, and ignores SIGHUP, because the settings are read later. This replaces the queue of signals.

--- a/src/daemon/platform-program.ts
+++ b/src/daemon/platform-program.ts
@@ -7,9 +7,10 @@
 import {readSettings, settingsVariable, type PlatformSettings} from '../platform/settings.js';
 import {BoundedLog, LineWriter} from './bounded-log.js';
 import {PlatformDaemon} from './platform-daemon.js';
-import {ExitCode, ProgramRun} from './program-run.js';
+import {ExitCode} from './exit-code.js';
+import {ProgramRun} from './program-run.js';
 import {RoarrLog} from './roarr-log.js';
-import type {signals} from './signals.js';
+import {handleSignals} from './signals.js';
 
 /** Timeout for writing the remaining log lines before the exit, in milliseconds. */
 const logDrainMs = 100;
@@ -20,7 +21,7 @@
 const secondMs = 1000;
 
 /** Starts the daemon with the settings file that the environment names. */
-export async function runPlatformDaemon(queue: typeof signals, exit: (code: ExitCode) => never): Promise<void> {
+export async function runPlatformDaemon(exit: (code: ExitCode) => never): Promise<void> {
 	const path = process.env[settingsVariable] ?? '';
 	const settings = settingsOrExit(path, exit);
 	const writer = new LineWriter();
@@ -38,7 +39,7 @@
 	process.on('uncaughtException', error => {
 		void run.recordFailure(error);
 	});
-	queue.handle(signal => {
+	handleSignals(signal => {
 		if (signal !== 'SIGHUP') {
 			void run.stop(signal);
 			return;
--- a/src/daemon/program-run.ts
+++ b/src/daemon/program-run.ts
@@ -3,15 +3,9 @@
  */
 import {describeFailure} from '../model/errors.js';
 import {LogEvent, type EventLog} from '../model/events.js';
+import {ExitCode} from './exit-code.js';
 import {FailureCounter} from './failure-counter.js';
 
-/** Exit codes of the programs. */
-export enum ExitCode {
-	Stopped = 0,
-	Failed = 1,
-	InvalidSettings = 2,
-}
-
 /** Why a process ends, if not because of a signal. */
 export enum ExitReason {
 	FailedStart = 'failed_start',
--- a/src/daemon/signals.ts
+++ b/src/daemon/signals.ts
@@ -9,35 +9,19 @@
 
 type SignalHandler = (signal: DaemonSignal) => void;
 
-/** Keeps signals until there is a handler. */
-class SignalQueue {
-	private readonly waiting: DaemonSignal[] = [];
-	private handler: SignalHandler | undefined;
+let currentHandler: SignalHandler | undefined;
 
-	constructor() {
-		for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
-			process.on(signal, () => {
-				this.receive(signal);
-			});
-		}
-	}
-
-	/** Passes on the signals that came so far, and all later ones. */
-	handle(handler: SignalHandler): void {
-		this.handler = handler;
-		for (const signal of this.waiting.splice(0)) {
-			handler(signal);
-		}
-	}
-
-	private receive(signal: DaemonSignal): void {
-		if (this.handler) {
-			this.handler(signal);
-			return;
-		}
+function receive(signal: DaemonSignal): void {
+	currentHandler?.(signal);
+}
 
-		this.waiting.push(signal);
-	}
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
+	process.on(signal, () => {
+		receive(signal);
+	});
 }
 
-export const signals = new SignalQueue();
+/** Replaces the handler of all signals. */
+export function handleSignals(handler: SignalHandler): void {
+	currentHandler = handler;
+}
