fix(platform): the configuration and the settings are believed within bounds only

Operators could have seen every request of a route end at once after a timeout of more than 24 days, because Node.js ends such a timer after 1 ms; no target of a service that counts as alive after a health path that is no path; a route or service under a name that daemons cannot send each other; and one line in the log for each of very many unreadable resources, compared with each of the version before.

Cause: lower bounds only. Each number has both bounds, health paths and names have to be such, a document keeps at most 100 faults, and a malformed `warmS` has the value before instead of 0, as the other fields of a service.

--- a/src/platform/document-reader.ts
+++ b/src/platform/document-reader.ts
@@ -11,7 +11,7 @@
 const shownCharacters = 60;
 
 /** Most faults that are kept of one document; each may become a line of the log. */
-const faultLimit = 100;
+export const faultLimit = 100;
 
 /** Bounds of a number; both ends are allowed. */
 export type NumberBounds = {
@@ -21,6 +21,14 @@
 	fallback?: number;
 };
 
+/** Bounds of a text. */
+export type TextBounds = {
+	/** Replaces a malformed value. */
+	fallback?: string;
+	/** Longest text, in characters; that of a name if not stated. */
+	maxCharacters?: number;
+};
+
 /** Bounds of a document, which hold before any of it is decoded. */
 export type DocumentBounds = {
 	/** Most characters of the text. */
@@ -80,13 +88,13 @@
 		this.pushFault(`${this.path}: ${detail}`);
 	}
 
-	text(name: string, fallback = ''): string {
+	text(name: string, {fallback = '', maxCharacters = longestName}: TextBounds = {}): string {
 		if (!this.hasText(name)) {
 			return this.addTypeFault(name, 'a non-empty string', fallback);
 		}
 
 		const value = this.fields[name] as string;
-		return isName(value) ? value : this.addTypeFault(name, `at most ${longestName} characters, none of them unreadable`, fallback);
+		return isReadable(value, maxCharacters) ? value : this.addTypeFault(name, `at most ${maxCharacters} characters, none of them unreadable`, fallback);
 	}
 
 	integer(name: string, {minimum = 0, maximum = Number.MAX_SAFE_INTEGER, fallback = minimum}: NumberBounds = {}): number {
@@ -165,7 +173,11 @@
 
 /** True if a text can name a service, an availability zone or a target: daemons use such names as keys of their messages. */
 export function isName(text: string): boolean {
-	return text.length <= longestName && text !== '__proto__' && !/[\p{Cc}\p{Cs}\uFFFD]/v.test(text);
+	return text !== '' && isReadable(text, longestName);
+}
+
+function isReadable(text: string, maxCharacters: number): boolean {
+	return text.length <= maxCharacters && text !== '__proto__' && !/[\p{Cc}\p{Cs}\uFFFD]/v.test(text);
 }
 
 function isObject(value: unknown): value is Fields {
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -5,7 +5,9 @@
 import {
 	initialLimits, type CallerLimits, type Route, type RouteConfiguration, type ServiceRule, type ServiceShare,
 } from '../model/route-configuration.js';
-import {DocumentReader, isName, type DocumentBounds} from './document-reader.js';
+import {
+	DocumentReader, faultLimit, isName, type DocumentBounds,
+} from './document-reader.js';
 import {wireKeys} from './wire.js';
 
 /** Milliseconds in a second. */
@@ -32,6 +34,16 @@
  */
 const latestBirth = 4_102_444_800_000;
 
+/** Longest time limit in milliseconds, one day; a timer of more than 24 days ends at once. */
+const longestTimeMs = 86_400_000;
+
+/** Longest host or path, in characters; larger ones do not fit into the headers of a request. */
+const longestPath = 8192;
+
+/** Highest weight of a share, and most connections to a target; sums of them stay exact. */
+const highestWeight = 1e9;
+const maxConnections = 1_000_000;
+
 /** For each kind of route, whether its requests may be repeated. */
 const isIdempotentByKind: ReadonlyMap<string, boolean> = new Map([
 	['safe', true],
@@ -110,12 +122,20 @@
 		}
 	}
 
-	configuration.faults.push(...reader.foundFaults);
+	if (hasUnreadableName(value)) {
+		reader.addFault('expected a readable name');
+	}
+
+	configuration.faults.push(...reader.foundFaults.slice(0, faultLimit - configuration.faults.length));
 }
 
 function nameOf(resource: unknown): string | undefined {
 	const name = (resource as {metadata?: {name?: unknown}} | undefined)?.metadata?.name;
-	return typeof name === 'string' && name !== '' ? name : undefined;
+	return typeof name === 'string' && isName(name) ? name : undefined;
+}
+
+function hasUnreadableName(resource: unknown): boolean {
+	return nameOf(resource) === undefined && Boolean((resource as {metadata?: {name?: unknown}} | undefined)?.metadata?.name);
 }
 
 /**
@@ -153,8 +173,8 @@
  * earlier version may no longer be allowed to run them. Other malformed fields get the earlier value or a safe default.
  */
 function decodeRoute(name: string, reader: DocumentReader, earlier: Route | undefined): Route | undefined {
-	const host = reader.text('host').toLowerCase() || earlier?.host;
-	const prefix = reader.text('prefix') || earlier?.prefix;
+	const host = reader.text('host', {maxCharacters: longestPath}).toLowerCase() || earlier?.host;
+	const prefix = reader.text('prefix', {maxCharacters: longestPath}) || earlier?.prefix;
 	if (!host || !prefix) {
 		return undefined;
 	}
@@ -172,8 +192,8 @@
 		prefix,
 		shares: isReadable ? shares : [],
 		isIdempotent: isIdempotentByKind.get(kind) ?? false,
-		timeoutMs: reader.number('timeoutMs', {minimum: 1, fallback: earlier?.timeoutMs ?? defaultTimeoutMs}),
-		targetLatencyMs: reader.number('targetLatencyMs', {fallback: earlier?.targetLatencyMs ?? defaultTimeoutMs}),
+		timeoutMs: reader.number('timeoutMs', {minimum: 1, maximum: longestTimeMs, fallback: earlier?.timeoutMs ?? defaultTimeoutMs}),
+		targetLatencyMs: reader.number('targetLatencyMs', {maximum: longestTimeMs, fallback: earlier?.targetLatencyMs ?? defaultTimeoutMs}),
 		priority: reader.integer('priority', {fallback: earlier?.priority ?? defaultPriority}),
 		maxAttempts: reader.integer('maxAttempts', {minimum: 1}),
 	};
@@ -191,25 +211,36 @@
 
 	return reader.list('trafficSplit').map((value, index) => {
 		const share = reader.listItem(index, value);
-		return {service: share.text('service'), weight: share.number('weight')};
+		return {service: share.text('service'), weight: share.number('weight', {maximum: highestWeight})};
 	});
 }
 
 function decodeService(name: string, reader: DocumentReader, earlier: ServiceRule | undefined): ServiceRule {
 	return {
 		name,
-		healthPath: reader.text('healthPath', earlier?.healthPath ?? '/'),
-		maxConnections: reader.integer('maxConnections', {minimum: 1, fallback: earlier?.maxConnections ?? 1}),
+		healthPath: decodePath(reader, earlier?.healthPath ?? '/'),
+		maxConnections: reader.integer('maxConnections', {minimum: 1, maximum: maxConnections, fallback: earlier?.maxConnections ?? 1}),
 		isKeyed: reader.boolean('sharded', earlier?.isKeyed ?? false),
-		keyWarmUpMs: reader.has('warmS') ? reader.number('warmS') * secondMs : 0,
+		keyWarmUpMs: reader.has('warmS') ? reader.number('warmS', {maximum: longestTimeMs / secondMs, fallback: (earlier?.keyWarmUpMs ?? 0) / secondMs}) * secondMs : 0,
 	};
 }
 
+/** A path that is no path could not be requested, so that no target of the service would count as alive. */
+function decodePath(reader: DocumentReader, fallback: string): string {
+	const path = reader.text('healthPath', {fallback, maxCharacters: longestPath});
+	if (/^\/[\u0021-\u007E]*$/v.test(path)) {
+		return path;
+	}
+
+	reader.addFault('healthPath: expected a path');
+	return fallback;
+}
+
 function decodeLimits(reader: DocumentReader): CallerLimits {
 	return {
 		maxHeaderBytes: reader.integer('maxHeaderBytes', {minimum: 1}),
 		maxBodyBytes: reader.integer('maxBodyBytes'),
-		headerTimeoutMs: reader.integer('headerTimeoutMs', {minimum: 1}),
-		idleTimeoutMs: reader.integer('idleTimeoutMs', {minimum: 1}),
+		headerTimeoutMs: reader.integer('headerTimeoutMs', {minimum: 1, maximum: longestTimeMs}),
+		idleTimeoutMs: reader.integer('idleTimeoutMs', {minimum: 1, maximum: longestTimeMs}),
 	};
 }
