--- a/tests/decisions/odd-documents.test.ts
+++ b/tests/decisions/odd-documents.test.ts
@@ -222,3 +222,16 @@
 		});
 	}
 }
+
+test.failing('should use a target again after another writer has left an entry with a later start under its id', t => {
+	const view = new FleetView();
+	const writer = new ViewWriter(view, documents, {record: () => undefined});
+	const key = `${documents.targetsPrefix}i-1`;
+	writer.apply({key, value: JSON.stringify(entry), revision: 1});
+	writer.apply({key, value: JSON.stringify({...entry, born: entry.born + 1, address: '10.0.0.2:80'}), revision: 2});
+	for (let revision = 3; revision < 13; revision += 1) {
+		writer.apply({key, value: JSON.stringify({...entry, sequence: entry.sequence + revision}), revision});
+	}
+
+	t.is(view.listedTarget('i-1')?.address, entry.address);
+});
