refactor(platform): bounds that two documents share are declared once

The longest time and the highest port had a copy each in the settings, the configuration and the addresses. They are one constant each now, so that a later change of a bound cannot miss a place.

--- a/src/platform/document-reader.ts
+++ b/src/platform/document-reader.ts
@@ -13,6 +13,9 @@
 /** Most faults that are kept of one document; each may become a line of the log. */
 export const faultLimit = 100;
 
+/** Longest time that a document can state, in milliseconds: one day. A timer of more than 24 days ends at once. */
+export const longestTimeMs = 86_400_000;
+
 /** Bounds of a number; both ends are allowed. */
 export type NumberBounds = {
 	minimum?: number;
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -6,7 +6,7 @@
 	initialLimits, type CallerLimits, type Route, type RouteConfiguration, type ServiceRule, type ServiceShare,
 } from '../model/route-configuration.js';
 import {
-	DocumentReader, faultLimit, isName, type DocumentBounds,
+	DocumentReader, faultLimit, isName, longestTimeMs, type DocumentBounds,
 } from './document-reader.js';
 import {wireKeys} from './wire.js';
 
@@ -34,9 +34,6 @@
  */
 const latestBirth = 4_102_444_800_000;
 
-/** Longest time limit in milliseconds, one day; a timer of more than 24 days ends at once. */
-const longestTimeMs = 86_400_000;
-
 /** Longest host or path, in characters; larger ones do not fit into the headers of a request. */
 const longestPath = 8192;
 
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -2,7 +2,8 @@
  * Settings of a daemon on the platform, read from the file that the platform generates.
  */
 import {readFileSync} from 'node:fs';
-import {DocumentReader, type DocumentBounds} from './document-reader.js';
+import {highestPort} from '../transport/address.js';
+import {DocumentReader, longestTimeMs, type DocumentBounds} from './document-reader.js';
 
 /** Environment variable that holds the path of the settings file. */
 export const settingsVariable = 'EELGRASSWHEEL_BOOT';
@@ -13,13 +14,8 @@
 /** Longest lease in milliseconds that the store grants: ten minutes. */
 const longestLeaseMs = 600_000;
 
-/** Longest time in milliseconds, one day; a timer of more than 24 days ends at once. */
-const longestTimeMs = 86_400_000;
-
 const secondMs = 1000;
 
-const highestPort = 65_535;
-
 /** Settings of one daemon. */
 export type PlatformSettings = {
 	daemon: string;
--- a/src/transport/address.ts
+++ b/src/transport/address.ts
@@ -4,7 +4,7 @@
 import {isIPv4} from 'node:net';
 
 /** Highest port; port 0 stands for any free one and cannot be connected to. */
-const highestPort = 65_535;
+export const highestPort = 65_535;
 
 /** IPv4 address and port. */
 export type Address = {
