test(ownership): random faults of links, targets, the store and daemons

A cut in the stand-in now lets what was sent before it arrive, and one fault makes the last order before a cut late.

--- a/standins/key-holder.ts
+++ b/standins/key-holder.ts
@@ -55,6 +55,8 @@
 export class KeyHolder {
 	/** True while orders do not reach the target, although it continues to serve requests. */
 	isUnreachable = false;
+	/** True if the target is to be cut off once it has been sent another order. */
+	isCutAfterNextOrder = false;
 	/** True once the process has ended; orders to it get no answer. */
 	isStopped = false;
 	/** True while connections are refused, as after the end of the process on a VM that still runs. */
@@ -171,9 +173,13 @@
 
 	/** Resolves once the answer arrives, with a function that returns or throws it. The connection ends with the process that accepted it. */
 	private async deliver<Answer>(target: TargetIncarnation, holder: KeyHolder, carryOut: CarryOut<Answer>): Promise<() => Answer> {
+		// What was sent before a cut still arrives.
+		const isCut = holder.isUnreachable || this.unreachable.has(target.id);
+		holder.isUnreachable ||= holder.isCutAfterNextOrder;
+		holder.isCutAfterNextOrder = false;
 		await pause(holder.link.toTargetMs);
 		await holder.suspension.end;
-		if (holder.isStopped || holder.isUnreachable || this.unreachable.has(target.id)) {
+		if (isCut || holder.isStopped) {
 			return never();
 		}
 
