test(ownership): writes of owners that take effect late

A write to the store that got no reply may be carried out seconds later if its condition still holds. That is the same cause as a late grant, so that it is played too: the stand-in of the store carries writes out 2 s late and reports them as ambiguous. It can not give a key two holders, because each write of owners is conditional on its revision and on the leader's key: a late one either fails or is found by its write id, and orders go out only for what the store has answered.

--- a/standins/memory-coordination-store.ts
+++ b/standins/memory-coordination-store.ts
@@ -5,7 +5,7 @@
 	CoordinationStore, StoreChange, StoreChanges, StoredItem, StoreLease, StoreListing, StoreTransaction,
 } from '../src/model/coordination-store.js';
 import {
-	ConflictError, HistoryLostError, LeaseEndedError, StoreAmbiguousError, StoreUnavailableError, WatchInterruptedError,
+	ConflictError, HistoryLostError, LeaseEndedError, RouterError, StoreAmbiguousError, StoreUnavailableError, WatchInterruptedError,
 } from '../src/model/errors.js';
 
 /** Fault that the store applies to calls. */
@@ -15,6 +15,8 @@
 	Down = 'down',
 	/** Writes take effect, but their replies are lost. */
 	LosesReplies = 'loses replies',
+	/** Writes get no reply and are carried out late, if their condition still holds. */
+	DelaysWrites = 'delays writes',
 }
 
 /** Time until a call reaches the store, in milliseconds. */
@@ -26,6 +28,9 @@
 /** Time after which a caller treats a missing reply as lost, in milliseconds. */
 const replyTimeoutMs = 300;
 
+/** Time until a delayed write is carried out, in milliseconds. */
+const lateWriteDelayMs = 2000;
+
 /** Time beyond the wait of a watch after which a caller treats the watch as failed, in milliseconds. */
 const watchTimeoutSlackMs = 1000;
 
@@ -258,6 +263,14 @@
 	private async call<Result>(operation: () => Result, isWrite: boolean): Promise<Result> {
 		await pause(requestDelayMs);
 		this.assertReachable();
+		if (isWrite && this.store.fault === StoreFault.DelaysWrites) {
+			setTimeout(() => {
+				runIfPossible(operation);
+			}, lateWriteDelayMs);
+			await pause(replyTimeoutMs);
+			throw new StoreAmbiguousError('the reply was lost');
+		}
+
 		const result = operation();
 		if (isWrite && this.store.fault === StoreFault.LosesReplies) {
 			await pause(replyTimeoutMs);
@@ -275,6 +288,17 @@
 	}
 }
 
+/** Carries out a late write; its caller has given up and does not learn of a failure. */
+function runIfPossible(operation: () => unknown): void {
+	try {
+		operation();
+	} catch (error) {
+		if (!(error instanceof RouterError)) {
+			throw error;
+		}
+	}
+}
+
 async function pause(durationMs: number): Promise<void> {
 	return new Promise(resolve => {
 		setTimeout(resolve, durationMs);
--- a/tests/decisions/late-orders.test.ts
+++ b/tests/decisions/late-orders.test.ts
@@ -172,6 +172,21 @@
 			await run(16_000);
 		},
 	},
+	{
+		title: 'writes of owners take effect 2 s late while targets leave and the leader changes',
+		async simulate({fleet, run}) {
+			fleet.store.fault = StoreFault.DelaysWrites;
+			fleet.putEntry(fleet.holder(0), TargetState.Draining);
+			await run(700);
+			fleet.leaderDaemon()?.stop();
+			fleet.putEntry(fleet.holder(0), TargetState.Ready);
+			fleet.putEntry(fleet.holder(1), TargetState.Draining);
+			await run(1500);
+			fleet.store.fault = StoreFault.None;
+			await run(4000);
+		},
+		daemonCounts: [3, 5],
+	},
 	{
 		title: 'a target is suspended for 9 s with a grant in its socket',
 		async simulate({fleet, run}) {
--- a/tests/decisions/ownership-faults.test.ts
+++ b/tests/decisions/ownership-faults.test.ts
@@ -42,6 +42,7 @@
 	Busy = 'busy leader',
 	StoreDown = 'store down',
 	LostReplies = 'lost replies',
+	LateWrites = 'late writes',
 	StoreCut = 'leader cut from store',
 	Load = 'load',
 }
@@ -116,6 +117,9 @@
 	[Fault.LostReplies](fleet) {
 		fleet.store.fault = StoreFault.LosesReplies;
 	},
+	[Fault.LateWrites](fleet) {
+		fleet.store.fault = StoreFault.DelaysWrites;
+	},
 	[Fault.StoreCut](_fleet, _step, _holder, leader) {
 		if (leader) {
 			leader.client.isDisconnected = true;
