fix(forwarding): relay requests through a peer while cut off from all targets

Callers of a daemon that is cut off from all targets, but not from its peers and the store, got 503, or 504 when its connections hung, for as long as the cut lasted: each attempt was made at another target that could not be reached either. The daemon stayed ready, and being unready would not have helped, because the balancer uses all daemons of a zone once fewer than half are ready.

TargetAccess decides whether the daemon is cut off. A suspicion is a connection that fails while no target answers, connections to two targets that fail, or a request that is overdue while nothing answers; it is confirmed only if probes of three targets fail as well, so that one target or one service that is down never counts. While cut off, one probe each 250 ms tries the way back. A peer forwards a relayed request as its own and never relays it again. A request that may have reached a target through a peer is not sent again, and a refusal is passed on only if the peer promises that nothing ran.

--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -16,6 +16,7 @@
 import {
 	cannotServe, requestLogFields, isBodyConsumed, isServerFailure, remainingMs, type ForwardingContext,
 } from './forwarding-context.js';
+import type {RequestRelay} from './request-relay.js';
 import {chooseTarget} from './target-choice.js';
 import type {LoadEstimate, TargetLoads} from './target-loads.js';
 
@@ -37,6 +38,9 @@
 /** Attempts of one request that may fail before any byte leaves this daemon. */
 const unsentLimit = 4;
 
+/** Peers that one request may be relayed to in turn; only peers that did not run it are followed by another one. */
+const relayLimit = 3;
+
 /** Delays that callers are asked to wait before they retry, in milliseconds. */
 const retryDelaysMs = {
 	moving: 100,
@@ -46,6 +50,8 @@
 	starting: 300,
 	/** Other daemons serve the request. */
 	stopping: 50,
+	/** Other daemons reach targets. */
+	unreachable: 100,
 };
 
 /** Number of daemons that is assumed while the members are unknown. */
@@ -69,6 +75,8 @@
 	retryRatio: number;
 	/** Additional delivered attempts, in total for all daemons. */
 	retryReserve: number;
+	/** Missing if the daemon has no peers that forward requests for it. */
+	relay?: RequestRelay;
 	random(): number;
 	/** Records the key of a request for the load balancing of keyed services. */
 	recordKey(service: string, key: number): void;
@@ -99,6 +107,11 @@
 		this.endsAt = time;
 	}
 
+	/** Called periodically. */
+	tick(): void {
+		this.options.relay?.tick();
+	}
+
 	/** Never rejects because of a failing target. */
 	async forward(request: CallerRequest): Promise<Outcome> {
 		this.inFlight += 1;
@@ -138,7 +151,7 @@
 			return {...this.giveUp(context, OutcomeReason.DaemonStopping, retryDelaysMs.stopping), route};
 		}
 
-		return {...await this.attemptUntilFinal(context), route};
+		return {...await this.attemptUntilFinal(context), route, deliveredAttempts: context.deliveredAttempts};
 	}
 
 	/**
@@ -180,9 +193,9 @@
 	}
 
 	private createContext(request: CallerRequest, route: Route, service: ServiceRule): ForwardingContext {
-		this.budgetOf(service.name).deposit();
-		if (service.isKeyed && request.key !== undefined) {
-			this.options.recordKey(service.name, request.key);
+		if (!request.relay) {
+			// A relayed request was counted by the daemon that received it.
+			this.recordRequest(request, service);
 		}
 
 		return {
@@ -192,15 +205,24 @@
 			deadlineAt: request.receivedAt + Math.min(request.budgetMs ?? route.timeoutMs, route.timeoutMs),
 			triedTargets: new Set(),
 			deniedTargets: new Map(),
-			deliveredAttempts: 0,
+			deliveredAttempts: request.relay?.deliveredAttempts ?? 0,
 			unsentAttempts: 0,
 			misdirectedAttempts: 0,
+			relay: undefined,
+			triedPeers: new Set(),
 			mayHaveRun: false,
 			lastDetail: '',
 			lastFailure: undefined,
 		};
 	}
 
+	private recordRequest({key}: CallerRequest, service: ServiceRule): void {
+		this.budgetOf(service.name).deposit();
+		if (service.isKeyed && key !== undefined) {
+			this.options.recordKey(service.name, key);
+		}
+	}
+
 	private async attemptUntilFinal(context: ForwardingContext): Promise<Outcome> {
 		for (;;) {
 			if (context.request.cancellation.isCancelled) {
@@ -211,6 +233,21 @@
 				return this.giveUp(context, OutcomeReason.Timeout, 0);
 			}
 
+			const {relay} = this.options;
+			if (relay?.isCutOff && context.request.relay) {
+				return this.giveUp(context, OutcomeReason.TargetsUnreachable, retryDelaysMs.unreachable);
+			}
+
+			if (relay?.takes(context.request)) {
+				// eslint-disable-next-line no-await-in-loop -- attempts follow one another.
+				const outcome = await this.relayOnce(context, relay);
+				if (outcome) {
+					return outcome;
+				}
+
+				continue;
+			}
+
 			if (context.deliveredAttempts > 0 && !this.budgetOf(context.service.name).withdraw()) {
 				return this.giveUp(context, OutcomeReason.RetryBudgetSpent, retryDelaysMs.overloaded);
 			}
@@ -223,6 +260,46 @@
 		}
 	}
 
+	/**
+	 * Relays the request to one peer; returns the final outcome, or undefined if another peer may follow. The peer applies the
+	 * limits on attempts, so a request that may have reached a target through it is not sent again.
+	 */
+	private async relayOnce(context: ForwardingContext, relay: RequestRelay): Promise<Outcome | undefined> {
+		const peer = context.triedPeers.size < relayLimit ? relay.choosePeer(context) : undefined;
+		if (!peer) {
+			return this.giveUp(context, OutcomeReason.TargetsUnreachable, retryDelaysMs.unreachable);
+		}
+
+		context.relay = peer.daemon;
+		const result = await this.untilCallerLeaves(context, async cancellation => relay.send(context, peer, cancellation));
+		context.lastDetail = result.detail ?? result.end;
+		context.deliveredAttempts = result.deliveredAttempts;
+		switch (result.end) {
+			case AttemptEnd.Answered: {
+				return {kind: OutcomeKind.Answered, answer: result.answer, body: result.body};
+			}
+
+			case AttemptEnd.Streamed: {
+				return {kind: OutcomeKind.Streamed, answer: result.answer};
+			}
+
+			case AttemptEnd.Refused: {
+				return this.giveUp(context, OutcomeReason.RelayRefused, result.retryAfterMs ?? retryDelaysMs.overloaded);
+			}
+
+			case AttemptEnd.Ambiguous: {
+				context.mayHaveRun = true;
+				return this.giveUp(context, result.isTimeout ? OutcomeReason.Timeout : OutcomeReason.AnswerLost, 0);
+			}
+
+			case AttemptEnd.NotSent:
+			case AttemptEnd.Misdirected: {
+				context.triedPeers.add(peer.daemon);
+				return isBodyConsumed(context) ? this.giveUp(context, OutcomeReason.TargetsUnreachable, retryDelaysMs.unreachable) : undefined;
+			}
+		}
+	}
+
 	/** Makes one attempt; returns the final outcome, or undefined if another attempt may follow. */
 	private async attemptOnce(context: ForwardingContext): Promise<Outcome | undefined> {
 		for (;;) {
@@ -362,6 +439,24 @@
 		const key = loads.startAttempt(target);
 		this.limitedAttempts += statements.limitOf(target) === undefined ? 0 : 1;
 		const timeoutMs = remainingMs(context);
+		const recordEnd = this.options.relay?.startAttempt(target);
+		const result = await this.untilCallerLeaves(context, async cancellation => transport.send(context.request, {
+			target,
+			budgetMs: timeoutMs,
+			timeoutMs,
+			cancellation,
+			connectionLimit: this.connectionLimit(context.service),
+			onStatement(statement) {
+				statements.record(target, statement, sentAt);
+			},
+		}));
+		recordEnd?.(context.request.cancellation.isCancelled ? undefined : result);
+		this.recordLoad(context, target, key, result);
+		return result;
+	}
+
+	/** Runs an attempt with a cancellation for when the caller leaves. */
+	private async untilCallerLeaves<Result>(context: ForwardingContext, run: (cancellation: Cancellation) => Promise<Result>): Promise<Result> {
 		const cancellation = new Cancellation();
 		const onCallerLeft = (): void => {
 			// A request that must not be repeated runs to its end even if the caller left.
@@ -371,18 +466,8 @@
 		};
 
 		context.request.cancellation.subscribe(onCallerLeft);
-		const result = await transport.send(context.request, {
-			target,
-			budgetMs: timeoutMs,
-			timeoutMs,
-			cancellation,
-			connectionLimit: this.connectionLimit(context.service),
-			onStatement(statement) {
-				statements.record(target, statement, sentAt);
-			},
-		});
+		const result = await run(cancellation);
 		context.request.cancellation.unsubscribe(onCallerLeft);
-		this.recordLoad(context, target, key, result);
 		return result;
 	}
 
@@ -422,6 +507,7 @@
 		if (result.end === AttemptEnd.NotSent) {
 			context.unsentAttempts += 1;
 			context.triedTargets.add(target.id);
+			await this.options.relay?.confirmCutOff();
 			return this.retryOrGiveUp(context, result, context.unsentAttempts < unsentLimit);
 		}
 
--- a/src/decisions/forwarding/forwarding-context.ts
+++ b/src/decisions/forwarding/forwarding-context.ts
@@ -20,6 +20,10 @@
 	deliveredAttempts: number;
 	unsentAttempts: number;
 	misdirectedAttempts: number;
+	/** The peer that the request was last relayed to. */
+	relay: string | undefined;
+	/** Peers that could not forward the request. */
+	triedPeers: Set<string>;
 	/** True once an attempt may have been executed. */
 	mayHaveRun: boolean;
 	lastDetail: string;
@@ -56,5 +60,7 @@
 		key: context.request.key,
 		arrivals: context.deliveredAttempts,
 		leftMs: Math.round(remainingMs(context)),
+		relay: context.relay,
+		relayedFrom: context.request.relay?.daemon,
 	};
 }
--- /dev/null
+++ b/src/decisions/forwarding/target-access.ts
@@ -0,0 +1,237 @@
+/**
+ * Detects that this daemon is cut off from all targets.
+ *
+ * Slow or failing targets say nothing about that, so only failing connections to several targets count, and each suspicion is
+ * confirmed by probes. Connections that hang are suspected because requests on them get no answer.
+ */
+import {LogEvent, type EventLog} from '../../model/events.js';
+import {TargetState, type Target} from '../../model/fleet.js';
+import {AttemptEnd, type AttemptResult, type ConnectionProbe} from '../../model/forwarding.js';
+import type {FleetView} from '../fleet/fleet-view.js';
+
+/** Time for which a failed connection counts towards a suspicion, in milliseconds. */
+const failureValidityMs = 2000;
+
+/** Targets whose connections have to fail until a daemon that gets answers is suspected. */
+const suspiciousFailureCount = 2;
+
+/** Time without an answer from any target after which a single failed connection is a suspicion, in milliseconds. */
+const silenceMs = 200;
+
+/** Shortest and longest time after which an unanswered request is a suspicion, in milliseconds. */
+const shortestOverdueMs = 250;
+const longestOverdueMs = 1000;
+
+/** A request is overdue after this multiple of its estimated time; a few requests in a hundred take seven times as long as usual. */
+const overdueFactor = 3;
+
+/** Time after a successful probe until the next suspicion is followed, in milliseconds. */
+const recheckMs = 500;
+
+/** Targets that are probed to confirm a suspicion. */
+const confirmationProbeCount = 3;
+
+/** Interval between probes while the daemon is cut off, in milliseconds. */
+const returnProbeIntervalMs = 250;
+
+/** A request that was sent to a target and has no answer yet. */
+type PendingAttempt = {
+	sentAt: number;
+	overdueAt: number;
+};
+
+/** Dependencies of the detection. */
+export type TargetAccessOptions = {
+	view: FleetView;
+	probe: ConnectionProbe;
+	log: EventLog;
+	random(): number;
+};
+
+/** Tells whether this daemon reaches any target. */
+export class TargetAccess {
+	private readonly pending = new Set<PendingAttempt>();
+	/** Times of failed connections by target, since a connection was last opened. */
+	private readonly failures = new Map<string, number>();
+	private lastAnswerAt = -Infinity;
+	private reachableAt = -Infinity;
+	private cutOffAt: number | undefined;
+	private confirmation: Promise<void> | undefined;
+	private probedAt = -Infinity;
+	private isProbing = false;
+
+	constructor(private readonly options: TargetAccessOptions) {}
+
+	get isCutOff(): boolean {
+		return this.cutOffAt !== undefined;
+	}
+
+	/** Records that a request is sent to a target; returns a key with which its end is recorded. */
+	startAttempt(estimatedMs: number, now = performance.now()): PendingAttempt {
+		const overdueMs = Math.min(longestOverdueMs, Math.max(shortestOverdueMs, estimatedMs * overdueFactor));
+		const attempt = {sentAt: now, overdueAt: now + overdueMs};
+		this.pending.add(attempt);
+		return attempt;
+	}
+
+	/** Records how an attempt ended; without a result, it was cancelled and says nothing. */
+	endAttempt(attempt: PendingAttempt, {id}: Pick<Target, 'id'>, result: AttemptResult | undefined, now = performance.now()): void {
+		this.pending.delete(attempt);
+		if (result?.hasConnected === true) {
+			this.failures.clear();
+		}
+
+		switch (result?.end) {
+			case undefined:
+			case AttemptEnd.Ambiguous: {
+				break;
+			}
+
+			case AttemptEnd.NotSent: {
+				this.failures.set(id, now);
+				break;
+			}
+
+			case AttemptEnd.Answered:
+			case AttemptEnd.Streamed:
+			case AttemptEnd.Refused:
+			case AttemptEnd.Misdirected: {
+				this.lastAnswerAt = now;
+				break;
+			}
+		}
+	}
+
+	/** Follows a suspicion, if there is one; true if the daemon is cut off. */
+	async confirmCutOff(): Promise<boolean> {
+		if (!this.isCutOff && this.hasSuspiciousFailures(performance.now())) {
+			await this.confirm();
+		}
+
+		return this.isCutOff;
+	}
+
+	/** Called periodically. */
+	tick(now = performance.now()): void {
+		if (this.isCutOff) {
+			this.probeReturn(now);
+			return;
+		}
+
+		if (this.hasSuspiciousSilence(now)) {
+			void this.confirm();
+		}
+	}
+
+	private hasSuspiciousFailures(now: number): boolean {
+		for (const [id, failedAt] of this.failures) {
+			if (now - failedAt > failureValidityMs) {
+				this.failures.delete(id);
+			}
+		}
+
+		const isSilent = now - this.lastAnswerAt > silenceMs;
+		return this.failures.size >= (isSilent ? 1 : suspiciousFailureCount);
+	}
+
+	/** True if a request is overdue and no target has answered anything since it was sent. */
+	private hasSuspiciousSilence(now: number): boolean {
+		if (now - this.lastAnswerAt < shortestOverdueMs) {
+			return false;
+		}
+
+		for (const {sentAt, overdueAt} of this.pending) {
+			if (now >= overdueAt && sentAt >= this.lastAnswerAt) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	private async confirm(): Promise<void> {
+		if (!this.confirmation && performance.now() - this.reachableAt < recheckMs) {
+			return;
+		}
+
+		this.confirmation ??= this.probeSeveral();
+		await this.confirmation;
+		this.confirmation = undefined;
+	}
+
+	private async probeSeveral(): Promise<void> {
+		const targets = this.probeCandidates().slice(0, confirmationProbeCount);
+		if (targets.length === 0) {
+			return;
+		}
+
+		const isReachable = await isAnyTrue(targets.map(async ({address}) => this.options.probe.connects(address)));
+		const now = performance.now();
+		if (isReachable) {
+			this.reachableAt = now;
+			this.failures.clear();
+			return;
+		}
+
+		this.cutOffAt = now;
+		this.probedAt = now;
+		this.options.log.record(LogEvent.TargetsUnreachable, {
+			probed: targets.map(({id}) => id).join(','), silentMs: Number.isFinite(this.lastAnswerAt) ? Math.round(now - this.lastAnswerAt) : undefined,
+		});
+	}
+
+	private probeReturn(now: number): void {
+		if (this.isProbing || now - this.probedAt < returnProbeIntervalMs) {
+			return;
+		}
+
+		const [target] = this.probeCandidates();
+		if (!target) {
+			return;
+		}
+
+		this.isProbing = true;
+		this.probedAt = now;
+		void this.options.probe.connects(target.address).then(connects => {
+			this.isProbing = false;
+			if (connects) {
+				this.endCutOff(target);
+			}
+		});
+	}
+
+	private endCutOff({id}: Target): void {
+		const now = performance.now();
+		this.options.log.record(LogEvent.TargetsReachable, {target: id, cutOffMs: Math.round(now - (this.cutOffAt ?? now))});
+		this.cutOffAt = undefined;
+		this.reachableAt = now;
+		this.failures.clear();
+	}
+
+	/** Targets in random order, those whose connections failed lately last. */
+	private probeCandidates(): Target[] {
+		const {view, random} = this.options;
+		return [...view.listedTargets()]
+			.filter(({state}) => state === TargetState.Ready)
+			.map(target => ({target, rank: random() + (this.failures.has(target.id) ? 1 : 0)}))
+			.toSorted((left, right) => left.rank - right.rank)
+			.map(({target}) => target);
+	}
+}
+
+/** Settles with the first that is true; false if none is. */
+async function isAnyTrue(promises: ReadonlyArray<Promise<boolean>>): Promise<boolean> {
+	return new Promise(resolve => {
+		for (const promise of promises) {
+			void promise.then(isTrue => {
+				if (isTrue) {
+					resolve(true);
+				}
+			});
+		}
+
+		void Promise.all(promises).then(() => {
+			resolve(false);
+		});
+	});
+}
--- a/src/decisions/forwarding/target-loads.ts
+++ b/src/decisions/forwarding/target-loads.ts
@@ -86,6 +86,12 @@
 	private readonly peerInFlight = new Map<string, number>();
 	/** Average service time by service. */
 	private readonly serviceMsByService = new Map<string, number>();
+	private peersAnsweredAt = -Infinity;
+
+	/** Time of the last report of a peer about answers that it got from targets. */
+	get lastPeerAnswerAt(): number {
+		return this.peersAnsweredAt;
+	}
 
 	/** Records the start of an attempt; returns a key with which its end is recorded. */
 	startAttempt(target: Target, now = performance.now()): number {
@@ -197,6 +203,7 @@
 		this.peers.set(daemon, {receivedAt: now, inFlight: report.inFlight});
 		this.addPeerLoad(report.inFlight, 1);
 		for (const [id, [count, sumMs]] of Object.entries(report.samples)) {
+			this.peersAnsweredAt = now;
 			const record = this.record(id);
 			const weight = 1 - ((1 - sampleWeight) ** count);
 			const mean = sumMs / count;
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -3,13 +3,21 @@
  */
 import type {Readable, Writable} from 'node:stream';
 import type {Cancellation} from './cancellation.js';
-import type {Target} from './fleet.js';
+import type {Member, Target} from './fleet.js';
 import type {Route} from './route-configuration.js';
 import type {TargetStatement} from './target-statement.js';
 
 /** Headers as alternating names and values. */
 export type HeaderList = string[];
 
+/** Where a relayed request comes from. */
+export type RelayOrigin = {
+	/** The daemon that the caller sent the request to. */
+	daemon: string;
+	/** Number of its attempts that reached a target or may have reached one. */
+	deliveredAttempts: number;
+};
+
 /** A request as read by the gateway. */
 export type CallerRequest = {
 	method: string;
@@ -27,6 +35,8 @@
 	receivedAt: number;
 	body: Uint8Array | Readable | undefined;
 	cancellation: Cancellation;
+	/** Set if a peer relayed the request, which is then not relayed again. */
+	relay?: RelayOrigin | undefined;
 	/** Begins an answer that is too large to be kept in memory. */
 	beginStream(answer: AnswerHead): Writable;
 	/** Aborts an answer that was begun, so that it cannot look complete. */
@@ -41,7 +51,7 @@
 
 /** One attempt at a target. */
 export type Attempt = {
-	target: Target;
+	target: Pick<Target, 'id' | 'address'>;
 	/** Time that the target may spend, in milliseconds. */
 	budgetMs: number;
 	/** Time after which the attempt is aborted, in milliseconds. */
@@ -79,6 +89,8 @@
 	detail?: string;
 	/** True if the attempt ended because its timeout expired. */
 	isTimeout?: boolean;
+	/** True if a connection to the target was opened for the attempt. */
+	hasConnected?: boolean;
 };
 
 /** Sends requests to targets. */
@@ -87,6 +99,36 @@
 	send(request: CallerRequest, attempt: Attempt): Promise<AttemptResult>;
 };
 
+/** Opens connections to targets only in order to learn whether they can be reached. */
+export type ConnectionProbe = {
+	/** Opens a connection and closes it; false if that fails or takes too long. Never rejects. */
+	connects(address: string): Promise<boolean>;
+};
+
+/** One attempt to have a peer forward a request. */
+export type RelayAttempt = Pick<Attempt, 'budgetMs' | 'timeoutMs' | 'cancellation'> & {
+	peer: Member;
+	/** Number of attempts so far that reached a target or may have reached one. */
+	deliveredAttempts: number;
+};
+
+/**
+ * Result of a relayed request. `Refused` means that the request did not run anywhere, `Misdirected` that it did not run because of
+ * the peer's own state, so that another peer may be tried.
+ */
+export type RelayResult = AttemptResult & {
+	/** Number of attempts that reached a target, those before the relay included. */
+	deliveredAttempts: number;
+	/** Delay after which a retry of a refused request is likely to be served, in milliseconds. */
+	retryAfterMs?: number | undefined;
+};
+
+/** Sends requests to peers. */
+export type RelayTransport = {
+	/** Never rejects. */
+	relay(request: CallerRequest, attempt: RelayAttempt): Promise<RelayResult>;
+};
+
 /** Kinds of final answers. */
 export enum OutcomeKind {
 	/** The target's own answer. */
@@ -123,6 +165,10 @@
 	TargetPaused = 'target_paused',
 	/** The target names a limit that leaves no turn for the request in time. */
 	TargetLimit = 'target_limit',
+	/** This daemon reaches no target, and no peer can forward the request. */
+	TargetsUnreachable = 'targets_unreachable',
+	/** A peer that the request was relayed to refused it. */
+	RelayRefused = 'relay_refused',
 	/** The daemon stops before the request has certainly ended. */
 	DaemonStopping = 'daemon_stopping',
 	AttemptsUsed = 'attempts_used',
@@ -132,6 +178,21 @@
 	CallerLeft = 'caller_left',
 }
 
+/** Reasons that lie in the state of one daemon, so that another daemon may serve the request. */
+const daemonSpecificReasons = new Set([
+	OutcomeReason.NoConfiguration,
+	OutcomeReason.NoRoute,
+	OutcomeReason.ConfigurationOutdated,
+	OutcomeReason.ConfigurationUnconfirmed,
+	OutcomeReason.TargetsUnreachable,
+	OutcomeReason.DaemonStopping,
+]);
+
+/** True if the reason lies in the state of the daemon that gives it. */
+export function isDaemonSpecific(reason: OutcomeReason | undefined): boolean {
+	return reason !== undefined && daemonSpecificReasons.has(reason);
+}
+
 /** Final answer to a caller. */
 export type Outcome = {
 	kind: OutcomeKind;
@@ -141,4 +202,6 @@
 	/** Delay after which a retry is likely to be served, in milliseconds. */
 	retryAfterMs?: number;
 	route?: Route;
+	/** Number of attempts that reached a target or may have reached one. */
+	deliveredAttempts?: number;
 };
--- a/standins/relayed-fleet.ts
+++ b/standins/relayed-fleet.ts
@@ -10,13 +10,19 @@
 import {decodePeerMessage, type PeerMessage} from '../src/decisions/fleet/peer-message.js';
 import {ZoneHubs} from '../src/decisions/fleet/zone-hubs.js';
 import {Forwarder} from '../src/decisions/forwarding/forwarder.js';
+import {RelayPeers} from '../src/decisions/forwarding/relay-peers.js';
+import {RequestRelay} from '../src/decisions/forwarding/request-relay.js';
+import {TargetAccess} from '../src/decisions/forwarding/target-access.js';
 import {TargetLoads} from '../src/decisions/forwarding/target-loads.js';
 import {PermitIssuers} from '../src/decisions/limits/permit-issuers.js';
 import {Permits} from '../src/decisions/limits/permits.js';
 import {TargetStatements} from '../src/decisions/limits/target-statements.js';
 import {TargetState, type Member, type Target} from '../src/model/fleet.js';
-import {AttemptEnd, type Attempt, type AttemptResult} from '../src/model/forwarding.js';
+import {
+	AttemptEnd, isDaemonSpecific, OutcomeKind, type Attempt, type AttemptResult, type CallerRequest, type Outcome, type RelayAttempt, type RelayResult,
+} from '../src/model/forwarding.js';
 import {decodeConfiguration} from '../src/platform/documents.js';
+import {CutConnections, type CutMode} from './cut-connections.js';
 import {MemoryCoordinationStore, type MemoryStoreClient} from './memory-coordination-store.js';
 
 /** Interval between ticks of a daemon, in milliseconds. */
@@ -61,6 +67,7 @@
 	readonly client: MemoryStoreClient;
 	readonly sync: FleetSync;
 	readonly exchange: PeerExchange;
+	readonly relay: RequestRelay;
 	/** Forwards to targets that answer every request, unless the fleet has other targets. */
 	readonly forwarder: Forwarder;
 	isStopped = false;
@@ -141,19 +148,37 @@
 				// No daemon is leader, so reports about keys are ignored.
 			},
 		});
+		const random = (): number => fleet.random();
+		this.relay = new RequestRelay({
+			access: new TargetAccess({
+				view: this.view,
+				probe: {
+					connects: async address => fleet.connects(member.daemon, address),
+				},
+				log: silentLog,
+				random,
+			}),
+			peers: new RelayPeers(member, this.view, random),
+			loads: this.loads,
+			transport: {
+				relay: async (request, attempt) => fleet.relay(member.daemon, request, attempt),
+			},
+			log: silentLog,
+		});
 		this.forwarder = new Forwarder({
 			availabilityZone: member.availabilityZone,
+			relay: this.relay,
 			view: this.view,
 			loads: this.loads,
 			statements: this.statements,
 			permits: this.permits,
 			transport: {
-				send: async (_request, attempt) => fleet.answer(member.daemon, attempt),
+				send: async (request, attempt) => fleet.answer(member.daemon, attempt, request),
 			},
 			log: silentLog,
 			retryRatio: 0,
 			retryReserve: 0,
-			random: () => fleet.random(),
+			random,
 			recordKey() {
 				// No leader needs the request rates of keys.
 			},
@@ -163,6 +188,7 @@
 			if (!this.isStopped) {
 				this.exchange.tick();
 				this.sync.tick();
+				this.forwarder.tick();
 			}
 		}, tickMs);
 	}
@@ -192,7 +218,7 @@
 };
 
 /** Answers an attempt of a daemon. */
-export type TargetAnswer = (daemon: string, attempt: Attempt) => Promise<AttemptResult>;
+export type TargetAnswer = (daemon: string, attempt: Attempt, request: CallerRequest) => Promise<AttemptResult>;
 
 /** An answer of a target that ran the request. */
 export const success: AttemptResult = {end: AttemptEnd.Answered, answer: {status: 200, headers: {}}, body: new Uint8Array()};
@@ -204,12 +230,18 @@
 	/** Number of messages sent between availability zones. */
 	crossZoneMessages = 0;
 	dropsUpdates = false;
+	/** Number of requests that were relayed to peers. */
+	relayCount = 0;
+	/** Addresses of targets that no daemon can connect to. */
+	readonly unreachableAddresses = new Set<string>();
 	readonly sent = new Map<string, Traffic>();
 	private readonly daemonsByName = new Map<string, RelayedDaemon>();
 	private readonly blockedReceivers = new Set<string>();
 	private deliveryDelays: DeliveryDelays | undefined;
 	private readonly generator = xoroshiro128plus(1);
 	private targetAnswer: TargetAnswer | undefined;
+	/** Daemons that are cut off from all targets. */
+	private readonly cuts = new Map<string, CutConnections>();
 
 	constructor({availabilityZones, daemonsPerZone}: FleetSize = smallFleet) {
 		for (const availabilityZone of availabilityZones) {
@@ -241,8 +273,34 @@
 		this.targetAnswer = targetAnswer;
 	}
 
-	async answer(daemon: string, attempt: Attempt): Promise<AttemptResult> {
-		return this.targetAnswer?.(daemon, attempt) ?? success;
+	async answer(daemon: string, attempt: Attempt, request: CallerRequest): Promise<AttemptResult> {
+		const run = async (): Promise<AttemptResult> => await this.targetAnswer?.(daemon, attempt, request) ?? success;
+		const cut = this.cuts.get(daemon);
+		return cut ? cut.send(attempt, run) : run();
+	}
+
+	/** Cuts a daemon off from all targets, but not from its peers and the store. */
+	cutOff(daemon: string, mode: CutMode): void {
+		this.cuts.set(daemon, new CutConnections(mode));
+	}
+
+	/** Ends the cut of a daemon. */
+	reconnect(daemon: string): void {
+		this.cuts.delete(daemon);
+	}
+
+	/** Opens a connection from a daemon to a target; an unreachable target fails for all daemons. */
+	async connects(daemon: string, address: string): Promise<boolean> {
+		return !this.unreachableAddresses.has(address) && (await this.cuts.get(daemon)?.connects() ?? true);
+	}
+
+	/** Relays a request to a peer, which answers as over the network. */
+	async relay(daemon: string, request: CallerRequest, {peer, budgetMs, deliveredAttempts}: RelayAttempt): Promise<RelayResult> {
+		this.relayCount += 1;
+		const outcome = await this.daemon(peer.daemon).forwarder.forward({
+			...request, receivedAt: performance.now(), budgetMs, relay: {daemon, deliveredAttempts},
+		});
+		return {...relayedResult(outcome), deliveredAttempts: outcome.deliveredAttempts ?? deliveredAttempts};
 	}
 
 	/** Starts or stops dropping every message that arrives at a daemon. */
@@ -275,12 +333,12 @@
 	}
 
 	/** Writes a configuration with one route for each prefix, all to the service of the targets. */
-	putConfiguration(version: number, prefixes: readonly string[], isKeyed = false): void {
+	putConfiguration(version: number, prefixes: readonly string[], isKeyed = false, kind = 'safe'): void {
 		const routes = prefixes.map(prefix => ({
 			resourceType: 'routes',
 			metadata: {name: prefix},
 			spec: {
-				host: 'host', prefix, kind: 'safe', timeoutMs: 1000, targetLatencyMs: 300, priority: 1, service: 'service', maxAttempts: 1,
+				host: 'host', prefix, kind, timeoutMs: 1000, targetLatencyMs: 300, priority: 1, service: 'service', maxAttempts: 1,
 			},
 		}));
 		const service = {resourceType: 'services', metadata: {name: 'service'}, spec: {healthPath: '/health', maxConnections: 100, ...(isKeyed && {sharded: true, warmS: 1})}};
@@ -319,3 +377,26 @@
 		this.sent.set(daemon, traffic);
 	}
 }
+
+/** The result that a peer's outcome becomes, as its gateway and the relaying daemon's transport translate it. */
+function relayedResult({kind, reason, answer, body, retryAfterMs}: Outcome): AttemptResult & {retryAfterMs: number | undefined} {
+	switch (kind) {
+		case OutcomeKind.Answered: {
+			return {
+				end: AttemptEnd.Answered, answer, body, retryAfterMs,
+			};
+		}
+
+		case OutcomeKind.NotRun:
+		case OutcomeKind.NoRoute: {
+			return {end: isDaemonSpecific(reason) ? AttemptEnd.Misdirected : AttemptEnd.Refused, retryAfterMs};
+		}
+
+		case OutcomeKind.Streamed:
+		case OutcomeKind.Unknown:
+		case OutcomeKind.TimedOut:
+		case OutcomeKind.Abandoned: {
+			return {end: AttemptEnd.Ambiguous, retryAfterMs};
+		}
+	}
+}
--- a/tests/platform/endless-answers.test.ts
+++ b/tests/platform/endless-answers.test.ts
@@ -3,7 +3,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
 import {Cancellation} from '../../src/model/cancellation.js';
-import {TargetState} from '../../src/model/fleet.js';
 import {AttemptEnd, type AttemptResult, type CallerRequest} from '../../src/model/forwarding.js';
 import {PlatformTargetProtocol} from '../../src/platform/target-protocol.js';
 import {ConnectionPool} from '../../src/transport/connection-pool.js';
@@ -179,9 +178,7 @@
 		cancellation.cancel();
 	});
 	return transport.send(request, {
-		target: {
-			id: 'target', bornAt: 1, address: target.address, service: 'service', availabilityZone: 'zone', softwareVersion: '', slots: 3, state: TargetState.Ready, warmUpLeftMs: 0,
-		},
+		target: {id: 'target', address: target.address},
 		budgetMs: 1000,
 		timeoutMs: 50_000,
 		cancellation,
