fix(forwarding): a slow request causes three probes at most

A request that is overdue while no target answers anything makes a daemon suspect that it is cut off. Probes that succeed now also settle the requests that are overdue at that time, so that each causes one confirmation; a later request that is overdue starts another one.

The time until a request is overdue counts from the last answer of any target if that came after the request was sent. Before, a request that was sent before the last answer was never suspicious, so that a daemon whose connections began to hang with only such requests in flight noticed nothing. TargetAccess also reports the beginning of a cut, so that idle connections can be closed.

--- a/src/decisions/forwarding/target-access.ts
+++ b/src/decisions/forwarding/target-access.ts
@@ -37,7 +37,8 @@
 /** A request that was sent to a target and has no answer yet. */
 type PendingAttempt = {
 	sentAt: number;
-	overdueAt: number;
+	/** Time without an answer to this or another request after which it is overdue, in milliseconds. */
+	overdueMs: number;
 };
 
 /** Dependencies of the detection. */
@@ -46,6 +47,8 @@
 	probe: ConnectionProbe;
 	log: EventLog;
 	random(): number;
+	/** Called when the daemon is found to be cut off. */
+	onCutOff(): void;
 };
 
 /** Tells whether this daemon reaches any target. */
@@ -69,7 +72,7 @@
 	/** Records that a request is sent to a target; returns a key with which its end is recorded. */
 	startAttempt(estimatedMs: number, now = performance.now()): PendingAttempt {
 		const overdueMs = Math.min(longestOverdueMs, Math.max(shortestOverdueMs, estimatedMs * overdueFactor));
-		const attempt = {sentAt: now, overdueAt: now + overdueMs};
+		const attempt = {sentAt: now, overdueMs};
 		this.pending.add(attempt);
 		return attempt;
 	}
@@ -134,14 +137,13 @@
 		return this.failures.size >= (isSilent ? 1 : suspiciousFailureCount);
 	}
 
-	/** True if a request is overdue and no target has answered anything since it was sent. */
 	private hasSuspiciousSilence(now: number): boolean {
 		if (now - this.lastAnswerAt < shortestOverdueMs) {
 			return false;
 		}
 
-		for (const {sentAt, overdueAt} of this.pending) {
-			if (now >= overdueAt && sentAt >= this.lastAnswerAt) {
+		for (const attempt of this.pending) {
+			if (this.isOverdue(attempt, now)) {
 				return true;
 			}
 		}
@@ -149,6 +151,10 @@
 		return false;
 	}
 
+	private isOverdue({sentAt, overdueMs}: PendingAttempt, now: number): boolean {
+		return now - Math.max(sentAt, this.lastAnswerAt) >= overdueMs;
+	}
+
 	private async confirm(): Promise<void> {
 		if (!this.confirmation && performance.now() - this.reachableAt < recheckMs) {
 			return;
@@ -170,16 +176,27 @@
 		if (isReachable) {
 			this.reachableAt = now;
 			this.failures.clear();
+			this.forgetOverdue(now);
 			return;
 		}
 
 		this.cutOffAt = now;
 		this.probedAt = now;
+		this.options.onCutOff();
 		this.options.log.record(LogEvent.TargetsUnreachable, {
 			probed: targets.map(({id}) => id).join(','), silentMs: Number.isFinite(this.lastAnswerAt) ? Math.round(now - this.lastAnswerAt) : undefined,
 		});
 	}
 
+	/** Requests that are slow although targets are reachable are no reason for more probes. */
+	private forgetOverdue(now: number): void {
+		for (const attempt of this.pending) {
+			if (this.isOverdue(attempt, now)) {
+				this.pending.delete(attempt);
+			}
+		}
+	}
+
 	private probeReturn(now: number): void {
 		if (this.isProbing || now - this.probedAt < returnProbeIntervalMs) {
 			return;
--- a/standins/limited-fleet.ts
+++ b/standins/limited-fleet.ts
@@ -34,6 +34,8 @@
 	outcomes: Outcome[];
 	/** Sends requests to daemons at random for this time. */
 	load(durationMs: number): Promise<void>;
+	/** Lets time pass without requests. */
+	wait(durationMs: number): Promise<void>;
 };
 
 /** Runs a fleet whose first target names limits; requests are sent for keys of that target if the service is keyed. */
@@ -69,7 +71,13 @@
 	try {
 		await clock.tickAsync(startMs);
 		await run({
-			fleet, limited, load, outcomes,
+			fleet,
+			limited,
+			load,
+			outcomes,
+			async wait(durationMs) {
+				await clock.tickAsync(durationMs);
+			},
 		});
 	} finally {
 		fleet.close();
--- a/standins/relayed-fleet.ts
+++ b/standins/relayed-fleet.ts
@@ -157,6 +157,7 @@
 				},
 				log: silentLog,
 				random,
+				onCutOff: () => undefined,
 			}),
 			peers: new RelayPeers(member, this.view, random),
 			loads: this.loads,
@@ -232,6 +233,8 @@
 	dropsUpdates = false;
 	/** Number of requests that were relayed to peers. */
 	relayCount = 0;
+	/** Number of probes of targets. */
+	probeCount = 0;
 	/** Addresses of targets that no daemon can connect to. */
 	readonly unreachableAddresses = new Set<string>();
 	readonly sent = new Map<string, Traffic>();
@@ -291,6 +294,7 @@
 
 	/** Opens a connection from a daemon to a target; an unreachable target fails for all daemons. */
 	async connects(daemon: string, address: string): Promise<boolean> {
+		this.probeCount += 1;
 		return !this.unreachableAddresses.has(address) && (await this.cuts.get(daemon)?.connects() ?? true);
 	}
 
--- a/tests/decisions/cut-off-daemon.test.ts
+++ b/tests/decisions/cut-off-daemon.test.ts
@@ -13,6 +13,12 @@
 
 const requestCount = 30;
 
+/** Time by which all earlier requests are answered, in milliseconds. */
+const requestMs = 200;
+
+/** Time of a slow request at a target, in milliseconds; within the time budget of a request. */
+const slowWorkMs = 790;
+
 /** Interval between the requests of one daemon, in milliseconds. */
 const intervalMs = 50;
 
@@ -174,3 +180,21 @@
 		});
 	});
 }
+
+test.serial('should probe three targets at most on account of a slow request', async t => {
+	await withLimitedTarget(smallFleet, {isKeyed: false, targetCount: 3}, async ({fleet, load, wait}) => {
+		await load(1000);
+		await wait(requestMs);
+		fleet.setTargetAnswer(async () => {
+			await new Promise(resolve => {
+				setTimeout(resolve, slowWorkMs);
+			});
+			return success;
+		});
+		const {forwarder} = fleet.daemon('one-1');
+		const before = fleet.probeCount;
+		const [outcome] = await Promise.all([forwarder.forward(callerRequest('/a/x')), wait(slowWorkMs)]);
+		t.is(outcome.kind, OutcomeKind.Answered);
+		t.true(fleet.probeCount - before <= 3, `${fleet.probeCount - before} probes`);
+	});
+});
