fix(relay): carry relayed requests between daemons

The decision to relay had no way to a peer: a daemon that is cut off from all targets still answered 503 or 504 to its callers. Peers now listen for HTTP on the TCP port of the number that carries their messages, with a second listener of the gateway, and PeerRelayTransport sends requests there with the exchange, pool and buffers that lead to targets, so that ids are checked, large bodies are streamed and the caller's leaving cancels the work at the peer.

The status of an answer does not tell whether a target or the peer gave it, so the peer names the outcome in a header: the target's answer, not run, not run on account of its own state, unknown. Anything else, and every answer that is lost, counts as unknown, so that nothing is reported as not run that may have run. Attempts are counted across the relay, which keeps the route's limit. An attempt tells whether it opened a connection, which ends a suspicion, and idle connections are closed when a cut begins.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -14,6 +14,9 @@
 import {PermitIssuers} from '../decisions/limits/permit-issuers.js';
 import {Permits} from '../decisions/limits/permits.js';
 import {TargetStatements} from '../decisions/limits/target-statements.js';
+import {RelayPeers} from '../decisions/forwarding/relay-peers.js';
+import {RequestRelay} from '../decisions/forwarding/request-relay.js';
+import {TargetAccess} from '../decisions/forwarding/target-access.js';
 import {TargetLoads} from '../decisions/forwarding/target-loads.js';
 import {KeyLeader} from '../decisions/ownership/key-leader.js';
 import {RouterError} from '../model/errors.js';
@@ -22,10 +25,14 @@
 import {
 	OutcomeKind, type CallerRequest, type Outcome,
 } from '../model/forwarding.js';
+import type {CallerLimits} from '../model/route-configuration.js';
 import {DatagramPeers} from '../peers/datagram-peers.js';
 import {decodeConfiguration, decodeTarget} from '../platform/documents.js';
 import {PlatformKeyOrders} from '../platform/key-orders.js';
 import {PlatformStore} from '../platform/platform-store.js';
+import {
+	PeerRelayTransport, readRelayedHeaders, relayAnswerHeaders, relayHeaderBytes,
+} from '../platform/relay.js';
 import type {PlatformSettings} from '../platform/settings.js';
 import {PlatformTargetProtocol, readCallerHeaders} from '../platform/target-protocol.js';
 import {wireKeys, wirePaths} from '../platform/wire.js';
@@ -60,6 +67,8 @@
 	private readonly store: PlatformStore;
 	private readonly orders = new PlatformKeyOrders();
 	private readonly transport = new TargetTransport(new PlatformTargetProtocol());
+	private readonly relayTransport: PeerRelayTransport;
+	private readonly relay: RequestRelay;
 	private readonly view: FleetView;
 	private readonly sync: FleetSync;
 	private readonly exchange: PeerExchange;
@@ -71,6 +80,7 @@
 	private readonly statements: TargetStatements;
 	private readonly permits: Permits;
 	private servedCount = 0;
+	private receivedRelayCount = 0;
 	private isStopping = false;
 
 	constructor(private readonly settings: PlatformSettings, private readonly log: EventLog) {
@@ -102,8 +112,11 @@
 			log.record(LogEvent.PeerMessageRejected, {detail});
 		});
 		this.leader = this.createLeader(loads, exchange);
+		this.relayTransport = new PeerRelayTransport(daemon);
+		this.relay = this.createRelay(loads);
 		const forwarder = new Forwarder({
 			availabilityZone,
+			relay: this.relay,
 			view: this.view,
 			loads,
 			statements: this.statements,
@@ -152,6 +165,7 @@
 		await this.waitForRequests(exitBy);
 		await this.kernel.stop();
 		this.transport.close();
+		this.relayTransport.close();
 		this.orders.close();
 		this.peers.close();
 		await this.store.close();
@@ -242,6 +256,23 @@
 		});
 	}
 
+	private createRelay(loads: TargetLoads): RequestRelay {
+		const {view, log, settings, transport, relayTransport} = this;
+		const access = new TargetAccess({
+			view,
+			probe: transport,
+			log,
+			random: Math.random,
+			onCutOff() {
+				// What targets send on idle connections during the cut, such as a close, may be lost.
+				transport.discardIdle();
+			},
+		});
+		return new RequestRelay({
+			access, peers: new RelayPeers(settings, view, Math.random), loads, transport: relayTransport, log,
+		});
+	}
+
 	private createLeader(loads: TargetLoads, exchange: PeerExchange): KeyLeader {
 		const {daemon, leaseMinimumMs, holdLimitMs, thawSlackMs} = this.settings;
 		return new KeyLeader({
@@ -262,6 +293,7 @@
 	}
 
 	private createEdgeServices(): Array<ReturnType<typeof createReadinessService>> {
+		const {ip, peerPorts: [peerPort]} = this.settings;
 		const gateway = createPlatformGatewayService({
 			...splitAddress(this.settings.callerAddress),
 			log: this.log,
@@ -271,6 +303,16 @@
 			onOutcome: (request, outcome) => {
 				this.recordOutcome(request, outcome);
 			},
+			relay: {
+				ip,
+				port: peerPort,
+				readHeaders: readRelayedHeaders,
+				limits: () => this.relayLimits(),
+				outcomeHeaders: relayAnswerHeaders,
+				onOutcome: () => {
+					this.receivedRelayCount += 1;
+				},
+			},
 		});
 		const readiness = createReadinessService({
 			...splitAddress(this.settings.readinessAddress),
@@ -296,9 +338,18 @@
 			deniedPermits: () => this.permits.denialCount,
 			pausedTargets: () => this.statements.pausedCount(),
 			leavingTargets: () => this.statements.leavingCount,
+			isCutOff: () => this.relay.isCutOff,
+			relayedRequests: () => this.relay.relayedCount,
+			receivedRelays: () => this.receivedRelayCount,
 		});
 	}
 
+	/** The relaying daemon has applied the limits, and relaying adds headers. */
+	private relayLimits(): CallerLimits | undefined {
+		const limits = this.view.configuration?.limits;
+		return limits && {...limits, maxHeaderBytes: limits.maxHeaderBytes + relayHeaderBytes};
+	}
+
 	private recordOutcome(request: CallerRequest, outcome: Outcome): void {
 		this.metrics.recordOutcome(request, outcome);
 		if (outcome.kind !== OutcomeKind.Answered) {
--- a/src/platform/target-protocol.ts
+++ b/src/platform/target-protocol.ts
@@ -102,15 +102,20 @@
 	}
 
 	answerHeaders(headers: AnswerHead['headers']): AnswerHead['headers'] {
-		const passed: AnswerHead['headers'] = {};
-		for (const [name, value] of Object.entries(headers)) {
-			if (!hopByHopHeaders.has(name) && name !== 'content-length') {
-				passed[name] = value;
-			}
-		}
+		return passedAnswerHeaders(headers);
+	}
+}
 
-		return passed;
+/** Headers of an answer that do not apply to a single connection. */
+export function passedAnswerHeaders(headers: AnswerHead['headers']): AnswerHead['headers'] {
+	const passed: AnswerHead['headers'] = {};
+	for (const [name, value] of Object.entries(headers)) {
+		if (!hopByHopHeaders.has(name) && name !== 'content-length') {
+			passed[name] = value;
+		}
 	}
+
+	return passed;
 }
 
 /** Names of the headers that `Connection` declares as hop-by-hop. */
--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -17,7 +17,7 @@
 import {LogEvent, type EventLog} from '../model/events.js';
 import {Cancellation} from '../model/cancellation.js';
 import {
-	OutcomeKind, OutcomeReason, type CallerRequest, type Outcome,
+	OutcomeKind, OutcomeReason, type CallerRequest, type Outcome, type RelayOrigin,
 } from '../model/forwarding.js';
 import {initialLimits, type CallerLimits} from '../model/route-configuration.js';
 import {openBody} from './request-body.js';
@@ -28,6 +28,13 @@
 	requestId: string;
 	key: number | undefined;
 	budgetMs: number | undefined;
+	relay?: RelayOrigin;
+};
+
+/** Listener for requests that peers relay; its options replace those of the gateway. */
+export type RelayListenerOptions = Pick<PlatformGatewayOptions, 'ip' | 'port' | 'readHeaders' | 'limits' | 'onOutcome'> & {
+	/** Headers that tell the peer what became of its request. */
+	outcomeHeaders(request: CallerRequest, outcome: Outcome): Record<string, string>;
 };
 
 export type PlatformGatewayOptions = {
@@ -35,6 +42,8 @@
 	port: number;
 	log: EventLog;
 	readHeaders: CallerHeaderReader;
+	outcomeHeaders?: RelayListenerOptions['outcomeHeaders'];
+	relay?: RelayListenerOptions;
 	/** Active limits; undefined before the first configuration. */
 	limits(): CallerLimits | undefined;
 	/** Waits until the limits are confirmed as the newest; false if no confirmation arrives. */
@@ -92,30 +101,47 @@
 		actions: {
 			/** From now on, answers close their connections. */
 			drain(this: Service) {
-				gatewayOf(this).drain();
+				for (const gateway of gatewaysOf(this)) {
+					gateway.drain();
+				}
 			},
 			/** Stops listening; requests in flight continue. */
 			closeListener(this: Service) {
-				gatewayOf(this).closeListener();
+				closeListeners(this);
 			},
 			load(this: Service) {
-				return gatewayOf(this).inFlightCount;
+				return gatewaysOf(this).reduce((count, {inFlightCount}) => count + inFlightCount, 0);
 			},
 		},
 		created(this: Service) {
-			(this as unknown as {gateway: Gateway}).gateway = new Gateway(options, this.broker);
+			const service = this as unknown as GatewayService;
+			service.gateway = new Gateway(options, this.broker);
+			service.relayGateway = options.relay && new Gateway({...options, ...options.relay}, this.broker);
 		},
 		async started(this: Service) {
-			await gatewayOf(this).listen();
+			await Promise.all(gatewaysOf(this).map(async gateway => gateway.listen()));
 		},
 		stopped(this: Service) {
-			gatewayOf(this).closeListener();
+			closeListeners(this);
 		},
 	};
 }
 
-function gatewayOf(service: Service): Gateway {
-	return (service as unknown as {gateway: Gateway}).gateway;
+type GatewayService = {
+	gateway: Gateway;
+	/** Listens for requests that peers relay. */
+	relayGateway: Gateway | undefined;
+};
+
+function gatewaysOf(service: Service): Gateway[] {
+	const {gateway, relayGateway} = service as unknown as GatewayService;
+	return relayGateway ? [gateway, relayGateway] : [gateway];
+}
+
+function closeListeners(service: Service): void {
+	for (const gateway of gatewaysOf(service)) {
+		gateway.closeListener();
+	}
 }
 
 /** HTTP server with the state of its connections. */
@@ -200,6 +226,7 @@
 				return;
 			}
 
+			this.addOutcomeHeaders(response, caller, outcome);
 			this.answer(response, outcome, connection);
 			this.options.onOutcome(caller, outcome);
 		} catch (error) {
@@ -215,7 +242,7 @@
 		const receivedAt = performance.now();
 		const limits = this.applyLimits();
 		checkHeaderSize(request, limits);
-		const {passed, requestId, key, budgetMs} = this.options.readHeaders(request.rawHeaders);
+		const {passed, requestId, key, budgetMs, relay} = this.options.readHeaders(request.rawHeaders);
 		const caller: CallerRequest = {
 			method: request.method ?? 'GET',
 			path: request.url ?? '/',
@@ -227,7 +254,9 @@
 			receivedAt,
 			body: await openBody(request, limits.maxBodyBytes),
 			cancellation,
-			beginStream({status, headers}) {
+			relay,
+			beginStream: ({status, headers}) => {
+				this.addOutcomeHeaders(response, caller, {kind: OutcomeKind.Streamed});
 				response.writeHead(status, headers);
 				return response;
 			},
@@ -275,6 +304,12 @@
 		await nextTurn();
 	}
 
+	private addOutcomeHeaders(response: ServerResponse, request: CallerRequest, outcome: Outcome): void {
+		if (this.options.outcomeHeaders && !response.headersSent) {
+			response.setHeaders(new Map(Object.entries(this.options.outcomeHeaders(request, outcome))));
+		}
+	}
+
 	private answer(response: ServerResponse, outcome: Outcome, connection: Connection | undefined): void {
 		// Later requests on the same connection still get their answers.
 		const isLast = (connection?.pending.size ?? 0) <= 1;
--- a/src/services/platform-kernel.ts
+++ b/src/services/platform-kernel.ts
@@ -112,10 +112,19 @@
 }
 
 /** Service "dispatcher": forwards requests to targets. */
-function createDispatcherService({forwarder}: PlatformComponents): ServiceSchema {
+function createDispatcherService({forwarder, log}: PlatformComponents): ServiceSchema {
+	const timers = new TimerSet(log);
 	return {
 		name: 'dispatcher',
 		dependencies: ['fleet'],
+		started() {
+			timers.repeat(tickMs, () => {
+				forwarder.tick();
+			});
+		},
+		stopped() {
+			timers.clear();
+		},
 		actions: {
 			async forward(context: Context<CallerRequest>): Promise<Outcome> {
 				return forwarder.forward(context.params);
--- a/src/services/platform-metrics-service.ts
+++ b/src/services/platform-metrics-service.ts
@@ -38,6 +38,12 @@
 	pausedTargets(): number;
 	/** Targets that said that they are leaving. */
 	leavingTargets(): number;
+	/** True while this daemon reaches no target and relays its requests. */
+	isCutOff(): boolean;
+	/** Requests since the start that were relayed to peers. */
+	relayedRequests(): number;
+	/** Requests since the start that peers relayed to this daemon. */
+	receivedRelays(): number;
 };
 
 /** Metrics of one daemon in their own registry. */
@@ -65,6 +71,9 @@
 		this.addGauge('denied_permits', 'Attempts since the start that were not sent to a target on account of its limit.', () => sources.deniedPermits());
 		this.addGauge('paused_targets', 'Targets that want no requests from this daemon at present.', () => sources.pausedTargets());
 		this.addGauge('leaving_targets', 'Targets that said in an answer that they are leaving.', () => sources.leavingTargets());
+		this.addGauge('cut_off', '1 while this daemon reaches no target and relays its requests through peers.', () => Number(sources.isCutOff()));
+		this.addGauge('relayed_requests', 'Requests since the start that were relayed to peers.', () => sources.relayedRequests());
+		this.addGauge('received_relays', 'Requests since the start that peers relayed to this daemon.', () => sources.receivedRelays());
 		this.addGauge('resident_bytes', 'Memory of the process.', () => process.memoryUsage.rss());
 	}
 
--- a/src/transport/http-connection.ts
+++ b/src/transport/http-connection.ts
@@ -45,6 +45,11 @@
 		});
 	}
 
+	/** True until the first exchange opens the socket. */
+	get isNew(): boolean {
+		return this.socket === undefined;
+	}
+
 	/** True if another exchange can use the open socket. */
 	get isReusable(): boolean {
 		return !this.isClosed && this.refusedIds.size < refusalLimit && !this.hasSocketFailed && this.socket?.destroyed === false && this.socket.readable;
--- a/src/transport/target-exchange.ts
+++ b/src/transport/target-exchange.ts
@@ -26,6 +26,8 @@
 	Answer = 'answer',
 	NotRun = 'not_run',
 	Misdirected = 'misdirected',
+	/** A peer that the request was relayed to does not know whether it ran. */
+	Unknown = 'unknown',
 	/** The answer does not belong to the request, or did not come from the target. */
 	Unrelated = 'foreign',
 }
@@ -43,6 +45,7 @@
 /** Runs one exchange; its result is set once. */
 export class TargetExchange implements Dispatcher.DispatchHandler {
 	private readonly connection: HttpConnection;
+	private readonly isNewConnection: boolean;
 	private wasSent = false;
 	private isSettled = false;
 	private kind = AnswerKind.Unrelated;
@@ -65,6 +68,7 @@
 		private readonly attempt: Attempt,
 	) {
 		this.connection = pool.acquire(attempt.target.address, request.requestId);
+		this.isNewConnection = this.connection.isNew;
 		this.onCancel = () => {
 			this.fail('cancelled');
 		};
@@ -133,6 +137,11 @@
 			return;
 		}
 
+		if (this.kind === AnswerKind.Unknown) {
+			this.fail('the peer does not know whether the request ran');
+			return;
+		}
+
 		const statement = this.protocol.statement(this.kind, this.attempt, status, headers);
 		if (statement) {
 			this.attempt.onStatement(statement);
@@ -266,7 +275,7 @@
 			this.request.body.off('error', this.onBodyError);
 		}
 
-		this.resolve?.(result);
+		this.resolve?.({...result, hasConnected: this.isNewConnection && this.wasSent});
 	}
 
 	/** Undici destroys the body of a failed exchange. A separate stream keeps the caller's body usable for another attempt. */
--- a/src/transport/target-transport.ts
+++ b/src/transport/target-transport.ts
@@ -2,13 +2,14 @@
  * Forwards callers' requests to targets.
  */
 import type {
-	Attempt, AttemptResult, CallerRequest, RequestTransport,
+	Attempt, AttemptResult, CallerRequest, ConnectionProbe, RequestTransport,
 } from '../model/forwarding.js';
 import {ConnectionPool} from './connection-pool.js';
+import {canConnect} from './connection-probe.js';
 import {TargetExchange, type TargetProtocol} from './target-exchange.js';
 
 /** Sends requests over pooled connections. */
-export class TargetTransport implements RequestTransport {
+export class TargetTransport implements RequestTransport, ConnectionProbe {
 	readonly pool = new ConnectionPool();
 
 	constructor(private readonly protocol: TargetProtocol) {}
@@ -23,6 +24,15 @@
 		return result;
 	}
 
+	async connects(address: string): Promise<boolean> {
+		return canConnect(address);
+	}
+
+	/** Closes all idle connections. */
+	discardIdle(): void {
+		this.pool.close();
+	}
+
 	close(): void {
 		this.pool.close();
 	}
--- a/standins/platform-deployment.ts
+++ b/standins/platform-deployment.ts
@@ -7,9 +7,11 @@
 import type {EventLog} from '../src/model/events.js';
 import type {PlatformSettings} from '../src/platform/settings.js';
 import {WireHeader, wireKeys, wirePaths} from '../src/platform/wire.js';
+import type {TargetTransport} from '../src/transport/target-transport.js';
 import {MemoryCoordinationStore} from './memory-coordination-store.js';
 import {PlatformStoreServer} from './platform-store-server.js';
 import {PlatformTargetServer} from './platform-target-server.js';
+import {TargetLinks} from './target-links.js';
 
 const ports = {
 	store: 8642, caller: 8641, readiness: 8640, peer: 7620, target: 8647,
@@ -22,6 +24,8 @@
 	targetCount: number;
 	isKeyed: boolean;
 	workMs: number;
+	/** Whether requests may be repeated: `safe` or `unsafe`, the default. */
+	kind?: string;
 	shutdownGraceS?: number;
 	log?: EventLog;
 	onRun(target: string, requestId: string): void;
@@ -102,6 +106,16 @@
 		return statusCode === 200;
 	}
 
+	/** Sends a daemon's requests to targets through proxies that can be cut. */
+	async createLinks(daemon: number): Promise<TargetLinks> {
+		const {network, targetCount} = this.options;
+		const ips = (part: number): string[] => Array.from({length: targetCount}, (_, index) => `${network}.${part}.${index + 1}`);
+		const links = new TargetLinks(ips(1).map(ip => `${ip}:${ports.target}`), ips(3));
+		await links.open();
+		links.attach((this.daemons[daemon] as unknown as {transport: TargetTransport}).transport);
+		return links;
+	}
+
 	/** Closes callers' connections, as the end of the daemons' processes does. */
 	async disconnect(): Promise<void> {
 		await this.agent.destroy();
@@ -133,7 +147,7 @@
 
 	private putConfiguration(): void {
 		const route = {
-			host: 'demo.example', prefix: '/records/', kind: 'unsafe', timeoutMs: 20_000, targetLatencyMs: 300, priority: 1, service: 'registry', maxAttempts: 2,
+			host: 'demo.example', prefix: '/records/', kind: this.options.kind ?? 'unsafe', timeoutMs: 20_000, targetLatencyMs: 300, priority: 1, service: 'registry', maxAttempts: 2,
 		};
 		this.store.put(wireKeys.configuration, JSON.stringify({
 			version: 1,
