fix(ownership): a leader that is cut off from all targets gives its leadership up

A leader that reaches no target, but still the store, kept its leadership: its orders failed, it suspected all targets, and the holds of all keys expired, so that callers of every daemon got 503 for keyed services until the cut ended, whether their daemon was cut off or not.

The leader ends its lease once the daemon is found to be cut off, and a daemon that is cut off is no candidate. A successor takes over at once and renews the same owners under higher fencing tokens; the holds of the old leader last longer than the detection takes, so that no key is without a holder in between. Giving up is the same step as at a shutdown, except that the daemon may lead again later.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -285,6 +285,7 @@
 			log: this.log,
 			leaseMinimumMs,
 			limits: {holdLimitMs, thawSlackMs},
+			isCutOff: () => this.relay.isCutOff,
 			onOwnersWritten(service) {
 				exchange.announce(service);
 			},
--- a/src/decisions/ownership/leadership.ts
+++ b/src/decisions/ownership/leadership.ts
@@ -36,6 +36,8 @@
 	log: EventLog;
 	leaseMinimumMs: number;
 	random(): number;
+	/** True while this daemon reaches no target, and could not send any order. */
+	isCutOff(): boolean;
 };
 
 type Term = {
@@ -88,6 +90,11 @@
 			return;
 		}
 
+		if (this.term && this.options.isCutOff()) {
+			void this.run(async () => this.giveUp('cut off from all targets'), now + retryDelayMs);
+			return;
+		}
+
 		if (this.term) {
 			void this.run(async () => this.renew(), now + renewalIntervalMs);
 			return;
@@ -101,18 +108,23 @@
 	/** Resigns leadership permanently, so that another daemon takes over at once. */
 	async resign(): Promise<void> {
 		this.isResigned = true;
+		await this.giveUp('resigned');
+	}
+
+	/** Ends the lease, so that another daemon takes over at once. */
+	private async giveUp(detail: string): Promise<void> {
 		const {term} = this;
 		if (!term) {
 			return;
 		}
 
-		this.endTerm('resigned');
+		this.endTerm(detail);
 		await this.options.store.endLease(term.lease.id);
 	}
 
 	private isCandidate(now: number): boolean {
 		const {view} = this.options;
-		if (this.isResigned || view.revision === 0 || view.leader) {
+		if (this.isResigned || this.options.isCutOff() || view.revision === 0 || view.leader) {
 			this.vacantSince = undefined;
 			return false;
 		}
--- a/standins/keyed-fleet.ts
+++ b/standins/keyed-fleet.ts
@@ -45,6 +45,8 @@
 	readonly leader: KeyLeader;
 	readonly statements: TargetStatements;
 	isPaused = false;
+	/** True once the daemon has found out that it reaches no target. */
+	isCutOff = false;
 	private readonly sync: FleetSync;
 
 	constructor(readonly name: string, fleet: KeyedFleet) {
@@ -75,6 +77,7 @@
 			leaseMinimumMs: 1000,
 			limits: {holdLimitMs: 10_000, thawSlackMs: 300},
 			random: () => 0.5,
+			isCutOff: () => this.isCutOff,
 			onOwnersWritten() {
 				// Peers read the owners from the store.
 			},
--- a/tests/decisions/key-ownership.test.ts
+++ b/tests/decisions/key-ownership.test.ts
@@ -11,6 +11,9 @@
 /** Time within which a key has to be served again after all daemons have stopped, in milliseconds. */
 const servedAgainMs = 1000;
 
+/** Time until a daemon with requests finds out that it is cut off from all targets, in milliseconds; see target-access.ts. */
+const cutDetectionMs = 800;
+
 /** Most writes of owners that the faults of a case may cause; each move takes two. */
 const writeLimit = 16;
 
@@ -200,6 +203,30 @@
 			await run(10_000);
 		},
 	},
+	{
+		title: 'the leader is cut off from all targets',
+		gapLimitMs: 0,
+		events: [LogEvent.LeadershipLost],
+		async simulate({fleet, run}) {
+			const leader = fleet.leaderDaemon();
+			for (const {incarnation} of fleet.holders.values()) {
+				leader?.orders.unreachable.add(incarnation.id);
+			}
+
+			await run(cutDetectionMs);
+			if (leader) {
+				leader.isCutOff = true;
+			}
+
+			await run(4000);
+			leader?.orders.unreachable.clear();
+			if (leader) {
+				leader.isCutOff = false;
+			}
+
+			await run(4000);
+		},
+	},
 	{
 		title: 'orders to a target are executed late across a change of leader',
 		gapLimitMs: longestHoldMs + 3500,
