fix(forwarding): open connections stay in use while targets accept no new ones

Targets that have as many connections as they accept reset further ones. To TargetAccess that looked like a cut: a burst above the open connections made a daemon relay everything although its open connections worked, and when all daemons had such a burst, each of them refused what the others relayed, so that nearly all callers got 503 until a probe found a free place.

A daemon that is cut off distinguishes now whether it is isolated as well: no target answered within half a second. Until then each request goes to its target if a connection is open, which Attempt.usesOpenConnection asks the transport for, and to a peer otherwise. A peer in the same state does the same with what is relayed to it. Leadership is given up, and idle connections are closed, only once isolated. A missing open connection says nothing about the target and does not eject it.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -263,7 +263,7 @@
 			probe: transport,
 			log,
 			random: Math.random,
-			onCutOff() {
+			onIsolated() {
 				// What targets send on idle connections during the cut, such as a close, may be lost.
 				transport.discardIdle();
 			},
@@ -285,7 +285,7 @@
 			log: this.log,
 			leaseMinimumMs,
 			limits: {holdLimitMs, thawSlackMs},
-			isCutOff: () => this.relay.isCutOff,
+			isCutOff: () => this.relay.isIsolated,
 			onOwnersWritten(service) {
 				exchange.announce(service);
 			},
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -14,7 +14,7 @@
 import type {TargetStatements} from '../limits/target-statements.js';
 import {RetryBudget} from '../retry-budget.js';
 import {
-	cannotServe, requestLogFields, isBodyConsumed, isServerFailure, remainingMs, type ForwardingContext,
+	cannotServe, requestLogFields, isBodyConsumed, isServerFailure, remainingMs, RequestWay, type ForwardingContext,
 } from './forwarding-context.js';
 import type {RequestRelay} from './request-relay.js';
 import {chooseTarget} from './target-choice.js';
@@ -208,6 +208,7 @@
 			deliveredAttempts: request.relay?.deliveredAttempts ?? 0,
 			unsentAttempts: 0,
 			misdirectedAttempts: 0,
+			way: RequestWay.Direct,
 			relay: undefined,
 			triedPeers: new Set(),
 			mayHaveRun: false,
@@ -234,11 +235,12 @@
 			}
 
 			const {relay} = this.options;
-			if (relay?.isCutOff && context.request.relay) {
+			context.way = relay?.chooseWay(context) ?? RequestWay.Direct;
+			if (context.way === RequestWay.Refusal) {
 				return this.giveUp(context, OutcomeReason.TargetsUnreachable, retryDelaysMs.unreachable);
 			}
 
-			if (relay?.takes(context.request)) {
+			if (relay && context.way === RequestWay.Peer) {
 				// eslint-disable-next-line no-await-in-loop -- attempts follow one another.
 				const outcome = await this.relayOnce(context, relay);
 				if (outcome) {
@@ -439,6 +441,7 @@
 		const key = loads.startAttempt(target);
 		this.limitedAttempts += statements.limitOf(target) === undefined ? 0 : 1;
 		const timeoutMs = remainingMs(context);
+		const usesOpenConnection = context.way === RequestWay.OpenConnection;
 		const recordEnd = this.options.relay?.startAttempt(target);
 		const result = await this.untilCallerLeaves(context, async cancellation => transport.send(context.request, {
 			target,
@@ -446,11 +449,19 @@
 			timeoutMs,
 			cancellation,
 			connectionLimit: this.connectionLimit(context.service),
+			usesOpenConnection,
 			onStatement(statement) {
 				statements.record(target, statement, sentAt);
 			},
 		}));
-		recordEnd?.(context.request.cancellation.isCancelled ? undefined : result);
+		const hadNoConnection = usesOpenConnection && result.end === AttemptEnd.NotSent;
+		if (hadNoConnection || context.request.cancellation.isCancelled) {
+			recordEnd?.(undefined);
+			loads.recordAbandoned(target, key);
+			return result;
+		}
+
+		recordEnd?.(result);
 		this.recordLoad(context, target, key, result);
 		return result;
 	}
@@ -473,11 +484,6 @@
 
 	private recordLoad(context: ForwardingContext, target: Target, key: number, result: AttemptResult): void {
 		const {loads} = this.options;
-		if (context.request.cancellation.isCancelled || result.end === AttemptEnd.Misdirected) {
-			loads.recordAbandoned(target, key);
-			return;
-		}
-
 		switch (result.end) {
 			case AttemptEnd.Answered:
 			case AttemptEnd.Streamed: {
@@ -485,6 +491,11 @@
 				break;
 			}
 
+			case AttemptEnd.Misdirected: {
+				loads.recordAbandoned(target, key);
+				break;
+			}
+
 			case AttemptEnd.Refused: {
 				loads.recordRefusal(target, key);
 				break;
--- a/src/decisions/forwarding/forwarding-context.ts
+++ b/src/decisions/forwarding/forwarding-context.ts
@@ -7,6 +7,18 @@
 import type {Route, ServiceRule} from '../../model/route-configuration.js';
 import type {LoadEstimate} from './target-loads.js';
 
+/** Ways of a request. */
+export enum RequestWay {
+	/** To a target. */
+	Direct = 'direct',
+	/** To a target on a connection that is open. */
+	OpenConnection = 'open_connection',
+	/** To a peer. */
+	Peer = 'peer',
+	/** Back to the peer that relayed it, which may try another one. */
+	Refusal = 'refusal',
+}
+
 export type ForwardingContext = {
 	request: CallerRequest;
 	route: Route;
@@ -20,6 +32,8 @@
 	deliveredAttempts: number;
 	unsentAttempts: number;
 	misdirectedAttempts: number;
+	/** Way of the current attempt. */
+	way: RequestWay;
 	/** The peer that the request was last relayed to. */
 	relay: string | undefined;
 	/** Peers that could not forward the request. */
--- a/src/decisions/forwarding/request-relay.ts
+++ b/src/decisions/forwarding/request-relay.ts
@@ -6,7 +6,9 @@
 import {
 	AttemptEnd, type AttemptResult, type CallerRequest, type RelayResult, type RelayTransport,
 } from '../../model/forwarding.js';
-import {remainingMs, requestLogFields, type ForwardingContext} from './forwarding-context.js';
+import {
+	remainingMs, requestLogFields, RequestWay, type ForwardingContext,
+} from './forwarding-context.js';
 import type {RelayPeers} from './relay-peers.js';
 import type {TargetAccess} from './target-access.js';
 import type {TargetLoads} from './target-loads.js';
@@ -42,10 +44,16 @@
 		return this.relayed;
 	}
 
+	/** True while no connection to any target can be opened. */
 	get isCutOff(): boolean {
 		return this.options.access.isCutOff;
 	}
 
+	/** True while no target can be reached, on open connections either. */
+	get isIsolated(): boolean {
+		return this.options.access.isIsolated;
+	}
+
 	/** Called periodically. */
 	tick(): void {
 		this.options.access.tick();
@@ -65,22 +73,22 @@
 		return this.options.access.confirmCutOff();
 	}
 
-	/**
-	 * True if the request is to be relayed now. If no peer is known to reach a target, all targets may be down, and only some
-	 * requests are relayed.
-	 */
-	takes({relay}: CallerRequest, now = performance.now()): boolean {
-		if (!this.isCutOff || relay !== undefined) {
-			return false;
+	/** Chooses the way of the next attempt. */
+	chooseWay({request, unsentAttempts}: ForwardingContext): RequestWay {
+		if (!this.isCutOff) {
+			return RequestWay.Direct;
 		}
 
-		if (now - Math.max(this.lastAnswerAt, this.options.loads.lastPeerAnswerAt) < evidenceValidityMs) {
-			return true;
+		// Targets that accept no more connections, and only those, look the same as a cut that spares open connections.
+		if (!this.isIsolated && unsentAttempts === 0) {
+			return RequestWay.OpenConnection;
 		}
 
-		const isTrial = now - this.trialAt >= trialIntervalMs;
-		this.trialAt = isTrial ? now : this.trialAt;
-		return isTrial;
+		if (request.relay) {
+			return RequestWay.Refusal;
+		}
+
+		return this.mayRelay() ? RequestWay.Peer : RequestWay.Direct;
 	}
 
 	choosePeer({triedPeers}: ForwardingContext): Member | undefined {
@@ -108,4 +116,15 @@
 
 		return result;
 	}
+
+	/** If no peer is known to reach a target, all targets may be down, and only some requests are relayed. */
+	private mayRelay(now = performance.now()): boolean {
+		if (now - Math.max(this.lastAnswerAt, this.options.loads.lastPeerAnswerAt) < evidenceValidityMs) {
+			return true;
+		}
+
+		const isTrial = now - this.trialAt >= trialIntervalMs;
+		this.trialAt = isTrial ? now : this.trialAt;
+		return isTrial;
+	}
 }
--- a/src/decisions/forwarding/target-access.ts
+++ b/src/decisions/forwarding/target-access.ts
@@ -31,6 +31,9 @@
 /** Targets that are probed to confirm a suspicion. */
 const confirmationProbeCount = 3;
 
+/** Time after an answer in which open connections count as working, in milliseconds. */
+const workingMs = 500;
+
 /** Interval between probes while the daemon is cut off, in milliseconds. */
 const returnProbeIntervalMs = 250;
 
@@ -47,8 +50,8 @@
 	probe: ConnectionProbe;
 	log: EventLog;
 	random(): number;
-	/** Called when the daemon is found to be cut off. */
-	onCutOff(): void;
+	/** Called once in each cut, when open connections do not work either. */
+	onIsolated(): void;
 };
 
 /** Tells whether this daemon reaches any target. */
@@ -62,13 +65,20 @@
 	private confirmation: Promise<void> | undefined;
 	private probedAt = -Infinity;
 	private isProbing = false;
+	private isIsolationReported = false;
 
 	constructor(private readonly options: TargetAccessOptions) {}
 
+	/** True while no connection to any target can be opened. */
 	get isCutOff(): boolean {
 		return this.cutOffAt !== undefined;
 	}
 
+	/** True while the daemon is cut off and gets no answers on open connections either. */
+	get isIsolated(): boolean {
+		return this.isCutOff && performance.now() - this.lastAnswerAt > workingMs;
+	}
+
 	/** Records that a request is sent to a target; returns a key with which its end is recorded. */
 	startAttempt(estimatedMs: number, now = performance.now()): PendingAttempt {
 		const overdueMs = Math.min(longestOverdueMs, Math.max(shortestOverdueMs, estimatedMs * overdueFactor));
@@ -117,6 +127,7 @@
 	/** Called periodically. */
 	tick(now = performance.now()): void {
 		if (this.isCutOff) {
+			this.reportIsolation();
 			this.probeReturn(now);
 			return;
 		}
@@ -182,7 +193,6 @@
 
 		this.cutOffAt = now;
 		this.probedAt = now;
-		this.options.onCutOff();
 		this.options.log.record(LogEvent.TargetsUnreachable, {
 			probed: targets.map(({id}) => id).join(','), silentMs: Number.isFinite(this.lastAnswerAt) ? Math.round(now - this.lastAnswerAt) : undefined,
 		});
@@ -197,6 +207,13 @@
 		}
 	}
 
+	private reportIsolation(): void {
+		if (this.isIsolated && !this.isIsolationReported) {
+			this.isIsolationReported = true;
+			this.options.onIsolated();
+		}
+	}
+
 	private probeReturn(now: number): void {
 		if (this.isProbing || now - this.probedAt < returnProbeIntervalMs) {
 			return;
@@ -221,6 +238,7 @@
 		const now = performance.now();
 		this.options.log.record(LogEvent.TargetsReachable, {target: id, cutOffMs: Math.round(now - (this.cutOffAt ?? now))});
 		this.cutOffAt = undefined;
+		this.isIsolationReported = false;
 		this.reachableAt = now;
 		this.failures.clear();
 	}
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -60,6 +60,8 @@
 	cancellation: Cancellation;
 	/** Largest number of connections that this daemon may have to the target. */
 	connectionLimit: number;
+	/** True if the attempt is not sent unless a connection to the target is open. */
+	usesOpenConnection?: boolean;
 	/** Called with what the target says about itself, as soon as the head of its answer is read. */
 	onStatement(statement: TargetStatement): void;
 };
--- a/src/transport/target-transport.ts
+++ b/src/transport/target-transport.ts
@@ -1,8 +1,8 @@
 /**
  * Forwards callers' requests to targets.
  */
-import type {
-	Attempt, AttemptResult, CallerRequest, ConnectionProbe, RequestTransport,
+import {
+	AttemptEnd, type Attempt, type AttemptResult, type CallerRequest, type ConnectionProbe, type RequestTransport,
 } from '../model/forwarding.js';
 import {ConnectionPool} from './connection-pool.js';
 import {canConnect} from './connection-probe.js';
@@ -15,6 +15,10 @@
 	constructor(private readonly protocol: TargetProtocol) {}
 
 	async send(request: CallerRequest, attempt: Attempt): Promise<AttemptResult> {
+		if (attempt.usesOpenConnection && this.pool.idleCount(attempt.target.address) === 0) {
+			return {end: AttemptEnd.NotSent, detail: 'no open connection'};
+		}
+
 		const result = await new TargetExchange(this.pool, this.protocol, request, attempt).run();
 		if (result.isTimeout) {
 			// The target may be unreachable, in which case its idle connections would time out as well.
--- a/standins/relayed-fleet.ts
+++ b/standins/relayed-fleet.ts
@@ -157,7 +157,7 @@
 				},
 				log: silentLog,
 				random,
-				onCutOff: () => undefined,
+				onIsolated: () => undefined,
 			}),
 			peers: new RelayPeers(member, this.view, random),
 			loads: this.loads,
