feat(log): name the peer in the lines of served requests

Lines of refused, retried and unknown requests name the peer that a request was relayed to, but RequestServed did not, so that one could not tell from the log whether the served requests of a daemon went through a peer. Nothing else changes for callers.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -360,7 +360,11 @@
 		this.servedCount += 1;
 		if (this.servedCount % servedLogInterval === 0) {
 			this.log.record(LogEvent.RequestServed, {
-				request: request.requestId, route: outcome.route?.name, status: outcome.answer?.status, tookMs: Math.round(performance.now() - request.receivedAt),
+				request: request.requestId,
+				route: outcome.route?.name,
+				status: outcome.answer?.status,
+				tookMs: Math.round(performance.now() - request.receivedAt),
+				relay: outcome.relay,
 			});
 		}
 	}
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -151,7 +151,10 @@
 			return {...this.giveUp(context, OutcomeReason.DaemonStopping, retryDelaysMs.stopping), route};
 		}
 
-		return {...await this.attemptUntilFinal(context), route, deliveredAttempts: context.deliveredAttempts};
+		const outcome = await this.attemptUntilFinal(context);
+		return {
+			...outcome, route, deliveredAttempts: context.deliveredAttempts, relay: context.relay,
+		};
 	}
 
 	/**
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -206,4 +206,6 @@
 	route?: Route;
 	/** Number of attempts that reached a target or may have reached one. */
 	deliveredAttempts?: number;
+	/** The peer that forwarded the request. */
+	relay?: string | undefined;
 };
