--- a/standins/platform-deployment.ts
+++ b/standins/platform-deployment.ts
@@ -6,11 +6,13 @@
 import {PlatformDaemon} from '../src/daemon/platform-daemon.js';
 import type {EventLog} from '../src/model/events.js';
 import {WireHeader, wireKeys, wirePaths} from '../src/platform/wire.js';
+import type {TargetTransport} from '../src/transport/target-transport.js';
 import {DelayingProxy} from './delaying-proxy.js';
 import {MemoryCoordinationStore} from './memory-coordination-store.js';
 import {createPlatformSettings, platformPorts as ports} from './platform-settings.js';
 import {PlatformStoreServer} from './platform-store-server.js';
 import {PlatformTargetServer} from './platform-target-server.js';
+import {TargetLinks} from './target-links.js';
 
 export type DeploymentOptions = {
 	/** First two parts of the addresses, one for each test file, so that files can run at the same time. */
@@ -19,6 +21,8 @@
 	targetCount: number;
 	isKeyed: boolean;
 	workMs: number;
+	/** Whether requests may be repeated: `safe` or `unsafe`, the default. */
+	kind?: string;
 	shutdownGraceS?: number;
 	/** True if daemons reach the targets through proxies. */
 	hasProxies?: boolean;
@@ -102,6 +106,16 @@
 		return statusCode === 200;
 	}
 
+	/** Sends a daemon's requests to targets through proxies that can be cut. */
+	async createLinks(daemon: number): Promise<TargetLinks> {
+		const {network, targetCount} = this.options;
+		const ips = (part: number): string[] => Array.from({length: targetCount}, (_, index) => `${network}.${part}.${index + 1}`);
+		const links = new TargetLinks(ips(1).map(ip => `${ip}:${ports.target}`), ips(3));
+		await links.open();
+		links.attach((this.daemons[daemon] as unknown as {transport: TargetTransport}).transport);
+		return links;
+	}
+
 	/** Closes callers' connections, as the end of the daemons' processes does. */
 	async disconnect(): Promise<void> {
 		await this.agent.destroy();
@@ -141,7 +155,7 @@
 
 	private putConfiguration(): void {
 		const route = {
-			host: 'demo.example', prefix: '/records/', kind: 'unsafe', timeoutMs: 20_000, targetLatencyMs: 300, priority: 1, service: 'registry', maxAttempts: 2,
+			host: 'demo.example', prefix: '/records/', kind: this.options.kind ?? 'unsafe', timeoutMs: 20_000, targetLatencyMs: 300, priority: 1, service: 'registry', maxAttempts: 2,
 		};
 		this.store.put(wireKeys.configuration, JSON.stringify({
 			version: 1,
--- a/tests/platform/unusable-address.test.ts
+++ b/tests/platform/unusable-address.test.ts
@@ -1,7 +1,6 @@
 import test from 'ava';
 import {Cancellation} from '../../src/model/cancellation.js';
 import {StoreUnavailableError, TargetUnavailableError} from '../../src/model/errors.js';
-import {TargetState} from '../../src/model/fleet.js';
 import {AttemptEnd, type CallerRequest} from '../../src/model/forwarding.js';
 import {PlatformKeyOrders} from '../../src/platform/key-orders.js';
 import {PlatformStore} from '../../src/platform/platform-store.js';
@@ -61,9 +60,7 @@
 	test(`should end an attempt as not sent instead of failing unexpectedly if the address is ${title}`, async t => {
 		const transport = new TargetTransport(new PlatformTargetProtocol());
 		const result = await transport.send(request(), {
-			target: {
-				...target, service: 'service', availabilityZone: 'zone', softwareVersion: 'v1', slots: 1, state: TargetState.Ready, warmUpLeftMs: 0,
-			},
+			target,
 			timeoutMs,
 			budgetMs: timeoutMs,
 			connectionLimit: 1,
