--- a/tests/platform/unusable-address.test.ts
+++ b/tests/platform/unusable-address.test.ts
@@ -5,6 +5,7 @@
 import {PlatformKeyOrders} from '../../src/platform/key-orders.js';
 import {PlatformStore} from '../../src/platform/platform-store.js';
 import {PlatformTargetProtocol} from '../../src/platform/target-protocol.js';
+import {canConnect} from '../../src/transport/connection-probe.js';
 import {TargetTransport} from '../../src/transport/target-transport.js';
 
 /** Addresses that an entry or an assignment can hold and that nothing can be sent to. */
@@ -83,6 +84,10 @@
 		await t.throwsAsync(orders.identify(target, '/health', timeoutMs), failure);
 	});
 
+	test(`should find that nothing can be reached instead of failing unexpectedly if the address is ${title}`, async t => {
+		t.false(await canConnect(address));
+	});
+
 	test(`should report the store as unavailable instead of failing unexpectedly if the address is ${title}`, async t => {
 		const store = new PlatformStore(address);
 		const failure = {instanceOf: StoreUnavailableError};
