fix(gateway): no request is forwarded between the last answer and the exit

After its last open request had ended, a daemon that stops took up to 100 ms and more to close its adapters and to write its log, and read requests on open connections all the while: a target could run one that the exit then cut, or the caller got 502 for a request that did not run. The connections without an open request are now closed in the turn of the event loop in which the last request is found to have ended, and those with one, at the end of the grace period, forward nothing more.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -176,6 +176,7 @@
 		await this.callService('gateway.drain');
 		await this.callService('gateway.closeListener');
 		await this.waitForRequests(exitBy);
+		await this.callService('gateway.closeConnections');
 		await this.kernel.stop();
 		this.transport.close();
 		this.orders.close();
--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -115,6 +115,10 @@
 			closeListener(this: Service) {
 				gatewayOf(this).closeListener();
 			},
+			/** Forwards no further request, for an exit that would cut it. */
+			closeConnections(this: Service) {
+				gatewayOf(this).closeConnections();
+			},
 		},
 		created(this: Service) {
 			(this as unknown as {gateway: Gateway}).gateway = new Gateway(options, this.broker);
@@ -182,6 +186,16 @@
 		this.isDraining = true;
 	}
 
+	/** Closes the connections without an open request; no other request is read from then on. */
+	closeConnections(): void {
+		for (const [socket, connection] of this.connections) {
+			connection.isClosing = true;
+			if (connection.pending.size === 0 && connection.unfinished.size === 0) {
+				socket.destroy();
+			}
+		}
+	}
+
 	closeListener(): void {
 		this.server.close();
 		this.server.closeIdleConnections();
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -33,6 +33,8 @@
 	bodies: Array<CallerRequest['body']>;
 	/** Drains the gateway and closes its listener, as the daemon does after the balancer has noticed that it is not ready. */
 	stop(): Promise<void>;
+	/** Closes the connections, as the daemon does once the last request has ended. */
+	closeConnections(): Promise<void>;
 };
 
 /** Configuration as the gateway sees it. */
@@ -113,6 +115,9 @@
 				await broker.call('gateway.drain');
 				await broker.call('gateway.closeListener');
 			},
+			async closeConnections() {
+				await broker.call('gateway.closeConnections');
+			},
 		});
 	} finally {
 		await broker.stop();
@@ -381,6 +386,19 @@
 	});
 });
 
+test('should not forward a request that arrives after the last one has ended, before the exit', async t => {
+	await withGateway(t, async ({port, forwarded, stop, closeConnections}) => {
+		const socket = await openUnread(port);
+		// The server has accepted the connection once it has served a later one.
+		await exchange(port, get('/1'), /\/1$/v);
+		await stop();
+		await closeConnections();
+		socket.write(get('/2'));
+		await readAll(socket);
+		t.deepEqual(forwarded.map(({path}) => path), ['/1']);
+	});
+});
+
 test('should count a request as open until its whole answer was passed to the kernel', async t => {
 	await withGateway(t, async ({port, outcomes, openRequests}) => {
 		const socket = await openUnread(port);
