fix(daemon): further signals do not cut requests of the project's own daemon

The project's own daemon had the same fault by design: a second SIGTERM or SIGINT called process.exit(1) with requests in flight, a failed start exited at once, and a shutdown that was asked for twice closed its adapters twice and rejected. It now uses ProgramRun and handles signals through the same module; its shutdown has no limit in time, because every request has a deadline.

Before: the second of two shutdowns rejected with ClientDestroyedError.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -22,20 +22,22 @@
 
 /** Runs one daemon in this process. */
 export class Daemon {
-	private readonly log: EventLog;
+	readonly log: EventLog;
 	private readonly store: EtcdStore;
 	private readonly vmList: HttpVmList;
 	private readonly targets = new HttpTargetControl();
 	private readonly transport = new HttpTransport();
 	private readonly kernel: ServiceBroker;
+	private readonly core: RouterCore;
 	private peers: TrpcPeers | undefined;
+	private stopped: Promise<void> | undefined;
 
 	constructor(private readonly settings: Settings) {
 		const {id, zone, timing} = settings;
 		this.log = new RoarrLog(id, zone);
 		this.store = new EtcdStore(settings.store);
 		this.vmList = new HttpVmList(settings.vmList);
-		const core = new RouterCore({
+		this.core = new RouterCore({
 			daemon: id,
 			zone,
 			store: this.store,
@@ -54,7 +56,7 @@
 		});
 		this.kernel = createKernel({
 			daemon: id,
-			core,
+			core: this.core,
 			metrics: new StatsdMetrics(settings.statsdHost, settings.statsdPort, id),
 			gateway: {host: settings.host, port: settings.port, peerSecret: settings.peerSecret},
 			control: {host: settings.host, port: settings.controlPort, peerSecret: settings.peerSecret},
@@ -66,8 +68,21 @@
 		this.log.record(LogEvent.DaemonStarted, {port: this.settings.port, controlPort: this.settings.controlPort});
 	}
 
-	/** Shuts down in order: readiness, leadership, listener, requests in flight. No request is aborted. */
+	/**
+	 * Shuts down in order: readiness, leadership, listener, requests in flight. No request is aborted. Whoever asks again waits
+	 * for the same end.
+	 */
 	async shutdown(): Promise<void> {
+		this.stopped ??= this.shutDownOnce();
+		return this.stopped;
+	}
+
+	/** Returns the number of requests in flight, which the end of the process cuts. */
+	recordCutRequests(): number {
+		return this.core.dispatcher.load;
+	}
+
+	private async shutDownOnce(): Promise<void> {
 		this.log.record(LogEvent.ShutdownStep, {step: 'readiness'});
 		await this.kernel.call('gateway.drain');
 		this.log.record(LogEvent.ShutdownStep, {step: 'leadership'});
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -6,7 +6,10 @@
 import './enable-log.js';
 import process from 'node:process';
 import meow from 'meow';
+import {handleSignals} from './signals.js';
 import {Daemon} from './daemon.js';
+import {ExitCode} from './exit-code.js';
+import {ProgramRun} from './program-run.js';
 import {
 	flagName, readSettings, settingSpecs, SettingsError, type Settings,
 } from './settings.js';
@@ -24,7 +27,7 @@
 ${settingsHelp}
 
   Signals
-    SIGTERM  graceful shutdown; a second one stops at once
+    SIGTERM  graceful shutdown; further ones change nothing
 
   Exit codes
     0 stopped, 1 failed, 2 wrong settings
@@ -43,32 +46,22 @@
 		}
 
 		console.error(`${error.message}\n${error.nextStep}`);
-		process.exit(2);
+		process.exit(ExitCode.InvalidSettings);
 	}
 }
 
 const daemon = new Daemon(settingsOrExit());
-let isStopping = false;
-
-async function stop(): Promise<void> {
-	if (isStopping) {
-		process.exit(1);
+const run = new ProgramRun({
+	program: daemon,
+	log: daemon.log,
+	drainLog: async () => undefined,
+	exit(code) {
+		process.exit(code);
+	},
+});
+handleSignals(signal => {
+	if (signal !== 'SIGHUP') {
+		void run.stop(signal);
 	}
-
-	isStopping = true;
-	await daemon.shutdown();
-	process.exit(0);
-}
-
-for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-	process.on(signal, () => {
-		void stop();
-	});
-}
-
-try {
-	await daemon.start();
-} catch (error) {
-	console.error(`The daemon could not start: ${error instanceof Error ? error.message : String(error)}`);
-	process.exit(1);
-}
+});
+await run.start();
--- a/src/daemon/program-run.ts
+++ b/src/daemon/program-run.ts
@@ -24,8 +24,8 @@
 export type ProgramRunOptions = {
 	program: Program;
 	log: EventLog;
-	/** Time after which the process exits although the shutdown is not over, in milliseconds. */
-	shutdownLimitMs: number;
+	/** Time after which the process exits although the shutdown is not over, in milliseconds; unlimited if undefined. */
+	shutdownLimitMs?: number;
 	/** Writes the remaining log lines. */
 	drainLog(): Promise<void>;
 	exit(code: ExitCode): void;
@@ -111,7 +111,12 @@
 }
 
 /** Returns false if the time is over before the promise settles. */
-async function settlesWithin(promise: Promise<void>, limitMs: number): Promise<boolean> {
+async function settlesWithin(promise: Promise<void>, limitMs: number | undefined): Promise<boolean> {
+	if (limitMs === undefined) {
+		await promise;
+		return true;
+	}
+
 	let timer: NodeJS.Timeout | undefined;
 	const limit = new Promise<boolean>(resolve => {
 		timer = setTimeout(resolve, limitMs, false);
--- a/tests/http/deployment.ts
+++ b/tests/http/deployment.ts
@@ -75,8 +75,12 @@
 		return createControlClient(this.controlAddress, credential, this.agent);
 	}
 
-	async stop(): Promise<void> {
+	async shutDownDaemon(): Promise<void> {
 		await this.daemon?.shutdown();
+	}
+
+	async stop(): Promise<void> {
+		await this.shutDownDaemon();
 		await Promise.all([this.store.close(), this.vmList?.close(), this.target.close(), this.agent.destroy()]);
 	}
 
