fix(fleet): an assignment keeps both addresses of an owner that has moved

The codec of assignments lists each owner once by id and start, so that a previous owner at another address would be read back with the address of the new one, and its release would go there. This can act since incarnations are told apart by address; before, such a range had no previous owner at all. The list goes by address as well. A test of the codec fails without the change and passes with it.

--- a/src/decisions/fleet/assignment-codec.ts
+++ b/src/decisions/fleet/assignment-codec.ts
@@ -91,7 +91,7 @@
 	const positions = new Map<string, number>();
 	const owners: AssignmentDocument['owners'] = [];
 	const positionOf = ({id, bornAt, address}: TargetIncarnation): number => {
-		const name = `${id}@${bornAt}`;
+		const name = `${id}@${bornAt}@${address}`;
 		const known = positions.get(name);
 		if (known !== undefined) {
 			return known;
--- a/standins/relayed-fleet.ts
+++ b/standins/relayed-fleet.ts
@@ -93,7 +93,7 @@
 			configurationKey: 'configuration',
 			targetsPrefix: 'targets/',
 			decodeConfiguration,
-			decodeTarget: (key, text) => ({...target(key), id: key.slice('targets/'.length), softwareVersion: text}),
+			decodeTarget: (key, text) => ({...target(key.slice('targets/'.length)), softwareVersion: text}),
 		}, {
 			log: silentLog,
 			relay: {
--- a/tests/decisions/assignment-codec.test.ts
+++ b/tests/decisions/assignment-codec.test.ts
@@ -43,6 +43,14 @@
 	t.true(Buffer.byteLength(JSON.stringify(change)) < 700);
 });
 
+test('should preserve both addresses of an owner that has moved', t => {
+	const draft = new AssignmentDraft(initial);
+	const [first] = draft.ranges;
+	draft.replaceOwner(first, {...incarnations[0], address: '10.2.64.200:8641'});
+	const after = draft.result('write');
+	t.deepEqual(after && decodeAssignment(encodeAssignment(after)), after);
+});
+
 const malformedDocuments = [
 	{title: 'null instead of an object', text: 'null'},
 	{title: 'no ranges', text: JSON.stringify({...JSON.parse(encodeAssignment(initial)) as Record<string, unknown>, ranges: undefined})},
