fix(gateway): relayed requests end with the others before the exit

Two changes met: a daemon that stops closes its connections in the turn in which its last request has ended, and the gateway has a second listener, for requests that peers relay. Only the callers' listener was closed so, which the compiler reported as a function that no longer exists; a relayed request could have been forwarded and cut by the exit. The action acts on both listeners, as drain and closeListener do. tests/http/platform-gateway, relay and tests/platform/signals ran green together after it.

--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -128,7 +128,9 @@
 			},
 			/** Forwards no further request, for an exit that would cut it. */
 			closeConnections(this: Service) {
-				gatewayOf(this).closeConnections();
+				for (const gateway of gatewaysOf(this)) {
+					gateway.closeConnections();
+				}
 			},
 		},
 		created(this: Service) {
