test(http): the shutdown test ends with its cases

The agent is now closed after the last case. Run with a limit of 20 s: 2 tests pass and the file ends; 290 tests of tests/platform, tests/http, the forwarder, the admission and ProgramRun pass.

--- a/tests/http/shutdown.test.ts
+++ b/tests/http/shutdown.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {request} from 'undici';
+import {getGlobalDispatcher, request} from 'undici';
 import {TestDeployment} from './deployment.js';
 
 async function waitUntilRunning({target}: TestDeployment): Promise<void> {
@@ -11,6 +11,11 @@
 	}
 }
 
+// Its idle connections keep the process running for a minute.
+test.after.always(async () => {
+	await getGlobalDispatcher().destroy();
+});
+
 test('should report not ready at once on shutdown and answer requests in flight before it stops', async t => {
 	const deployment = new TestDeployment();
 	await deployment.start();
