test(known-red): requests cut at the end of a stop, and two addresses of one incarnation

Those of platform-gateway.test.ts and stop-window.test.ts were run once or twice each before they were marked, and not again after.

--- a/tests/decisions/assignment-codec.test.ts
+++ b/tests/decisions/assignment-codec.test.ts
@@ -62,3 +62,15 @@
 	const other = initialAssignment('service', incarnations.slice(0, 3));
 	t.throws(() => applyAssignmentChange(diffAssignment(after, {assignment: initial, revision: 1}), other), {instanceOf: MalformedDocumentError});
 });
+
+test.failing('should keep two addresses of one id and start apart', t => {
+	const before = initialAssignment('service', [{id: 'i-1', bornAt: 1, address: '10.0.0.1:80'}]);
+	const draft = new AssignmentDraft(before);
+	const [range] = draft.ranges;
+	if (range) {
+		draft.replaceOwner(range, {id: 'i-1', bornAt: 1, address: '10.0.0.2:80'});
+	}
+
+	const assignment = draft.result('write') ?? before;
+	t.deepEqual(decodeAssignment(encodeAssignment(assignment)), assignment);
+});
--- a/tests/decisions/stop-admission.test.ts
+++ b/tests/decisions/stop-admission.test.ts
@@ -86,3 +86,22 @@
 		receivedAt: 0, deadlineAt: 3_600_000, isIdempotent: false, duration: undefined,
 	}));
 });
+
+test.failing('should not accept a late request of a route of which one in thirty outlasts the daemon', t => {
+	const leftMs = 200;
+	const durations = new RouteDurations();
+	const admission = new StopAdmission();
+	admission.begin(graceMs, 0);
+	let cut = 0;
+	for (let index = 0; index < 3000; index += 1) {
+		const durationMs = index % 30 === 29 ? 2000 : 20;
+		const receivedAt = graceMs - leftMs;
+		const isAccepted = admission.isAccepted({
+			receivedAt, deadlineAt: receivedAt + longTimeoutMs, isIdempotent: false, duration: durations.estimate('route'),
+		});
+		cut += Number(isAccepted && durationMs > leftMs);
+		durations.record('route', durationMs);
+	}
+
+	t.is(cut, 0);
+});
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -424,3 +424,28 @@
 		t.true(outcomes.length <= 1);
 	});
 });
+
+test.failing('should answer a request that was forwarded behind one whose headers exceed the limit', async t => {
+	await withGateway(t, async ({port, forwarded}) => {
+		const socket = await openUnread(port);
+		// Both requests are in one segment; the second one is valid.
+		socket.write(`GET /a HTTP/1.1\r\nHost: h\r\nX: ${'x'.repeat(3000)}\r\n\r\n${get('/b')}`);
+		const {text} = await readAll(socket);
+		const answers = text.match(/HTTP\/1\.1 \d{3}/gv) ?? [];
+		t.is(answers.length, 1 + forwarded.length, `answers ${answers.join(', ')}; forwarded ${forwarded.map(({path}) => path).join(', ')}`);
+	});
+});
+
+test.failing('should deliver a whole answer on a kept connection that is closed as idle while another request crosses', async t => {
+	await withGateway(t, async ({port, forwarded, openRequests, stop}) => {
+		const socket = await openUnread(port);
+		socket.write(get(`/1/${answerBytes.buffered}`));
+		await waitUntil(() => forwarded.length === 1 && openRequests.count === 0);
+		await stop();
+		socket.write(get('/2'));
+		await delay(answerMs);
+		const {text, error} = await readAll(socket);
+		t.is(error, undefined);
+		t.true(text.length > answerBytes.buffered, `${text.length} bytes`);
+	});
+});
