feat(standins): targets and a store that a fault soak can subclass and disturb

The platform's stand-in of a target answered a release at once, listened at one address and kept at most 500 fences, and the store answered a write whose answer was to be lost with 503, which promises that nothing was done. A generator of faults needs the opposite of each: a release that waits for running work, one address for each daemon, so that the sender of an order is known, fences that no number of renewals drives out, and a write that takes effect without an answer.

Members of `PlatformTargetServer` are protected instead of private, `listenAt` adds an address, `slots` can be set, and the store's server closes the connection for `StoreAmbiguousError`. `KeyHolder` drops a fence only if a newer one implies it.

--- a/standins/key-holder.ts
+++ b/standins/key-holder.ts
@@ -46,17 +46,22 @@
 		}
 
 		this.grantCount += 1;
-		this.fencedRanges.push({...range, fence});
-		this.fencedRanges = this.fencedRanges.slice(-500);
+		this.rememberFence(range, fence);
 		this.holds = this.holds.flatMap(hold => subtract(hold, range));
 		this.holds.push({...range, fence, expiresAt: arrivedAt + holdDurationMs});
 	}
 
 	release({range, fence}: KeyOrder): string {
-		this.fencedRanges.push({...range, fence});
+		this.rememberFence(range, fence);
 		this.holds = this.holds.flatMap(hold => subtract(hold, range));
 		return `handover-${range.first}`;
 	}
+
+	/** Drops only fences that the new one implies, so that no late order with a lower fence is accepted. */
+	private rememberFence(range: KeyRange, fence: number): void {
+		this.fencedRanges = this.fencedRanges.filter(earlier => earlier.fence > fence || earlier.first < range.first || earlier.last > range.last);
+		this.fencedRanges.push({...range, fence});
+	}
 }
 
 /** Delivers orders to the holders at the addresses of their targets. */
--- a/standins/platform-store-server.ts
+++ b/standins/platform-store-server.ts
@@ -3,7 +3,9 @@
  */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import {ConflictError, HistoryLostError, LeaseEndedError} from '../src/model/errors.js';
+import {
+	ConflictError, HistoryLostError, LeaseEndedError, StoreAmbiguousError,
+} from '../src/model/errors.js';
 import type {StoreChange, StoredItem, StoreTransaction} from '../src/model/coordination-store.js';
 import {wirePaths} from '../src/platform/wire.js';
 import {listenJson, sendJson} from './json-http.js';
@@ -37,6 +39,12 @@
 		try {
 			await this.answer(url, response, body, this.store.createClient());
 		} catch (error) {
+			if (error instanceof StoreAmbiguousError) {
+				// The write took effect, so that no status would be true.
+				response.destroy();
+				return;
+			}
+
 			sendJson(response, statusOf(error), {});
 		}
 	}
--- a/standins/platform-target-server.ts
+++ b/standins/platform-target-server.ts
@@ -4,6 +4,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {FenceRejectedError} from '../src/model/errors.js';
 import {TargetState} from '../src/model/fleet.js';
+import type {KeyGrant, KeyOrder} from '../src/model/key-orders.js';
 import {WireHeader, wireKeys, wirePaths} from '../src/platform/wire.js';
 import {listenJson, sendJson} from './json-http.js';
 import {KeyHolder} from './key-holder.js';
@@ -19,6 +20,7 @@
 	/** Time that a request takes, in milliseconds; chosen for each request if it is a function. */
 	workMs: number | (() => number);
 	isKeyed: boolean;
+	slots?: number;
 	/** Called when the execution of a request starts. */
 	onRun(target: string, requestId: string, key: number): void;
 };
@@ -30,42 +32,48 @@
 	readonly holder: KeyHolder;
 	/** Headers in which the target says something of itself in each answer to a request. */
 	statementHeaders: Record<string, string> = {};
-	private server: Server | undefined;
+	private readonly servers: Server[] = [];
 	private sequence = 0;
 
-	constructor(private readonly options: PlatformTargetOptions, private readonly store: MemoryCoordinationStore) {
+	constructor(protected readonly options: PlatformTargetOptions, private readonly store: MemoryCoordinationStore) {
 		this.holder = new KeyHolder({id: options.id, bornAt: Date.now(), address: `${options.ip ?? '127.0.0.1'}:${options.port}`});
 	}
 
 	async listen(): Promise<void> {
-		this.server = await listenJson(this.options.port, async (request, response, body) => {
-			await this.handle(request, response, body);
-		}, this.options.ip);
+		await this.listenAt(this.options.ip);
 		this.putEntry(TargetState.Ready);
 	}
 
 	/** Writes the target's entry to the store. */
 	putEntry(state: TargetState): void {
 		this.sequence += 1;
-		const {id, service} = this.options;
+		const {id, service, slots = 3} = this.options;
 		const {address, bornAt} = this.holder.incarnation;
 		this.store.put(`${wireKeys.targets}${id}`, JSON.stringify({
-			service, address, zone: 'zone-a', version: 'v1', slots: 3, state, warmupLeftMs: 0, sequence: this.sequence, born: bornAt,
+			service, address, zone: 'zone-a', version: 'v1', slots, state, warmupLeftMs: 0, sequence: this.sequence, born: bornAt,
 		}));
 	}
 
 	/** Stops at once; the entry stays in the store until `removeEntry` is called. */
 	close(): void {
 		this.holder.isStopped = true;
-		this.server?.close();
-		this.server?.closeAllConnections();
+		for (const server of this.servers) {
+			server.close();
+			server.closeAllConnections();
+		}
 	}
 
 	removeEntry(): void {
 		this.store.delete(`${wireKeys.targets}${this.options.id}`);
 	}
 
-	private async handle(request: IncomingMessage, response: ServerResponse, body: unknown): Promise<void> {
+	protected async listenAt(ip: string | undefined): Promise<void> {
+		this.servers.push(await listenJson(this.options.port, async (request, response, body) => {
+			await this.handle(request, response, body);
+		}, ip));
+	}
+
+	protected async handle(request: IncomingMessage, response: ServerResponse, body: unknown): Promise<void> {
 		const {from: first, target: last, fence, holdMs: holdDurationMs} = (body ?? {}) as WireOrder;
 		const order = {range: {first, last}, fence, timeoutMs: 0};
 		switch (request.url ?? '') {
@@ -75,7 +83,7 @@
 			}
 
 			case wirePaths.release: {
-				sendJson(response, 200, {}, {[WireHeader.Handover]: this.holder.release(order)});
+				await this.release(response, order);
 				return;
 			}
 
@@ -90,16 +98,21 @@
 		}
 	}
 
-	private grant(response: ServerResponse, grant: Parameters<KeyHolder['grant']>[0]): void {
+	/** @param arrivedAt time from which the hold counts */
+	protected grant(response: ServerResponse, grant: KeyGrant, arrivedAt = performance.now()): void {
 		try {
-			this.holder.grant(grant, performance.now());
+			this.holder.grant(grant, arrivedAt);
 			sendJson(response, 200, {});
 		} catch (error) {
 			sendJson(response, error instanceof FenceRejectedError ? 409 : 400, {});
 		}
 	}
 
-	private async run(request: IncomingMessage, response: ServerResponse): Promise<void> {
+	protected async release(response: ServerResponse, order: KeyOrder): Promise<void> {
+		sendJson(response, 200, {}, {[WireHeader.Handover]: this.holder.release(order)});
+	}
+
+	protected async run(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {id, isKeyed, workMs, onRun} = this.options;
 		const key = Number(request.headers[WireHeader.Key] ?? 0);
 		const requestId = String(request.headers[WireHeader.RequestId] ?? '');
