feat(soak): real daemons under seeded faults that come in series and overlap

The soak starts daemons as processes, puts a delaying proxy on each link between a daemon and a target or the store, and plays a schedule that a pure function decides from a seed: signals in series and before a start is over, delays, silence, one-way cuts and resets, targets that crash, restart, drain, are slow, lose answers or take orders late, stores that are down, slow or lose answers, odd entries and configurations, and settings files that change or break.

--- /dev/null
+++ b/soak/faults.ts
@@ -0,0 +1,328 @@
+/**
+ * Faults of a soak: what each kind of step does.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import {wireKeys} from '../src/platform/wire.js';
+import type {PlatformSettings} from '../src/platform/settings.js';
+import {LinkState} from '../standins/delaying-proxy.js';
+import {StoreFault} from '../standins/memory-coordination-store.js';
+import {disturbDaemon, type DaemonSlot} from './daemon-slot.js';
+import {putDraining, type SoakDeployment, type TargetSlot} from './deployment.js';
+import type {Harm} from './link.js';
+import {FaultKind, Subject, type Step} from './schedule.js';
+import {Part, type Trace} from './trace.js';
+import {oddEntryText, oddResources} from './traffic.js';
+
+/** Time for which a target serves after its leaving was acknowledged, in milliseconds; `drainMs` of the settings and a little more. */
+const drainServiceMs = 2300;
+
+/** Interval at which the delay of a link changes, in milliseconds. */
+const jitterIntervalMs = 150;
+
+/** Part of a delay that always remains, while jitter takes the rest away at times. */
+const steadyDelayShare = 0.7;
+
+/** Harms of the faults that stop bytes. */
+const harms: ReadonlyMap<FaultKind, Harm> = new Map([
+	[FaultKind.LinkSilence, {out: LinkState.Silent, in: LinkState.Silent}],
+	[FaultKind.LinkCutOut, {out: LinkState.Cut}],
+	[FaultKind.LinkCutIn, {in: LinkState.Cut}],
+]);
+
+/** What a fault acts on. */
+export type FaultContext = {deployment: SoakDeployment; trace: Trace; step: Step};
+
+/** A fault; `play` resolves when it is over, and returns false if its subject was not there to be disturbed. */
+export type Fault = {
+	play(): Promise<boolean>;
+};
+
+/** Common parts of the faults of daemons. */
+abstract class DaemonFault implements Fault {
+	constructor(protected readonly context: FaultContext) {}
+
+	async play(): Promise<boolean> {
+		const {deployment, step: {daemon}} = this.context;
+		const slot = deployment.daemons[typeof daemon === 'number' ? daemon : deployment.leaderIndex()];
+		if (!slot.isRunning) {
+			return false;
+		}
+
+		await this.disturb(slot);
+		return true;
+	}
+
+	protected abstract disturb(slot: DaemonSlot): Promise<void>;
+}
+
+class StopFault extends DaemonFault {
+	protected override async disturb(slot: DaemonSlot): Promise<void> {
+		const {step: {signals, earlySignals, durationMs}} = this.context;
+		await slot.stop(signals);
+		await delay(durationMs);
+		const [first, ...others] = earlySignals;
+		if (first) {
+			slot.start();
+			await delay(first.afterMs);
+			await slot.stop(others);
+		}
+
+		slot.start();
+	}
+}
+
+class KillFault extends DaemonFault {
+	protected override async disturb(slot: DaemonSlot): Promise<void> {
+		const end = disturbDaemon(this.context.trace, slot.index, FaultKind.Kill);
+		await slot.kill();
+		await delay(this.context.step.durationMs);
+		slot.start();
+		await slot.process?.waitUntilReady();
+		end();
+	}
+}
+
+class FreezeFault extends DaemonFault {
+	protected override async disturb(slot: DaemonSlot): Promise<void> {
+		const end = disturbDaemon(this.context.trace, slot.index, FaultKind.Freeze, true);
+		const thaw = slot.freeze();
+		await delay(this.context.step.durationMs);
+		end();
+		thaw();
+	}
+}
+
+/** Writes a settings file, sends SIGHUP, and writes the file back without a signal. */
+class SettingsFault extends DaemonFault {
+	protected override async disturb(slot: DaemonSlot): Promise<void> {
+		const {step: {kind, durationMs}} = this.context;
+		const {process} = slot;
+		const changed = kind === FaultKind.SettingsBreak ? {...slot.settings, cores: 'one'} as unknown as PlatformSettings : {...slot.settings, drainMs: slot.settings.drainMs + 1};
+		process?.writeSettings(changed);
+		process?.signal('SIGHUP');
+		await delay(durationMs);
+		if (!process?.hasExited) {
+			process?.writeSettings(slot.settings);
+		}
+	}
+}
+
+/** Harms links for some time. */
+class LinkFault implements Fault {
+	constructor(private readonly context: FaultContext) {}
+
+	async play(): Promise<boolean> {
+		const {deployment, trace, step: {daemon, target, kind, durationMs, amount}} = this.context;
+		const index = daemon === Subject.Leader ? deployment.leaderIndex() : (daemon === Subject.All ? undefined : daemon);
+		const links = deployment.linksOf(index, target);
+		const isHealing = kind !== FaultKind.LinkDelay;
+		const end = trace.disturb(target === undefined ? Part.Store : Part.Link, {
+			daemon: index, target, isHealing, detail: kind,
+		});
+		if (kind === FaultKind.LinkReset) {
+			for (const {proxy} of links) {
+				proxy.resetCallers();
+			}
+
+			end();
+			return true;
+		}
+
+		const harm = harmOf(kind, amount);
+		for (const link of links) {
+			link.add(harm);
+		}
+
+		await this.hold(harm, durationMs);
+		end();
+		for (const link of links) {
+			link.remove(harm);
+			if (kind === FaultKind.LinkCutOut || kind === FaultKind.LinkCutIn) {
+				// A connection that lost bytes cannot go on.
+				link.proxy.resetCallers();
+			}
+		}
+
+		return true;
+	}
+
+	/** Waits for the duration, while the delay changes. */
+	private async hold(harm: Harm, durationMs: number): Promise<void> {
+		const {deployment, step: {daemon, target, amount}} = this.context;
+		const endsAt = performance.now() + durationMs;
+		for (let round = 0; performance.now() < endsAt; round += 1) {
+			// eslint-disable-next-line no-await-in-loop -- one change after another.
+			await delay(Math.max(0, Math.min(jitterIntervalMs, endsAt - performance.now())));
+			if (harm.delayMs !== undefined) {
+				harm.delayMs = Math.round(amount * (round % 2 === 0 ? steadyDelayShare : 1));
+				for (const link of deployment.linksOf(typeof daemon === 'number' ? daemon : undefined, target)) {
+					link.apply();
+				}
+			}
+		}
+	}
+}
+
+function harmOf(kind: FaultKind, amount: number): Harm {
+	return {...harms.get(kind) ?? {delayMs: amount}};
+}
+
+/** Common parts of the faults of targets. */
+abstract class TargetFault implements Fault {
+	constructor(protected readonly context: FaultContext) {}
+
+	async play(): Promise<boolean> {
+		const {deployment, trace, step: {target, kind}} = this.context;
+		const slot = deployment.targets[target ?? 0];
+		if (!slot.isUp) {
+			return false;
+		}
+
+		const end = this.isPlanned ? () => undefined : trace.disturb(Part.Target, {target: slot.index, detail: kind});
+		await this.disturb(slot);
+		end();
+		return true;
+	}
+
+	protected get isPlanned(): boolean {
+		return false;
+	}
+
+	protected abstract disturb(slot: TargetSlot): Promise<void>;
+}
+
+class TargetCrashFault extends TargetFault {
+	protected override async disturb(slot: TargetSlot): Promise<void> {
+		const {deployment, step: {kind, durationMs}} = this.context;
+		deployment.endTarget(slot);
+		await delay(kind === FaultKind.TargetRestart ? 0 : durationMs);
+		await deployment.startTarget(slot);
+	}
+}
+
+/** Announces the end, serves on, and ends; starts again later. */
+class TargetDrainFault extends TargetFault {
+	protected override get isPlanned(): boolean {
+		return true;
+	}
+
+	protected override async disturb(slot: TargetSlot): Promise<void> {
+		const {deployment, trace, step: {durationMs, amount}} = this.context;
+		slot.isUp = false;
+		putDraining(slot);
+		await delay(drainServiceMs + amount);
+		const end = trace.disturb(Part.Target, {target: slot.index, detail: 'target ends'});
+		slot.life.removeEntry();
+		deployment.endTarget(slot);
+		await delay(durationMs);
+		await deployment.startTarget(slot);
+		end();
+	}
+}
+
+class TargetTroubleFault extends TargetFault {
+	protected override async disturb(slot: TargetSlot): Promise<void> {
+		const {step: {kind, durationMs, amount}} = this.context;
+		const {life} = slot;
+		if (kind === FaultKind.TargetSlow) {
+			life.slowness = amount;
+		} else if (kind === FaultKind.OrdersLate) {
+			life.orderDelayMs = amount;
+		} else {
+			life.losesAnswers = true;
+		}
+
+		await delay(durationMs);
+		life.slowness = 1;
+		life.orderDelayMs = 0;
+		life.losesAnswers = false;
+	}
+}
+
+class StoreTroubleFault implements Fault {
+	constructor(private readonly context: FaultContext) {}
+
+	async play(): Promise<boolean> {
+		const {deployment, trace, step: {kind, durationMs, amount}} = this.context;
+		if (kind === FaultKind.StoreCompaction) {
+			deployment.store.compact();
+			return true;
+		}
+
+		const end = trace.disturb(Part.Store, {detail: kind});
+		const harm: Harm = kind === FaultKind.StoreSlow ? {delayMs: amount} : {};
+		const links = deployment.linksOf(undefined, undefined);
+		for (const link of links) {
+			link.add(harm);
+		}
+
+		if (kind !== FaultKind.StoreSlow) {
+			deployment.store.fault = kind === FaultKind.StoreDown ? StoreFault.Down : StoreFault.LosesReplies;
+		}
+
+		await delay(durationMs);
+		for (const link of links) {
+			link.remove(harm);
+		}
+
+		if (kind !== FaultKind.StoreSlow) {
+			deployment.store.fault = StoreFault.None;
+		}
+
+		end();
+		return true;
+	}
+}
+
+class OddEntryFault implements Fault {
+	constructor(private readonly context: FaultContext) {}
+
+	async play(): Promise<boolean> {
+		const {deployment: {store}, step: {amount, durationMs}} = this.context;
+		const key = `${wireKeys.targets}odd-${amount}`;
+		store.put(key, oddEntryText(amount));
+		await delay(durationMs);
+		store.delete(key);
+		return true;
+	}
+}
+
+class ConfigurationChange implements Fault {
+	constructor(private readonly context: FaultContext) {}
+
+	async play(): Promise<boolean> {
+		const {deployment, step: {kind, amount}} = this.context;
+		deployment.putConfiguration(kind === FaultKind.OddConfiguration ? oddResources(amount) : []);
+		return true;
+	}
+}
+
+const faultsByKind: Record<FaultKind, new (context: FaultContext) => Fault> = {
+	[FaultKind.Stop]: StopFault,
+	[FaultKind.Kill]: KillFault,
+	[FaultKind.Freeze]: FreezeFault,
+	[FaultKind.SettingsChange]: SettingsFault,
+	[FaultKind.SettingsBreak]: SettingsFault,
+	[FaultKind.LinkDelay]: LinkFault,
+	[FaultKind.LinkReset]: LinkFault,
+	[FaultKind.LinkSilence]: LinkFault,
+	[FaultKind.LinkCutOut]: LinkFault,
+	[FaultKind.LinkCutIn]: LinkFault,
+	[FaultKind.TargetCrash]: TargetCrashFault,
+	[FaultKind.TargetRestart]: TargetCrashFault,
+	[FaultKind.TargetDrain]: TargetDrainFault,
+	[FaultKind.TargetSlow]: TargetTroubleFault,
+	[FaultKind.AnswersLost]: TargetTroubleFault,
+	[FaultKind.OrdersLate]: TargetTroubleFault,
+	[FaultKind.StoreDown]: StoreTroubleFault,
+	[FaultKind.StoreSlow]: StoreTroubleFault,
+	[FaultKind.StoreLosesAnswers]: StoreTroubleFault,
+	[FaultKind.StoreCompaction]: StoreTroubleFault,
+	[FaultKind.OddEntry]: OddEntryFault,
+	[FaultKind.NewConfiguration]: ConfigurationChange,
+	[FaultKind.OddConfiguration]: ConfigurationChange,
+};
+
+export function createFault(context: FaultContext): Fault {
+	return new faultsByKind[context.step.kind](context);
+}
--- /dev/null
+++ b/soak/schedule.ts
@@ -0,0 +1,225 @@
+/**
+ * Schedule of a soak: which fault begins when, decided from the seed alone.
+ */
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+/** Kinds of faults and of planned work. */
+export enum FaultKind {
+	/** SIGTERM, further signals, and SIGKILL after the grace period; the daemon is started again. */
+	Stop = 'stop',
+	Kill = 'kill',
+	/** SIGSTOP, then SIGCONT. */
+	Freeze = 'freeze',
+	/** SIGHUP with a changed settings file. */
+	SettingsChange = 'settings change',
+	/** SIGHUP with a malformed settings file. */
+	SettingsBreak = 'settings break',
+	LinkDelay = 'link delay',
+	LinkReset = 'link reset',
+	LinkSilence = 'link silence',
+	/** Bytes from the daemon are lost. */
+	LinkCutOut = 'link cut out',
+	/** Bytes to the daemon are lost. */
+	LinkCutIn = 'link cut in',
+	TargetCrash = 'target crash',
+	/** The target ends and starts again under its id at once. */
+	TargetRestart = 'target restart',
+	TargetDrain = 'target drain',
+	TargetSlow = 'target slow',
+	/** Requests and orders are carried out, but their answers are lost. */
+	AnswersLost = 'answers lost',
+	/** Orders are carried out late; their time counts from their arrival. */
+	OrdersLate = 'orders late',
+	StoreDown = 'store down',
+	StoreSlow = 'store slow',
+	StoreLosesAnswers = 'store loses answers',
+	StoreCompaction = 'store compaction',
+	OddEntry = 'odd entry',
+	NewConfiguration = 'new configuration',
+	OddConfiguration = 'odd configuration',
+}
+
+/** Whom a step concerns instead of a daemon with an index. */
+export enum Subject {
+	Leader = 'leader',
+	All = 'all',
+}
+
+/** Signal sent to a daemon some time after a step begins. */
+export type TimedSignal = {afterMs: number; signal: NodeJS.Signals};
+
+/** One fault. */
+export type Step = {
+	/** Time after the start of the schedule in milliseconds. */
+	atMs: number;
+	durationMs: number;
+	kind: FaultKind;
+	/** Index of the daemon; for links, the daemon's end. */
+	daemon: number | Subject;
+	/** Index of the target; for links, the far end. Undefined for the store. */
+	target: number | undefined;
+	/** Delay of links, orders and the store in milliseconds, factor of slow targets, number of the odd document. */
+	amount: number;
+	/** Further signals of a stop. */
+	signals: TimedSignal[];
+	/** Signals to the process that replaces a stopped one, counted from its start. */
+	earlySignals: TimedSignal[];
+};
+
+/** What a schedule is drawn for. */
+export type ScheduleOptions = {
+	seed: number;
+	durationMs: number;
+	daemonCount: number;
+	targetCount: number;
+	/** Longest delay of a link per direction in milliseconds. */
+	delayLimitMs: number;
+};
+
+/** Sets of faults that overlap. Faults of every kind at once would leave no request that no fault excuses. */
+export enum Theme {
+	/** Stops in series, new configurations, settings and documents, without disruption. */
+	Planned = 'planned',
+	/** Links and targets around keys that change hands. */
+	Ownership = 'ownership',
+	Store = 'store',
+	Mixed = 'mixed',
+}
+
+/** Duration of the steps drawn from one theme, in milliseconds. */
+const episodeMs = 9000;
+
+/** Time without steps at the end of an episode, in milliseconds, so that planned work can follow without disruption nearby. */
+const calmMs = 2500;
+
+const themeCycle = [Theme.Planned, Theme.Ownership, Theme.Mixed, Theme.Ownership, Theme.Planned, Theme.Store];
+const repeatedSignals: NodeJS.Signals[] = ['SIGTERM', 'SIGTERM', 'SIGINT', 'SIGHUP'];
+
+/** How often a theme draws a kind, and the bounds of what is drawn for it. */
+type KindPlan = {
+	planned?: number;
+	ownership?: number;
+	store?: number;
+	/** Longest duration in milliseconds; the shortest one if it is absent. */
+	longestMs?: number;
+	amount?: [number, number];
+};
+
+const plans: Record<FaultKind, KindPlan> = {
+	[FaultKind.Stop]: {
+		planned: 6, ownership: 1, store: 1, longestMs: 1500,
+	},
+	[FaultKind.Kill]: {ownership: 1, longestMs: 2500},
+	[FaultKind.Freeze]: {ownership: 1, store: 1, longestMs: 3500},
+	[FaultKind.SettingsChange]: {planned: 1},
+	[FaultKind.SettingsBreak]: {planned: 1},
+	[FaultKind.LinkDelay]: {ownership: 3, store: 1, longestMs: 5000},
+	[FaultKind.LinkReset]: {ownership: 1, store: 1},
+	[FaultKind.LinkSilence]: {ownership: 1, longestMs: 4000},
+	[FaultKind.LinkCutOut]: {ownership: 1, longestMs: 4000},
+	[FaultKind.LinkCutIn]: {ownership: 1, longestMs: 4000},
+	[FaultKind.TargetCrash]: {ownership: 1, longestMs: 4000},
+	[FaultKind.TargetRestart]: {ownership: 1},
+	[FaultKind.TargetDrain]: {planned: 1, ownership: 1, longestMs: 4500},
+	[FaultKind.TargetSlow]: {ownership: 1, longestMs: 4000, amount: [2, 6]},
+	[FaultKind.AnswersLost]: {ownership: 1, longestMs: 3000},
+	[FaultKind.OrdersLate]: {ownership: 1, longestMs: 4000, amount: [300, 3000]},
+	[FaultKind.StoreDown]: {store: 1, longestMs: 4000},
+	[FaultKind.StoreSlow]: {store: 1, longestMs: 4000, amount: [50, 400]},
+	[FaultKind.StoreLosesAnswers]: {store: 1, longestMs: 3000},
+	[FaultKind.StoreCompaction]: {store: 1},
+	[FaultKind.OddEntry]: {planned: 1, longestMs: 5000},
+	[FaultKind.NewConfiguration]: {planned: 1},
+	[FaultKind.OddConfiguration]: {planned: 1},
+};
+
+const shortestMs = 300;
+
+const shortestDelayMs = 20;
+
+/** Draws of one seed. */
+class Draws {
+	private readonly generator;
+
+	constructor(seed: number) {
+		this.generator = xoroshiro128plus(seed);
+	}
+
+	integer(first: number, last: number): number {
+		return uniformInt(this.generator, first, last);
+	}
+
+	isTrue(percent: number): boolean {
+		return this.integer(1, 100) <= percent;
+	}
+
+	item<Item>(items: readonly Item[]): Item {
+		return items[this.integer(0, items.length - 1)];
+	}
+}
+
+/** Decides the steps of a seed, in the order of their times. All have ended by `durationMs`, except for restarts that take longer. */
+export function createSchedule(options: ScheduleOptions): Step[] {
+	const draws = new Draws(options.seed);
+	const offset = draws.integer(0, themeCycle.length - 1);
+	const steps: Step[] = [];
+	for (let episode = 0; (episode * episodeMs) < options.durationMs; episode += 1) {
+		const startMs = episode * episodeMs;
+		const endMs = Math.min(startMs + episodeMs - calmMs, options.durationMs);
+		const theme = themeCycle[(episode + offset) % themeCycle.length];
+		steps.push(...createEpisode(theme, startMs, endMs, {draws, options}));
+	}
+
+	return steps.toSorted((left, right) => left.atMs - right.atMs);
+}
+
+function createEpisode(theme: Theme, startMs: number, endMs: number, {draws, options}: {draws: Draws; options: ScheduleOptions}): Step[] {
+	const steps: Step[] = [];
+	const kinds = kindsOf(theme);
+	for (let atMs = startMs + draws.integer(0, 800); atMs < endMs - shortestMs;) {
+		const kind = draws.item(kinds);
+		const durationMs = Math.min(endMs - atMs, draws.integer(shortestMs, Math.max(shortestMs, plans[kind].longestMs ?? 0)));
+		steps.push(createStep(kind, {atMs, durationMs}, draws, options));
+		// Short pauses make faults overlap.
+		atMs += draws.isTrue(60) ? draws.integer(20, 400) : draws.integer(400, 1500);
+	}
+
+	return steps;
+}
+
+function createStep(kind: FaultKind, time: {atMs: number; durationMs: number}, draws: Draws, {daemonCount, targetCount, delayLimitMs}: ScheduleOptions): Step {
+	const isStop = kind === FaultKind.Stop;
+	const isLink = isLinkFault(kind);
+	const [least, largest] = kind === FaultKind.LinkDelay ? [shortestDelayMs, delayLimitMs] : plans[kind].amount ?? [0, 1000];
+	return {
+		...time,
+		kind,
+		daemon: draws.isTrue(isLink ? 70 : 35) ? draws.item([Subject.Leader, isLink ? Subject.All : Subject.Leader]) : draws.integer(0, daemonCount - 1),
+		target: isLink && draws.isTrue(20) ? undefined : draws.integer(0, targetCount - 1),
+		amount: draws.integer(least, largest),
+		signals: isStop ? createSignals(draws, 2500) : [],
+		earlySignals: isStop && draws.isTrue(25) ? [{afterMs: draws.integer(0, 900), signal: 'SIGTERM'}, ...createSignals(draws, 1500)] : [],
+	};
+}
+
+function isLinkFault(kind: FaultKind): boolean {
+	return [FaultKind.LinkDelay, FaultKind.LinkReset, FaultKind.LinkSilence, FaultKind.LinkCutOut, FaultKind.LinkCutIn].includes(kind);
+}
+
+function createSignals(draws: Draws, lastMs: number): TimedSignal[] {
+	const count = draws.isTrue(20) ? 0 : draws.integer(1, 4);
+	return Array.from({length: count}, () => ({afterMs: draws.integer(5, lastMs), signal: draws.item(repeatedSignals)}));
+}
+
+function weightOf({planned = 0, ownership = 0, store = 0}: KindPlan, theme: Theme): number {
+	const weights: Record<Theme, number> = {
+		[Theme.Planned]: planned, [Theme.Ownership]: ownership, [Theme.Store]: store, [Theme.Mixed]: planned + ownership + store,
+	};
+	return weights[theme];
+}
+
+/** Every kind as often as its weight. */
+function kindsOf(theme: Theme): FaultKind[] {
+	return Object.values(FaultKind).flatMap(kind => Array.from({length: weightOf(plans[kind], theme)}, () => kind));
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -12,7 +12,7 @@
 	cli: ['decisions', 'peers', 'model'],
 };
 
-const outsideFolders = ['standins', 'bench', 'tests'];
+const outsideFolders = ['standins', 'bench', 'soak', 'tests'];
 
 const boundaries = Object.entries(allowedImports).map(([layer, allowed]) => {
 	const forbidden = [...Object.keys(allowedImports), ...outsideFolders].filter(name => name !== layer && !allowed.includes(name));
