--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -166,6 +166,8 @@
 	}
 
 	private async checkRecovery(): Promise<number> {
+		// The limit counts from the time at which the machines are back.
+		await Promise.all(this.deployment.daemons.map(async ({process}) => process?.waitUntilReady()));
 		const lastFaultAt = performance.now();
 		const unserved = await this.waitUntilServed(recoveryLimitMs);
 		if (unserved.length > 0) {
