--- a/standins/platform-store-server.ts
+++ b/standins/platform-store-server.ts
@@ -19,6 +19,8 @@
 
 /** Serves a store on loopback. */
 export class PlatformStoreServer {
+	/** While true, calls get no answer. */
+	isSilent = false;
 	private server: Server | undefined;
 
 	constructor(private readonly store: MemoryCoordinationStore) {}
@@ -35,6 +37,10 @@
 	}
 
 	private async handle(request: IncomingMessage, response: ServerResponse, body: unknown): Promise<void> {
+		if (this.isSilent) {
+			return;
+		}
+
 		const url = new URL(request.url ?? '/', 'http://store');
 		try {
 			await this.answer(url, response, body, this.store.createClient());
