--- a/standins/platform-target-server.ts
+++ b/standins/platform-target-server.ts
@@ -17,6 +17,8 @@
 	/** Address on loopback. */
 	ip?: string;
 	port: number;
+	/** Address in the target's entry, if it differs. */
+	entryAddress?: string;
 	/** Time that a request takes, in milliseconds; chosen for each request if it is a function. */
 	workMs: number | (() => number);
 	isKeyed: boolean;
@@ -36,7 +38,9 @@
 	private sequence = 0;
 
 	constructor(protected readonly options: PlatformTargetOptions, private readonly store: MemoryCoordinationStore) {
-		this.holder = new KeyHolder({id: options.id, bornAt: Date.now(), address: `${options.ip ?? '127.0.0.1'}:${options.port}`});
+		this.holder = new KeyHolder({
+			id: options.id, bornAt: Date.now(), address: options.entryAddress ?? `${options.ip ?? '127.0.0.1'}:${options.port}`,
+		});
 	}
 
 	async listen(): Promise<void> {
