--- a/soak/hold-ledger.ts
+++ b/soak/hold-ledger.ts
@@ -1,7 +1,7 @@
 /**
  * Which life of which target holds which keys by its own clock, and the checks of OWNER.
  */
-import type {KeyRange} from '../src/model/key-ownership.js';
+import {areOverlapping, type KeyRange} from '../src/model/key-ownership.js';
 import {
 	Rule, type RunRecord, type Trace, type Violation,
 } from './trace.js';
@@ -62,7 +62,7 @@
 		}
 
 		for (const earlier of this.records) {
-			if (earlier.holder === record.holder && overlaps(earlier, record)) {
+			if (earlier.holder === record.holder && areOverlapping(earlier, record)) {
 				earlier.to = Math.max(earlier.from, Math.min(earlier.to, record.expiresAt));
 			}
 		}
@@ -72,7 +72,7 @@
 
 	/** Called when a target takes a release. */
 	recordRelease(holder: string, range: KeyRange, at: number): void {
-		for (const record of this.records.filter(candidate => candidate.holder === holder && candidate.to > at && overlaps(candidate, range))) {
+		for (const record of this.records.filter(candidate => candidate.holder === holder && candidate.to > at && areOverlapping(candidate, range))) {
 			for (const rest of [{first: record.first, last: range.first - 1}, {first: range.last + 1, last: record.last}]) {
 				if (rest.first <= rest.last) {
 					this.records.push({...record, ...rest});
@@ -132,7 +132,7 @@
 	private overlapOf(left: HoldRecord, right: HoldRecord): Overlap | undefined {
 		const from = Math.max(left.from, right.from);
 		const to = Math.min(left.to, right.to);
-		if (left.holder === right.holder || to <= from || !overlaps(left, right) || this.isExcused(left) || this.isExcused(right)) {
+		if (left.holder === right.holder || to <= from || !areOverlapping(left, right) || this.isExcused(left) || this.isExcused(right)) {
 			return undefined;
 		}
 
@@ -179,7 +179,7 @@
 			return;
 		}
 
-		const higher = this.fences.find(earlier => earlier.target !== record.target && earlier.fence >= record.fence && overlaps(earlier, record));
+		const higher = this.fences.find(earlier => earlier.target !== record.target && earlier.fence >= record.fence && areOverlapping(earlier, record));
 		if (higher) {
 			const {holder, first, last, fence} = record;
 			this.report(`fence ${higher.holder} ${holder}`, `${holder} takes keys ${first} to ${last} with fence ${fence}; ${higher.holder} had fence ${higher.fence}`);
@@ -237,7 +237,3 @@
 function describe({holder, daemon, fence, arrivedAt, from, to}: HoldRecord, at: number): string {
 	return `${holder} by daemon ${daemon} with fence ${fence}, arrived ${Math.round(arrivedAt - at)} ms, held ${Math.round(from - at)} to ${Math.round(to - at)} ms after the begin of the overlap`;
 }
-
-function overlaps(left: KeyRange, right: KeyRange): boolean {
-	return left.first <= right.last && right.first <= left.last;
-}
