fix(soak): one fault at a time starts a daemon's process

Two stops overlapped: the second one met the process that the first had started in order to stop it early, and both then started a process of the same name.

--- a/soak/daemon-slot.ts
+++ b/soak/daemon-slot.ts
@@ -31,6 +31,7 @@
 	endedBeforeLoadCount = 0;
 	private expectedEnd = ExpectedEnd.None;
 	private isClosed = false;
+	private isClaimed = false;
 	private readonly freezes = new Set<symbol>();
 
 	constructor(readonly index: number, readonly settings: PlatformSettings, private readonly trace: Trace, private readonly onViolation: (violation: Violation) => void) {}
@@ -39,9 +40,21 @@
 		return this.processes.at(-1);
 	}
 
-	/** True if the process runs and is not expected to end. */
-	get isRunning(): boolean {
-		return this.process !== undefined && !this.process.hasExited && this.expectedEnd === ExpectedEnd.None;
+	get hasProcess(): boolean {
+		return this.process !== undefined && !this.process.hasExited;
+	}
+
+	/** Takes the right to start processes of this place; false if another fault has it. */
+	claim(): boolean {
+		const isFree = !this.isClaimed;
+		this.isClaimed = true;
+		return isFree;
+	}
+
+	/** Starts the process that stays, and gives the right back. */
+	release(): void {
+		this.isClaimed = false;
+		this.start();
 	}
 
 	start(): void {
@@ -111,6 +124,12 @@
 		await this.kill();
 	}
 
+	private restartUnlessClaimed(process: DaemonProcess): void {
+		if (!this.isClaimed && this.process === process) {
+			this.start();
+		}
+	}
+
 	private async watchExit(process: DaemonProcess): Promise<void> {
 		const {code, signal, at} = await process.exit;
 		if (this.isClosed || this.expectedEnd === ExpectedEnd.Kill) {
@@ -130,9 +149,9 @@
 			});
 		}
 
-		if (this.expectedEnd === ExpectedEnd.None) {
+		if (this.expectedEnd === ExpectedEnd.None && !this.isClaimed) {
 			await delay(restartDelayMs);
-			this.start();
+			this.restartUnlessClaimed(process);
 		}
 	}
 }
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -44,21 +44,22 @@
 	async play(): Promise<boolean> {
 		const {deployment, step: {daemon}} = this.context;
 		const slot = deployment.daemons[typeof daemon === 'number' ? daemon : deployment.leaderIndex()];
-		if (!slot.isRunning) {
-			return false;
-		}
-
-		await this.disturb(slot);
-		return true;
+		return slot.hasProcess && this.disturb(slot);
 	}
 
-	protected abstract disturb(slot: DaemonSlot): Promise<void>;
+	protected abstract disturb(slot: DaemonSlot): Promise<boolean>;
 }
 
 class StopFault extends DaemonFault {
-	protected override async disturb(slot: DaemonSlot): Promise<void> {
+	protected override async disturb(slot: DaemonSlot): Promise<boolean> {
 		const {step: {signals, earlySignals, durationMs}} = this.context;
+		const isOwner = slot.claim();
 		await slot.stop(signals);
+		if (!isOwner) {
+			// The signals were further ones in the series of another fault.
+			return true;
+		}
+
 		await delay(durationMs);
 		const [first, ...others] = earlySignals;
 		if (first) {
@@ -67,34 +68,41 @@
 			await slot.stop(others);
 		}
 
-		slot.start();
+		slot.release();
+		return true;
 	}
 }
 
 class KillFault extends DaemonFault {
-	protected override async disturb(slot: DaemonSlot): Promise<void> {
+	protected override async disturb(slot: DaemonSlot): Promise<boolean> {
+		if (!slot.claim()) {
+			return false;
+		}
+
 		const end = disturbDaemon(this.context.trace, slot.index, FaultKind.Kill);
 		await slot.kill();
 		await delay(this.context.step.durationMs);
-		slot.start();
+		slot.release();
 		await slot.process?.waitUntilReady();
 		end();
+		return true;
 	}
 }
 
 class FreezeFault extends DaemonFault {
-	protected override async disturb(slot: DaemonSlot): Promise<void> {
+	protected override async disturb(slot: DaemonSlot): Promise<boolean> {
 		const end = disturbDaemon(this.context.trace, slot.index, FaultKind.Freeze, true);
 		const thaw = slot.freeze();
 		await delay(this.context.step.durationMs);
 		end();
 		thaw();
+		return true;
 	}
 }
 
 /** Writes a settings file, sends SIGHUP, and writes the file back without a signal. */
 class SettingsFault extends DaemonFault {
-	protected override async disturb(slot: DaemonSlot): Promise<void> {
+	protected override async disturb(slot: DaemonSlot): Promise<boolean> {
 		const {step: {kind, durationMs}} = this.context;
 		const {process} = slot;
 		const changed = kind === FaultKind.SettingsBreak ? {...slot.settings, cores: 'one'} as unknown as PlatformSettings : {...slot.settings, drainMs: slot.settings.drainMs + 1};
@@ -104,6 +112,8 @@
 		if (!process?.hasExited) {
 			process?.writeSettings(slot.settings);
 		}
+
+		return true;
 	}
 }
 
