fix(soak): a stall of the soak's process is no failed recovery

The limit now counts from the last stall of over 200 ms, for 60 s at most; what a stall breaks of the other promises is still reported.

--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -39,6 +39,15 @@
 /** Time between SIGTERM and SIGKILL in milliseconds, as in the settings. */
 const graceMs = 6000;
 
+/** Interval at which stalls of this process are looked for, in milliseconds. */
+const stallCheckMs = 50;
+
+/** Longest lateness of a timer that is no stall, in milliseconds; daemons give up grants after 300 ms. */
+const stallLimitMs = 200;
+
+/** Longest time for which stalls can put off the end of the recovery, in milliseconds. */
+const recoveryEndMs = 60_000;
+
 const callersByKind: Array<[CallerKind, number]> = [[CallerKind.KeepAlive, 6], [CallerKind.Pipelining, 2], [CallerKind.SlowReader, 1], [CallerKind.OneShot, 2]];
 const nanosecondsPerMs = 1e6;
 const callerSeedStep = 100_000;
@@ -76,6 +85,8 @@
 	private readonly checkedIds = new Set<string>();
 	private readonly playedByKind = new Map<FaultKind, number>();
 	private startedAt = 0;
+	/** End of the last stall, in which neither the store nor any target answered. */
+	private stalledAt = 0;
 
 	constructor(private readonly options: SoakOptions, private readonly onViolation: (report: string) => void) {
 		this.deployment = new SoakDeployment(options, this.trace, violation => {
@@ -88,7 +99,8 @@
 		stalls.enable();
 		try {
 			await this.deployment.start();
-			await this.waitUntilServed(Infinity);
+			await this.waitUntilServed(() => Infinity);
+			this.detectStalls();
 			const callers = this.createCallers();
 			const running = callers.map(async caller => caller.run());
 			const checking = setInterval(() => {
@@ -166,7 +178,8 @@
 		// The limit counts from the time at which the machines are back.
 		await Promise.all(this.deployment.daemons.map(async ({process}) => process?.waitUntilReady()));
 		const lastFaultAt = performance.now();
-		const unserved = await this.waitUntilServed(recoveryLimitMs);
+		// Stalls of this process take the store and all targets away, so that the limit counts from the last one.
+		const unserved = await this.waitUntilServed(() => Math.min(Math.max(lastFaultAt, this.stalledAt) + recoveryLimitMs, lastFaultAt + recoveryEndMs));
 		if (unserved.length > 0) {
 			const answers = unserved.map(({daemon, status, end}) => `daemon ${daemon} ${status ?? end}`).join(', ');
 			this.report({
@@ -177,15 +190,23 @@
 		return performance.now() - lastFaultAt;
 	}
 
+	private detectStalls(): void {
+		let expectedAt = performance.now() + stallCheckMs;
+		setInterval(() => {
+			const now = performance.now();
+			this.stalledAt = now - expectedAt > stallLimitMs ? now : this.stalledAt;
+			expectedAt = now + stallCheckMs;
+		}, stallCheckMs).unref();
+	}
+
 	/** Asks every daemon for keys until each has been served there once or the limit is over; returns the last failures. */
-	private async waitUntilServed(limitMs: number): Promise<RequestRecord[]> {
-		const endsAt = performance.now() + limitMs;
+	private async waitUntilServed(endsAt: () => number): Promise<RequestRecord[]> {
 		const results = await Promise.all(this.deployment.daemons.map(async ({index}) => this.askForKeys(index, endsAt)));
 		return results.filter(record => record !== undefined);
 	}
 
 	/** Returns the last failure if a key was not served in time. */
-	private async askForKeys(daemon: number, endsAt: number): Promise<RequestRecord | undefined> {
+	private async askForKeys(daemon: number, endsAt: () => number): Promise<RequestRecord | undefined> {
 		let connection: CallerConnection | undefined;
 		let attempt = 0;
 		for (let sample = 0; sample < sampledKeyCount;) {
@@ -197,7 +218,7 @@
 			}, Math.floor(sample * keyCount / sampledKeyCount), `/${RouteName.Lookup}/0/10/${attempt}`);
 			if (record.status === 200) {
 				sample += 1;
-			} else if (performance.now() > endsAt) {
+			} else if (performance.now() > endsAt()) {
 				return record;
 			} else {
 				// eslint-disable-next-line no-await-in-loop -- polling.
