--- a/soak/daemon-slot.ts
+++ b/soak/daemon-slot.ts
@@ -121,7 +121,7 @@
 
 	async close(): Promise<void> {
 		this.isClosed = true;
-		await this.kill();
+		await Promise.all(this.processes.map(async process => process.kill()));
 	}
 
 	private restartUnlessClaimed(process: DaemonProcess): void {
