--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -105,6 +105,11 @@
 	protected override async disturb(slot: DaemonSlot): Promise<boolean> {
 		const {step: {kind, durationMs}} = this.context;
 		const {process} = slot;
+		if (process?.lines.length === 0) {
+			// A file that is malformed at the start ends the process, as documented.
+			return false;
+		}
+
 		const changed = kind === FaultKind.SettingsBreak ? {...slot.settings, cores: 'one'} as unknown as PlatformSettings : {...slot.settings, drainMs: slot.settings.drainMs + 1};
 		process?.writeSettings(changed);
 		process?.signal('SIGHUP');
