--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -358,6 +358,24 @@
 	});
 });
 
+test('should not forward a request that arrives on an open connection when the daemon ends', async t => {
+	await withGateway(t, async ({port, forwarded, outcomes, openRequests, stop, closeConnections}) => {
+		const socket = await openUnread(port);
+		const ended = readAll(socket);
+		socket.write(`${get('/slow')}${get('/fast')}`);
+		// The last answer is decided before answers close connections, so that this one stays open.
+		await waitUntil(() => outcomes.length === 1);
+		await stop();
+		t.true(openRequests.count > 0);
+		await waitUntil(() => openRequests.count === 0);
+		await closeConnections();
+		socket.write(get('/late'));
+		const {text} = await ended;
+		t.is(text.match(/HTTP\/1\.1 200/gv)?.length, 2);
+		t.deepEqual(forwarded.map(({path}) => path).toSorted(), ['/fast', '/slow']);
+	});
+});
+
 test('should not forward a request behind an answer that closes the connection', async t => {
 	await withGateway(t, async ({port, forwarded, outcomes, stop}) => {
 		const socket = await openUnread(port);
