docs(transport): what a reset of a call drops, and what it does not

A review trial stopped a Node server, wrote a call to it and reset the connection after 300 ms: after it was continued, the server read every call, on kept and on new connections. A reset drops only what this system has not delivered; what the peer's system has received may still be read. The comments promised more. Nothing else rests on them: holds count an unanswered grant as one that may arrive, by its stated bound, and a target that resumes reads a release behind the grant (docs/design/holds.md names the rest of the risk).

--- a/src/transport/connection-pool.ts
+++ b/src/transport/connection-pool.ts
@@ -70,7 +70,7 @@
 		connection.destroy();
 	}
 
-	/** Resets a connection on which a call was given up, so that the call is not delivered later. */
+	/** Resets a connection on which a call was given up. Bytes that the peer's system has received may still be read there. */
 	reset(connection: HttpConnection): void {
 		this.decrementInUse(connection.address);
 		connection.reset();
--- a/src/transport/http-connection.ts
+++ b/src/transport/http-connection.ts
@@ -92,7 +92,7 @@
 		void this.client.destroy();
 	}
 
-	/** Resets the socket, so that bytes that the system has not delivered yet are dropped. */
+	/** Resets the socket, so that bytes that this system has not delivered yet are dropped. */
 	reset(): void {
 		if (this.socket && !this.socket.connecting) {
 			this.socket.resetAndDestroy();
