refactor(model): one copy of the highest limit

The reader of answers caps a target's limit, and the schema of messages between daemons rejects a higher one; if the two figures ever differed, a daemon's whole messages would be rejected by its peers on account of one target's header. Both use the constant of the model now. The cases of target-statements and odd-documents pass unchanged.

--- a/src/decisions/fleet/peer-message.ts
+++ b/src/decisions/fleet/peer-message.ts
@@ -3,6 +3,7 @@
  */
 import * as z from 'zod/mini';
 import {lastKey} from '../../model/key-ownership.js';
+import {highestLimitPerS} from '../../model/target-statement.js';
 import {PermitDecision} from '../limits/permit-queue.js';
 import {assignmentChangeSchema} from './assignment-codec.js';
 import {counter, decodeContent, documentName} from './document-schema.js';
@@ -16,9 +17,6 @@
 /** Longest wait in milliseconds, one day; timers of more than 24 days end at once. */
 const longestWaitMs = 86_400_000;
 
-/** Highest limit in requests a second; higher than any target can take. */
-const highestLimitPerS = 100_000;
-
 const requestCount = z.int().check(z.minimum(0), z.maximum(maxRequests));
 
 const waitDuration = z.int().check(z.minimum(0), z.maximum(longestWaitMs));
--- a/src/model/target-statement.ts
+++ b/src/model/target-statement.ts
@@ -2,6 +2,9 @@
  * What targets say about themselves in their answers.
  */
 
+/** Highest limit that is kept, in requests a second; higher than any target can take. */
+export const highestLimitPerS = 100_000;
+
 /** What one answer says about the target that gave it. */
 export type TargetStatement = {
 	/** Requests a second that the target takes from all daemons together; undefined if it names no limit. */
--- a/src/platform/target-statement-reader.ts
+++ b/src/platform/target-statement-reader.ts
@@ -2,15 +2,12 @@
  * Reads what a target says about itself from the headers of its answer.
  */
 import type {AnswerHead} from '../model/forwarding.js';
-import type {TargetStatement} from '../model/target-statement.js';
+import {highestLimitPerS, type TargetStatement} from '../model/target-statement.js';
 import {WireHeader} from './wire.js';
 
 /** Seconds, or a date, until which a target wants no requests from the daemon that it refused. */
 const retryAfterHeader = 'retry-after';
 
-/** Highest limit that is kept, in requests a second; higher than any target can take. */
-const highestLimitPerS = 100_000;
-
 /** Longest number of a limit or delay that is read, in characters. */
 const longestNumber = 16;
 
