fix(fleet): a target that goes on writing its entry is listed again

A process that has ended leaves one late write at most; one that lives writes at each heartbeat. An incarnation with an earlier start is listed again with its second entry in a row. Nothing that protects keys rests on that choice: a previous owner is cleared by an answered release or by time.

--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -39,6 +39,9 @@
 /** Number of earlier assignments kept for each service, so that daemons a few changes behind need not get all ranges. */
 const assignmentHistoryLimit = 8;
 
+/** Entries in a row that an incarnation with an earlier start has to write to be listed again; one may be a late write of a process that ended. */
+const repeatedEntryCount = 2;
+
 /** The copy that decisions read; the synchronization with the store updates it. */
 export class FleetView {
 	/** Revision of the store up to which the view is complete. */
@@ -53,6 +56,8 @@
 	private readonly readyByService = new Map<string, Target[]>();
 	/** Targets that said in an answer that they are leaving, with the incarnation and the time. */
 	private readonly leaving = new Map<string, {bornAt: number; saidAt: number}>();
+	/** Entries with an earlier start than the listed incarnation, by id, since that one last wrote its entry. */
+	private readonly overtaken = new Map<string, {bornAt: number; count: number}>();
 	private readonly warmedUpAt = new Map<string, number>();
 	private readonly assignmentListeners = new Set<() => void>();
 	/** Until then, targets whose entries are removed from the store stay in use. */
@@ -86,10 +91,11 @@
 
 	applyTarget(target: Target, now = performance.now()): void {
 		const known = this.targets.get(target.id);
-		if (known && known.bornAt > target.bornAt) {
+		if (known && known.bornAt > target.bornAt && !this.hasRepeatedEntry(target)) {
 			return;
 		}
 
+		this.overtaken.delete(target.id);
 		this.targets.set(target.id, this.isLeaving(target) ? {...target, state: TargetState.Draining} : target);
 		this.removed.delete(target.id);
 		this.warmedUpAt.set(target.id, now + target.warmUpLeftMs);
@@ -115,6 +121,7 @@
 		}
 
 		this.targets.delete(id);
+		this.overtaken.delete(id);
 		this.warmedUpAt.delete(id);
 		this.removed.set(id, {target, removedAt: now, usableUntil: now < this.graceUntil ? this.graceUntil : 0});
 		this.readyByService.clear();
@@ -239,6 +246,14 @@
 		}
 	}
 
+	/** True if an incarnation goes on writing its entry although another one with a later start was listed. */
+	private hasRepeatedEntry({id, bornAt}: TargetIncarnation): boolean {
+		const last = this.overtaken.get(id);
+		const count = last?.bornAt === bornAt ? last.count + 1 : 1;
+		this.overtaken.set(id, {bornAt, count});
+		return count >= repeatedEntryCount;
+	}
+
 	private isLeaving({id, bornAt}: TargetIncarnation): boolean {
 		return this.leaving.get(id)?.bornAt === bornAt;
 	}
--- a/tests/decisions/odd-documents.test.ts
+++ b/tests/decisions/odd-documents.test.ts
@@ -223,7 +223,7 @@
 	}
 }
 
-test.failing('should use a target again after another writer has left an entry with a later start under its id', t => {
+test('should use a target again after another writer has left an entry with a later start under its id', t => {
 	const view = new FleetView();
 	const writer = new ViewWriter(view, documents, {record: () => undefined});
 	const key = `${documents.targetsPrefix}i-1`;
@@ -235,3 +235,15 @@
 
 	t.is(view.listedTarget('i-1')?.address, entry.address);
 });
+
+test('should keep the later process of a target after one late write of the process before', t => {
+	const view = new FleetView();
+	const writer = new ViewWriter(view, documents, {record: () => undefined});
+	const key = `${documents.targetsPrefix}i-1`;
+	const later = {...entry, born: entry.born + 1, address: '10.0.0.2:80'};
+	for (const [index, written] of [later, entry, later, entry].entries()) {
+		writer.apply({key, value: JSON.stringify(written), revision: index + 1});
+	}
+
+	t.is(view.listedTarget('i-1')?.address, later.address);
+});
