--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -17,7 +17,7 @@
 import {LogEvent, type EventLog} from '../model/events.js';
 import {Cancellation} from '../model/cancellation.js';
 import {
-	OutcomeKind, OutcomeReason, type CallerRequest, type Outcome,
+	OutcomeKind, OutcomeReason, type CallerRequest, type Outcome, type RelayOrigin,
 } from '../model/forwarding.js';
 import {initialLimits, type CallerLimits} from '../model/route-configuration.js';
 import {OpenRequest, RequestStage, type OpenRequests} from './open-requests.js';
@@ -29,6 +29,13 @@
 	requestId: string;
 	key: number | undefined;
 	budgetMs: number | undefined;
+	relay?: RelayOrigin;
+};
+
+/** Listener for requests that peers relay; its options replace those of the gateway. */
+export type RelayListenerOptions = Pick<PlatformGatewayOptions, 'ip' | 'port' | 'readHeaders' | 'limits' | 'onOutcome'> & {
+	/** Headers that tell the peer what became of its request. */
+	outcomeHeaders(request: CallerRequest, outcome: Outcome): Record<string, string>;
 };
 
 export type PlatformGatewayOptions = {
@@ -37,6 +44,8 @@
 	log: EventLog;
 	openRequests: OpenRequests;
 	readHeaders: CallerHeaderReader;
+	outcomeHeaders?: RelayListenerOptions['outcomeHeaders'];
+	relay?: RelayListenerOptions;
 	/** Active limits; undefined before the first configuration. */
 	limits(): CallerLimits | undefined;
 	/** Waits until the limits are confirmed as the newest; false if no confirmation arrives. */
@@ -82,8 +91,10 @@
 	lastAnswer: string | undefined;
 	/** True until the first request is read. */
 	isNew: boolean;
-	/** The last request that was read. */
-	latest: OpenRequest | undefined;
+	/** Answer to the last request that was read. */
+	latest: ServerResponse | undefined;
+	/** Bytes read when the last request was answered. */
+	answeredBytes: number;
 	/** True once an answer was begun that closes the connection; requests behind it get no answer. */
 	isClosing: boolean;
 };
@@ -109,27 +120,50 @@
 		actions: {
 			/** From now on, answers close their connections. */
 			drain(this: Service) {
-				gatewayOf(this).drain();
+				for (const gateway of gatewaysOf(this)) {
+					gateway.drain();
+				}
 			},
 			/** Stops listening; requests in flight continue. */
 			closeListener(this: Service) {
-				gatewayOf(this).closeListener();
+				closeListeners(this);
+			},
+			/** Forwards no further request, for an exit that would cut it. */
+			closeConnections(this: Service) {
+				for (const gateway of gatewaysOf(this)) {
+					gateway.closeConnections();
+				}
 			},
 		},
 		created(this: Service) {
-			(this as unknown as {gateway: Gateway}).gateway = new Gateway(options, this.broker);
+			const service = this as unknown as GatewayService;
+			service.gateway = new Gateway(options, this.broker);
+			service.relayGateway = options.relay && new Gateway({...options, ...options.relay}, this.broker);
 		},
 		async started(this: Service) {
-			await gatewayOf(this).listen();
+			await Promise.all(gatewaysOf(this).map(async gateway => gateway.listen()));
 		},
 		stopped(this: Service) {
-			gatewayOf(this).closeListener();
+			closeListeners(this);
 		},
 	};
 }
 
-function gatewayOf(service: Service): Gateway {
-	return (service as unknown as {gateway: Gateway}).gateway;
+type GatewayService = {
+	gateway: Gateway;
+	/** Listens for requests that peers relay. */
+	relayGateway: Gateway | undefined;
+};
+
+function gatewaysOf(service: Service): Gateway[] {
+	const {gateway, relayGateway} = service as unknown as GatewayService;
+	return relayGateway ? [gateway, relayGateway] : [gateway];
+}
+
+function closeListeners(service: Service): void {
+	for (const gateway of gatewaysOf(service)) {
+		gateway.closeListener();
+	}
 }
 
 /** HTTP server with the state of its connections. */
@@ -144,9 +178,14 @@
 		}, (request, response) => {
 			void this.handle(request, response);
 		});
+		// Node's own function resets a connection on which the caller's next request crosses, with the answer before it.
+		this.server.closeIdleConnections = () => {
+			void this.closeIdleConnections();
+		};
+
 		this.server.on('connection', socket => {
 			const connection: Connection = {
-				pending: new Set(), unfinished: new Set(), lastAnswer: undefined, isNew: true, latest: undefined, isClosing: false,
+				pending: new Set(), unfinished: new Set(), lastAnswer: undefined, isNew: true, latest: undefined, answeredBytes: 0, isClosing: false,
 			};
 			this.connections.set(socket, connection);
 			delayClose(socket);
@@ -182,9 +221,32 @@
 		this.isDraining = true;
 	}
 
+	/** Closes the connections without an open request; no other request is read from then on. */
+	closeConnections(): void {
+		for (const [socket, connection] of this.connections) {
+			connection.isClosing = true;
+			if (connection.pending.size === 0 && connection.unfinished.size === 0) {
+				socket.destroy();
+			}
+		}
+	}
+
 	closeListener(): void {
 		this.server.close();
-		this.server.closeIdleConnections();
+	}
+
+	/** Closes the connections that were used and on which nothing is under way. New ones stay for their first request. */
+	private async closeIdleConnections(): Promise<void> {
+		// After a stall, requests that have arrived are read first.
+		await nextTurn();
+		await nextTurn();
+		for (const [socket, connection] of this.connections) {
+			const {pending, unfinished, isNew, answeredBytes} = connection;
+			if (!isNew && pending.size === 0 && unfinished.size === 0 && socket.bytesRead === answeredBytes) {
+				connection.isClosing = true;
+				socket.destroySoon();
+			}
+		}
 	}
 
 	private applyLimits(): CallerLimits {
@@ -217,7 +279,7 @@
 		const openRequest = new OpenRequest(request.method ?? 'GET', request.url ?? '/');
 		this.options.openRequests.add(openRequest);
 		if (connection) {
-			connection.latest = openRequest;
+			connection.latest = response;
 		}
 
 		response.sendDate = false;
@@ -228,7 +290,8 @@
 				return;
 			}
 
-			this.answer(response, outcome, connection?.latest === openRequest);
+			this.addOutcomeHeaders(response, caller, outcome);
+			this.answer(response, outcome);
 			this.options.onOutcome(caller, outcome);
 		} catch (error) {
 			await this.answerFailure(response, error, cancellation);
@@ -253,7 +316,8 @@
 		connection.unfinished.add(request);
 		const onWritten = (): void => {
 			request.stage = RequestStage.Closing;
-			if (!connection.isClosing || connection.latest !== request) {
+			connection.answeredBytes = response.req.socket.bytesRead;
+			if (!connection.isClosing || connection.latest !== response) {
 				connection.unfinished.delete(request);
 				this.options.openRequests.remove(request);
 			}
@@ -270,7 +334,7 @@
 	private async forward(request: IncomingMessage, response: ServerResponse, {cancellation, openRequest}: RequestState): Promise<ForwardResult> {
 		const limits = this.applyLimits();
 		checkHeaderSize(request, limits);
-		const {passed, requestId, key, budgetMs} = this.options.readHeaders(request.rawHeaders);
+		const {passed, requestId, key, budgetMs, relay} = this.options.readHeaders(request.rawHeaders);
 		openRequest.requestId = requestId;
 		const caller: CallerRequest = {
 			method: openRequest.method,
@@ -283,7 +347,9 @@
 			receivedAt: openRequest.receivedAt,
 			body: await openBody(request, limits.maxBodyBytes),
 			cancellation,
-			beginStream({status, headers}) {
+			relay,
+			beginStream: ({status, headers}) => {
+				this.addOutcomeHeaders(response, caller, {kind: OutcomeKind.Streamed});
 				response.writeHead(status, headers);
 				return response;
 			},
@@ -332,9 +398,14 @@
 		await nextTurn();
 	}
 
-	/** @param isLatest false if the caller sent another request behind this one, whose answer closes the connection instead */
-	private answer(response: ServerResponse, outcome: Outcome, isLatest: boolean): void {
-		if (isLatest && (this.isDraining || outcome.reason === OutcomeReason.DaemonStopping)) {
+	private addOutcomeHeaders(response: ServerResponse, request: CallerRequest, outcome: Outcome): void {
+		if (this.options.outcomeHeaders && !response.headersSent) {
+			response.setHeaders(new Map(Object.entries(this.options.outcomeHeaders(request, outcome))));
+		}
+	}
+
+	private answer(response: ServerResponse, outcome: Outcome): void {
+		if (this.isDraining || outcome.reason === OutcomeReason.DaemonStopping) {
 			this.closeConnectionAfter(response);
 		}
 
@@ -376,16 +447,15 @@
 		}
 	}
 
+	/** If the caller has sent another request behind this one, the connection stays open, because that one may run already. */
 	private closeConnectionAfter(response: ServerResponse): void {
-		if (response.headersSent) {
+		const connection = this.connections.get(response.req.socket);
+		if (response.headersSent || connection?.latest !== response) {
 			return;
 		}
 
 		response.setHeader('connection', 'close');
-		const connection = this.connections.get(response.req.socket);
-		if (connection) {
-			connection.isClosing = true;
-		}
+		connection.isClosing = true;
 	}
 
 	private async answerFailure(response: ServerResponse, error: unknown, cancellation: Cancellation): Promise<void> {
--- a/src/transport/http-connection.ts
+++ b/src/transport/http-connection.ts
@@ -51,6 +51,11 @@
 		});
 	}
 
+	/** True until the first exchange opens the socket. */
+	get isNew(): boolean {
+		return this.socket === undefined;
+	}
+
 	/** True if another exchange can use the open socket. */
 	get isReusable(): boolean {
 		return !this.isClosed && this.refusedIds.size < refusalLimit && !this.hasSocketFailed && this.socket?.destroyed === false && this.socket.readable;
@@ -87,7 +92,7 @@
 		void this.client.destroy();
 	}
 
-	/** Resets the socket, so that bytes that the system has not delivered yet are dropped. */
+	/** Resets the socket, so that bytes that this system has not delivered yet are dropped. */
 	reset(): void {
 		if (this.socket && !this.socket.connecting) {
 			this.socket.resetAndDestroy();
--- a/standins/key-holder.ts
+++ b/standins/key-holder.ts
@@ -55,6 +55,8 @@
 export class KeyHolder {
 	/** True while orders do not reach the target, although it continues to serve requests. */
 	isUnreachable = false;
+	/** True if the target is to be cut off once it has been sent another order. */
+	isCutAfterNextOrder = false;
 	/** True once the process has ended; orders to it get no answer. */
 	isStopped = false;
 	/** True while connections are refused, as after the end of the process on a VM that still runs. */
@@ -91,17 +93,22 @@
 		}
 
 		this.grantCount += 1;
-		this.fencedRanges.push({...range, fence});
-		this.fencedRanges = this.fencedRanges.slice(-500);
+		this.rememberFence(range, fence);
 		this.holds = this.holds.flatMap(hold => subtractRange(hold, range));
 		this.holds.push({...range, fence, expiresAt: arrivedAt + (holdDurationMs * this.clockFactor)});
 	}
 
 	release({range, fence}: KeyOrder): string {
-		this.fencedRanges.push({...range, fence});
+		this.rememberFence(range, fence);
 		this.holds = this.holds.flatMap(hold => subtractRange(hold, range));
 		return `handover-${range.first}`;
 	}
+
+	/** Drops only fences that the new one implies, so that no late order with a lower fence is accepted. */
+	private rememberFence(range: KeyRange, fence: number): void {
+		this.fencedRanges = this.fencedRanges.filter(earlier => earlier.fence > fence || earlier.first < range.first || earlier.last > range.last);
+		this.fencedRanges.push({...range, fence});
+	}
 }
 
 /** Delivers orders to the holders at the addresses of their targets. */
@@ -171,9 +178,13 @@
 
 	/** Resolves once the answer arrives, with a function that returns or throws it. The connection ends with the process that accepted it. */
 	private async deliver<Answer>(target: TargetIncarnation, holder: KeyHolder, carryOut: CarryOut<Answer>): Promise<() => Answer> {
+		// What was sent before a cut still arrives.
+		const isCut = holder.isUnreachable || this.unreachable.has(target.id);
+		holder.isUnreachable ||= holder.isCutAfterNextOrder;
+		holder.isCutAfterNextOrder = false;
 		await pause(holder.link.toTargetMs);
 		await holder.suspension.end;
-		if (holder.isStopped || holder.isUnreachable || this.unreachable.has(target.id)) {
+		if (isCut || holder.isStopped) {
 			return never();
 		}
 
--- a/standins/keyed-fleet.ts
+++ b/standins/keyed-fleet.ts
@@ -44,6 +44,8 @@
 	readonly orders: KeyHolderOrders;
 	readonly leader: KeyLeader;
 	readonly statements: TargetStatements;
+	/** True once the daemon has found out that it reaches no target. */
+	isCutOff = false;
 	private readonly sync: FleetSync;
 
 	constructor(readonly name: string, fleet: KeyedFleet) {
@@ -74,6 +76,7 @@
 			leaseMinimumMs: 1000,
 			limits: {holdLimitMs: 10_000, thawSlackMs: 300},
 			random: () => 0.5,
+			isCutOff: () => this.isCutOff,
 			onOwnersWritten() {
 				// Peers read the owners from the store.
 			},
--- a/tests/decisions/assignment-codec.test.ts
+++ b/tests/decisions/assignment-codec.test.ts
@@ -43,6 +43,14 @@
 	t.true(Buffer.byteLength(JSON.stringify(change)) < 700);
 });
 
+test('should preserve both addresses of an owner that has moved', t => {
+	const draft = new AssignmentDraft(initial);
+	const [first] = draft.ranges;
+	draft.replaceOwner(first, {...incarnations[0], address: '10.2.64.200:8641'});
+	const after = draft.result('write');
+	t.deepEqual(after && decodeAssignment(encodeAssignment(after)), after);
+});
+
 const malformedDocuments = [
 	{title: 'null instead of an object', text: 'null'},
 	{title: 'no ranges', text: JSON.stringify({...JSON.parse(encodeAssignment(initial)) as Record<string, unknown>, ranges: undefined})},
@@ -62,3 +70,15 @@
 	const other = initialAssignment('service', incarnations.slice(0, 3));
 	t.throws(() => applyAssignmentChange(diffAssignment(after, {assignment: initial, revision: 1}), other), {instanceOf: MalformedDocumentError});
 });
+
+test('should keep two addresses of one id and start apart', t => {
+	const before = initialAssignment('service', [{id: 'i-1', bornAt: 1, address: '10.0.0.1:80'}]);
+	const draft = new AssignmentDraft(before);
+	const [range] = draft.ranges;
+	if (range) {
+		draft.replaceOwner(range, {id: 'i-1', bornAt: 1, address: '10.0.0.2:80'});
+	}
+
+	const assignment = draft.result('write') ?? before;
+	t.deepEqual(decodeAssignment(encodeAssignment(assignment)), assignment);
+});
--- a/tests/decisions/stop-admission.test.ts
+++ b/tests/decisions/stop-admission.test.ts
@@ -44,7 +44,7 @@
 	},
 	{title: 'refuse a late idempotent request of which nothing is known', afterMs: 2900, isAccepted: false},
 	{
-		title: 'accept a late request that is certain enough to end in time', afterMs: 4000, durationsMs: steady, isAccepted: true,
+		title: 'refuse a late request that may outlast the daemon although none did before', afterMs: 4000, durationsMs: steady, isAccepted: false,
 	},
 	{
 		title: 'accept a request that must not be repeated and ends in time', afterMs: 100, isIdempotent: false, durationsMs: varying, isAccepted: true,
@@ -86,3 +86,22 @@
 		receivedAt: 0, deadlineAt: 3_600_000, isIdempotent: false, duration: undefined,
 	}));
 });
+
+test('should not accept a late request of a route of which one in thirty outlasts the daemon', t => {
+	const leftMs = 200;
+	const durations = new RouteDurations();
+	const admission = new StopAdmission();
+	admission.begin(graceMs, 0);
+	let cut = 0;
+	for (let index = 0; index < 3000; index += 1) {
+		const durationMs = index % 30 === 29 ? 2000 : 20;
+		const receivedAt = graceMs - leftMs;
+		const isAccepted = admission.isAccepted({
+			receivedAt, deadlineAt: receivedAt + longTimeoutMs, isIdempotent: false, duration: durations.estimate('route'),
+		});
+		cut += Number(isAccepted && durationMs > leftMs);
+		durations.record('route', durationMs);
+	}
+
+	t.is(cut, 0);
+});
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -33,6 +33,8 @@
 	bodies: Array<CallerRequest['body']>;
 	/** Drains the gateway and closes its listener, as the daemon does after the balancer has noticed that it is not ready. */
 	stop(): Promise<void>;
+	/** Closes the connections, as the daemon does once the last request has ended. */
+	closeConnections(): Promise<void>;
 };
 
 /** Configuration as the gateway sees it. */
@@ -47,7 +49,7 @@
 };
 
 const limits: CallerLimits = {
-	maxHeaderBytes: 2000, maxBodyBytes: bodyLimitBytes, headerTimeoutMs: 300, idleTimeoutMs: 5000,
+	maxHeaderBytes: 2000, maxBodyBytes: bodyLimitBytes, headerTimeoutMs: 5000, idleTimeoutMs: 5000,
 };
 
 const defaultState: ConfigurationState = {areLimitsConfirmed: true, limits};
@@ -113,6 +115,9 @@
 				await broker.call('gateway.drain');
 				await broker.call('gateway.closeListener');
 			},
+			async closeConnections() {
+				await broker.call('gateway.closeConnections');
+			},
 		});
 	} finally {
 		await broker.stop();
@@ -141,23 +146,27 @@
 	});
 }
 
-const malformed: Array<{title: string; text: string; status: number}> = [
+const malformed: Array<{title: string; text: string; status: number; headerTimeoutMs?: number}> = [
 	{title: 'two content lengths', text: 'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab', status: 400},
 	{title: 'both a content length and chunked encoding', text: 'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n', status: 400},
 	{title: 'a missing host header', text: 'GET /a HTTP/1.1\r\n\r\n', status: 400},
 	{title: 'bytes that are not HTTP', text: '\u0001\u0002\u0003\r\n\r\n', status: 400},
 	{title: 'headers that are too large', text: `GET /a HTTP/1.1\r\nHost: h\r\nX: ${'x'.repeat(3000)}\r\n\r\n`, status: 431},
 	{title: 'a body that is too large', text: `POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100001\r\n\r\n${'x'.repeat(101)}`, status: 413},
-	{title: 'headers that are never completed', text: 'GET /a HTTP/1.1\r\nHost: h\r\n', status: 408},
+	{
+		title: 'headers that are never completed', text: 'GET /a HTTP/1.1\r\nHost: h\r\n', status: 408, headerTimeoutMs: 300,
+	},
 ];
 
-for (const {title, text, status} of malformed) {
+for (const {
+	title, text, status, headerTimeoutMs = limits.headerTimeoutMs,
+} of malformed) {
 	test(`should answer ${status} to ${title}, close the connection and forward nothing`, async t => {
 		await withGateway(t, async ({port, forwarded}) => {
 			const received = await exchange(port, text);
 			t.regex(received, new RegExp(String.raw`^HTTP/1\.1 ${status} `, 'v'));
 			t.deepEqual(forwarded, []);
-		});
+		}, {areLimitsConfirmed: true, limits: {...limits, headerTimeoutMs}});
 	});
 }
 
@@ -349,6 +358,24 @@
 	});
 });
 
+test('should not forward a request that arrives on an open connection when the daemon ends', async t => {
+	await withGateway(t, async ({port, forwarded, outcomes, openRequests, stop, closeConnections}) => {
+		const socket = await openUnread(port);
+		const ended = readAll(socket);
+		socket.write(`${get('/slow')}${get('/fast')}`);
+		// The last answer is decided before answers close connections, so that this one stays open.
+		await waitUntil(() => outcomes.length === 1);
+		await stop();
+		t.true(openRequests.count > 0);
+		await waitUntil(() => openRequests.count === 0);
+		await closeConnections();
+		socket.write(get('/late'));
+		const {text} = await ended;
+		t.is(text.match(/HTTP\/1\.1 200/gv)?.length, 2);
+		t.deepEqual(forwarded.map(({path}) => path).toSorted(), ['/fast', '/slow']);
+	});
+});
+
 test('should not forward a request behind an answer that closes the connection', async t => {
 	await withGateway(t, async ({port, forwarded, outcomes, stop}) => {
 		const socket = await openUnread(port);
@@ -381,6 +408,19 @@
 	});
 });
 
+test('should not forward a request that arrives after the last one has ended, before the exit', async t => {
+	await withGateway(t, async ({port, forwarded, stop, closeConnections}) => {
+		const socket = await openUnread(port);
+		// The server has accepted the connection once it has served a later one.
+		await exchange(port, get('/1'), /\/1$/v);
+		await stop();
+		await closeConnections();
+		socket.write(get('/2'));
+		await readAll(socket);
+		t.deepEqual(forwarded.map(({path}) => path), ['/1']);
+	});
+});
+
 test('should count a request as open until its whole answer was passed to the kernel', async t => {
 	await withGateway(t, async ({port, outcomes, openRequests}) => {
 		const socket = await openUnread(port);
@@ -424,3 +464,28 @@
 		t.true(outcomes.length <= 1);
 	});
 });
+
+test('should answer a request that was forwarded behind one whose headers exceed the limit', async t => {
+	await withGateway(t, async ({port, forwarded}) => {
+		const socket = await openUnread(port);
+		// Both requests are in one segment; the second one is valid.
+		socket.write(`GET /a HTTP/1.1\r\nHost: h\r\nX: ${'x'.repeat(3000)}\r\n\r\n${get('/b')}`);
+		const {text} = await readAll(socket);
+		const answers = text.match(/HTTP\/1\.1 \d{3}/gv) ?? [];
+		t.is(answers.length, 1 + forwarded.length, `answers ${answers.join(', ')}; forwarded ${forwarded.map(({path}) => path).join(', ')}`);
+	});
+});
+
+test('should deliver a whole answer on a kept connection that is closed as idle while another request crosses', async t => {
+	await withGateway(t, async ({port, forwarded, openRequests, stop}) => {
+		const socket = await openUnread(port);
+		socket.write(get(`/1/${answerBytes.buffered}`));
+		await waitUntil(() => forwarded.length === 1 && openRequests.count === 0);
+		await stop();
+		socket.write(get('/2'));
+		await delay(answerMs);
+		const {text, error} = await readAll(socket);
+		t.is(error, undefined);
+		t.true(text.length > answerBytes.buffered, `${text.length} bytes`);
+	});
+});
--- a/tests/platform/unusable-address.test.ts
+++ b/tests/platform/unusable-address.test.ts
@@ -1,11 +1,11 @@
 import test from 'ava';
 import {Cancellation} from '../../src/model/cancellation.js';
 import {StoreUnavailableError, TargetUnavailableError} from '../../src/model/errors.js';
-import {TargetState} from '../../src/model/fleet.js';
 import {AttemptEnd, type CallerRequest} from '../../src/model/forwarding.js';
 import {PlatformKeyOrders} from '../../src/platform/key-orders.js';
 import {PlatformStore} from '../../src/platform/platform-store.js';
 import {PlatformTargetProtocol} from '../../src/platform/target-protocol.js';
+import {canConnect} from '../../src/transport/connection-probe.js';
 import {TargetTransport} from '../../src/transport/target-transport.js';
 
 /** Addresses that an entry or an assignment can hold and that nothing can be sent to. */
@@ -61,9 +61,7 @@
 	test(`should end an attempt as not sent instead of failing unexpectedly if the address is ${title}`, async t => {
 		const transport = new TargetTransport(new PlatformTargetProtocol());
 		const result = await transport.send(request(), {
-			target: {
-				...target, service: 'service', availabilityZone: 'zone', softwareVersion: 'v1', slots: 1, state: TargetState.Ready, warmUpLeftMs: 0,
-			},
+			target,
 			timeoutMs,
 			budgetMs: timeoutMs,
 			connectionLimit: 1,
@@ -86,6 +84,10 @@
 		await t.throwsAsync(orders.identify(target, '/health', timeoutMs), failure);
 	});
 
+	test(`should find that nothing can be reached instead of failing unexpectedly if the address is ${title}`, async t => {
+		t.false(await canConnect(address));
+	});
+
 	test(`should report the store as unavailable instead of failing unexpectedly if the address is ${title}`, async t => {
 		const store = new PlatformStore(address);
 		const failure = {instanceOf: StoreUnavailableError};
