--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -222,6 +222,7 @@
 			deadlineAt: request.receivedAt + Math.min(request.budgetMs ?? route.timeoutMs, route.timeoutMs),
 			triedTargets: new Set(),
 			deniedTargets: new Map(),
+			ownersRevision: undefined,
 			deliveredAttempts: request.relay?.deliveredAttempts ?? 0,
 			unsentAttempts: 0,
 			misdirectedAttempts: 0,
@@ -419,6 +420,7 @@
 		const {view} = this.options;
 		const {request, service} = context;
 		const known = view.assignments.get(service.name);
+		context.ownersRevision = known?.revision;
 		const range = known && findRange(known.assignment.ranges, request.key ?? 0);
 		if (!range) {
 			return this.waitForOwner(context, OutcomeReason.NoOwner, retryDelaysMs.starting);
--- a/src/decisions/forwarding/forwarding-context.ts
+++ b/src/decisions/forwarding/forwarding-context.ts
@@ -28,6 +28,8 @@
 	triedTargets: Set<string>;
 	/** Targets whose limit left no turn for this request, with the delay until a retry in milliseconds. */
 	deniedTargets: Map<string, number>;
+	/** Revision of the assignment that named the last owner of the key. */
+	ownersRevision: number | undefined;
 	/** Number of attempts that reached a target. */
 	deliveredAttempts: number;
 	unsentAttempts: number;
@@ -72,6 +74,7 @@
 		route: context.route.name,
 		service: context.service.name,
 		key: context.request.key,
+		owners: context.ownersRevision,
 		arrivals: context.deliveredAttempts,
 		leftMs: Math.round(remainingMs(context)),
 		relay: context.relay,
--- a/src/decisions/forwarding/target-loads.ts
+++ b/src/decisions/forwarding/target-loads.ts
@@ -51,6 +51,8 @@
 	fullUntil: number;
 	sampleCount: number;
 	sampleSumMs: number;
+	/** When a daemon last reported an answer of the target. */
+	answeredAt: number;
 };
 
 type PeerReport = {
@@ -93,6 +95,11 @@
 		return this.peersAnsweredAt;
 	}
 
+	/** Time of the last answer of a target to a request of any daemon. */
+	lastAnswerAt(id: string): number {
+		return this.records.get(id)?.answeredAt ?? -Infinity;
+	}
+
 	/** Records the start of an attempt; returns a key with which its end is recorded. */
 	startAttempt(target: Target, now = performance.now()): number {
 		const {pending} = this.record(target.id);
@@ -110,6 +117,7 @@
 		const record = this.record(target.id);
 		const position = this.inFlight(target.id);
 		record.pending.delete(key);
+		record.answeredAt = now;
 		record.failuresInRow = 0;
 		record.ejectedUntil = 0;
 		record.failureShare += ((isFailure ? 1 : 0) - record.failureShare) * failureWeight;
@@ -205,6 +213,7 @@
 		for (const [id, [count, sumMs]] of Object.entries(report.samples)) {
 			this.peersAnsweredAt = now;
 			const record = this.record(id);
+			record.answeredAt = now;
 			const weight = 1 - ((1 - sampleWeight) ** count);
 			const mean = sumMs / count;
 			record.serviceMs = record.serviceMs === undefined ? mean : record.serviceMs + ((mean - record.serviceMs) * weight);
@@ -267,7 +276,7 @@
 		}
 
 		const record: TargetRecord = {
-			pending: new Set(), serviceMs: undefined, failureShare: 0, failuresInRow: 0, ejectedUntil: 0, fullAt: 0, fullUntil: 0, sampleCount: 0, sampleSumMs: 0,
+			pending: new Set(), serviceMs: undefined, failureShare: 0, failuresInRow: 0, ejectedUntil: 0, fullAt: 0, fullUntil: 0, sampleCount: 0, sampleSumMs: 0, answeredAt: -Infinity,
 		};
 		this.records.set(id, record);
 		return record;
--- a/src/decisions/ownership/range-orders.ts
+++ b/src/decisions/ownership/range-orders.ts
@@ -5,8 +5,10 @@
 import {LogEvent, type EventLog, type LogFields} from '../../model/events.js';
 import type {TargetIncarnation} from '../../model/fleet.js';
 import type {KeyOrders} from '../../model/key-orders.js';
+import type {OwnedRange} from '../../model/key-ownership.js';
 import type {ServiceRule} from '../../model/route-configuration.js';
 import type {FleetView} from '../fleet/fleet-view.js';
+import type {TargetLoads} from '../forwarding/target-loads.js';
 import {grantTimeoutMs, type HoldPolicy} from './hold-policy.js';
 import {KeyHolds, type HoldEvidence} from './key-holds.js';
 import type {Leadership} from './leadership.js';
@@ -39,6 +41,7 @@
 export type RangeOrdersOptions = {
 	orders: KeyOrders;
 	view: FleetView;
+	loads: TargetLoads;
 	leadership: Leadership;
 	policy: HoldPolicy;
 	responsiveness: TargetResponsiveness;
@@ -93,7 +96,7 @@
 		if (!evidence || now > evidence.expiresBy) {
 			state.cleared.add(key);
 			log.record(LogEvent.HoldRanOut, {
-				...this.logFields(state), target: incarnation.id, isSuperseded: this.isSuperseded(incarnation), ...evidenceFields(evidence, now),
+				...this.logFields(state), target: incarnation.id, isSuperseded: this.isSuperseded(incarnation), answeredMsAgo: this.answeredMsAgo(incarnation, now), ...evidenceFields(evidence, now),
 			});
 			return;
 		}
@@ -162,7 +165,7 @@
 			state.cleared.add(key);
 			log.record(LogEvent.RangeReleased, {...this.logFields(state), target: incarnation.id, handover: handover !== undefined});
 		} catch (error) {
-			this.recordFailure(incarnation, error, OrderKind.Release);
+			this.recordFailure(incarnation, error, {order: OrderKind.Release, range});
 			state.unresponsive.add(key);
 			state.releaseFailedAt.set(key, performance.now());
 		} finally {
@@ -225,7 +228,7 @@
 				holds.recordTimeout(grant, performance.now());
 			}
 
-			this.recordFailure(range.owner, error, OrderKind.Grant);
+			this.recordFailure(range.owner, error, {order: OrderKind.Grant, range});
 		} finally {
 			state.isGranting = false;
 			this.grantsInFlight -= 1;
@@ -270,7 +273,7 @@
 		}
 	}
 
-	private recordFailure(incarnation: TargetIncarnation, error: unknown, order: OrderKind): void {
+	private recordFailure(incarnation: TargetIncarnation, error: unknown, {order, range: {first, last, fence}}: {order: OrderKind; range: OwnedRange}): void {
 		if (!(error instanceof RouterError)) {
 			throw error;
 		}
@@ -278,13 +281,21 @@
 		const {responsiveness, log} = this.options;
 		const wasSent = !(error instanceof OrderUnsentError);
 		log.record(LogEvent.OrderFailed, {
-			service: this.options.rule().name, order, target: incarnation.id, wasSent, detail: error.message,
+			service: this.options.rule().name, order, target: incarnation.id, first, last, fence, wasSent, detail: error.message,
 		});
 		if (responsiveness.recordFailure(incarnation, {wasSent, isGrant: order === OrderKind.Grant})) {
-			log.record(LogEvent.TargetSuspected, {service: this.options.rule().name, target: incarnation.id});
+			log.record(LogEvent.TargetSuspected, {
+				service: this.options.rule().name, target: incarnation.id, order, answeredMsAgo: this.answeredMsAgo(incarnation, performance.now()),
+			});
 		}
 	}
 
+	/** Time since the target last answered a request of any daemon, for logs. */
+	private answeredMsAgo({id}: TargetIncarnation, now: number): number | undefined {
+		const answeredAt = this.options.loads.lastAnswerAt(id);
+		return Number.isFinite(answeredAt) ? Math.round(now - answeredAt) : undefined;
+	}
+
 	private logFields({range}: RangeState): Record<string, string | number> {
 		return {
 			service: this.options.rule().name, first: range.first, last: range.last, fence: range.fence,
--- a/standins/keyed-fleet.ts
+++ b/standins/keyed-fleet.ts
@@ -44,6 +44,7 @@
 	readonly orders: KeyHolderOrders;
 	readonly leader: KeyLeader;
 	readonly statements: TargetStatements;
+	readonly loads = new TargetLoads();
 	/** True once the daemon has found out that it reaches no target. */
 	isCutOff = false;
 	private readonly sync: FleetSync;
@@ -70,7 +71,7 @@
 			store: this.client,
 			orders: this.orders,
 			view: this.view,
-			loads: new TargetLoads(),
+			loads: this.loads,
 			statements: this.statements,
 			log,
 			leaseMinimumMs: 1000,
--- a/tests/decisions/late-orders.test.ts
+++ b/tests/decisions/late-orders.test.ts
@@ -340,6 +340,7 @@
 	try {
 		await run(6000);
 		t.is(fleet.daemons[0].leader.unansweredGrants, 0);
+		fleet.daemons[0].loads.receiveReport('peer', {inFlight: {}, samples: {'target-1': [1, 50]}});
 		fleet.holder(1).isUnreachable = true;
 		await run(1200);
 		t.is(fleet.daemons[0].leader.unansweredGrants, 1);
@@ -347,7 +348,9 @@
 		t.is(fleet.daemons[0].leader.unansweredGrants, 0);
 		const line = fleet.events.find(({event}) => event === LogEvent.HoldRanOut);
 		t.is(line?.lastGrant, GrantOutcome.Unanswered);
-		t.true(fleet.events.some(({event, order, wasSent}) => event === LogEvent.OrderFailed && order === 'grant' && wasSent === true));
+		t.true(Number(line?.answeredMsAgo) > unownedLimitMs - 1000);
+		t.true(fleet.events.some(({event, order, wasSent, fence}) => event === LogEvent.OrderFailed && order === 'grant' && wasSent === true && Number(fence) > 0));
+		t.true(fleet.events.some(({event, answeredMsAgo}) => event === LogEvent.TargetSuspected && Number(answeredMsAgo) < 1000));
 	} finally {
 		fleet.stop();
 		clock.uninstall();
