test(standins): let a share of the orders to targets be carried out late

`delaysOrders` delayed all orders to a target by 3 s, with holds from the arrival. `LateOrders` replaces it: a share of the orders, a range of times, holds from the arrival or from the execution, with or without probes, for a target or for the orders of one daemon. `KeyedFleet` measures the longest time for which two targets held a key.

--- a/standins/key-holder.ts
+++ b/standins/key-holder.ts
@@ -5,13 +5,11 @@
 import type {TargetIncarnation} from '../src/model/fleet.js';
 import type {KeyGrant, KeyOrder, KeyOrders} from '../src/model/key-orders.js';
 import {areOverlapping, subtractRange, type KeyRange} from '../src/model/key-ownership.js';
+import {HoldStart, type LateOrders} from './late-orders.js';
 
 /** Time until an order or its answer arrives, in milliseconds. */
 const orderDelayMs = 1;
 
-/** Time until a delayed order is carried out, in milliseconds; a hold still counts from the arrival of its order. */
-const lateOrderDelayMs = 3000;
-
 /** Link between the daemons and a target. Each property applies to the calls that use it from then on. */
 export type OrderLink = {
 	/** Time until a connection is open, in milliseconds. */
@@ -61,8 +59,8 @@
 	isStopped = false;
 	/** True while connections are refused, as after the end of the process on a VM that still runs. */
 	isRefusing = false;
-	/** True while orders get no answer and are carried out after a delay. */
-	delaysOrders = false;
+	/** Orders to this target that get no answer and are carried out late. */
+	lateOrders: LateOrders | undefined;
 	/** Factor by which the clock of the target runs slow. */
 	clockFactor = 1;
 	link: OrderLink = {
@@ -117,6 +115,8 @@
 	readonly unreachable = new Set<string>();
 	/** Time between a call and the sending of its order, in milliseconds, as with a busy event loop. Timeouts count from the sending. */
 	sendDelayMs = 0;
+	/** Orders of this daemon that get no answer and are carried out late. */
+	lateOrders: LateOrders | undefined;
 	/** While the daemon is suspended, it sends nothing and notices neither answers nor timeouts; what it has sent arrives. */
 	private readonly suspension = new Suspension();
 
@@ -141,14 +141,14 @@
 	}
 
 	async identify(target: TargetIncarnation, _healthPath: string, timeoutMs: number): Promise<string | undefined> {
-		return this.call(target, {timeoutMs}, holder => holder.incarnation.id);
+		return this.call(target, {timeoutMs, isProbe: true}, holder => holder.incarnation.id);
 	}
 
 	close(): void {
 		this.unreachable.clear();
 	}
 
-	private async call<Answer>(target: TargetIncarnation, {timeoutMs, mayBeSent}: Partial<KeyOrder> & {timeoutMs: number}, carryOut: CarryOut<Answer>): Promise<Answer> {
+	private async call<Answer>(target: TargetIncarnation, {timeoutMs, mayBeSent, isProbe = false}: Call, carryOut: CarryOut<Answer>): Promise<Answer> {
 		if (this.sendDelayMs > 0) {
 			await pause(this.sendDelayMs);
 		}
@@ -167,7 +167,7 @@
 			throw new OrderUnsentError(target.id, 'no connection in time');
 		}
 
-		const answer = await Promise.race([this.deliver(target, holder, carryOut), pause(timeoutMs - connectMs)]);
+		const answer = await Promise.race([this.deliver(target, holder, {isProbe, carryOut}), pause(timeoutMs - connectMs)]);
 		await this.suspension.end;
 		if (!answer) {
 			throw new TargetUnavailableError(target.id, 'no answer in time');
@@ -177,7 +177,7 @@
 	}
 
 	/** Resolves once the answer arrives, with a function that returns or throws it. The connection ends with the process that accepted it. */
-	private async deliver<Answer>(target: TargetIncarnation, holder: KeyHolder, carryOut: CarryOut<Answer>): Promise<() => Answer> {
+	private async deliver<Answer>(target: TargetIncarnation, holder: KeyHolder, {isProbe, carryOut}: {isProbe: boolean; carryOut: CarryOut<Answer>}): Promise<() => Answer> {
 		// What was sent before a cut still arrives.
 		const isCut = holder.isUnreachable || this.unreachable.has(target.id);
 		holder.isUnreachable ||= holder.isCutAfterNextOrder;
@@ -189,16 +189,23 @@
 		}
 
 		const arrivedAt = performance.now();
-		if (holder.delaysOrders) {
-			await pause(lateOrderDelayMs);
+		const lateOrders = holder.lateOrders ?? this.lateOrders;
+		const lateMs = lateOrders?.draw(isProbe);
+		if (lateOrders && lateMs !== undefined) {
+			await pause(lateMs);
+			await holder.suspension.end;
+			settle(() => carryOut(holder, lateOrders.holdStart === HoldStart.Arrival ? arrivedAt : performance.now()));
+			return never();
 		}
 
 		const answer = settle(() => carryOut(holder, arrivedAt));
 		await pause(holder.link.toDaemonMs);
-		return holder.delaysOrders || holder.link.losesAnswers ? never() : answer;
+		return holder.link.losesAnswers ? never() : answer;
 	}
 }
 
+type Call = Pick<KeyOrder, 'timeoutMs' | 'mayBeSent'> & {isProbe?: boolean};
+
 type CarryOut<Answer> = (holder: KeyHolder, arrivedAt: number) => Answer;
 
 /** Calls a function now; the result returns or throws its outcome. */
--- a/standins/keyed-fleet.ts
+++ b/standins/keyed-fleet.ts
@@ -1,6 +1,7 @@
 /**
  * Daemons that compete for the leadership of a keyed service, over stand-ins of the store and the targets. Tests pause the clock.
  */
+import {storeKeys} from '../src/decisions/fleet/daemon-documents.js';
 import {FleetSync} from '../src/decisions/fleet/fleet-sync.js';
 import {FleetView} from '../src/decisions/fleet/fleet-view.js';
 import {TargetLoads} from '../src/decisions/forwarding/target-loads.js';
@@ -113,8 +114,11 @@
 	readonly events: Array<{event: LogEvent; daemon: string; at: number} & LogFields> = [];
 	/** Moments at which more than one target held a key, as text. */
 	readonly overlappingHolds: string[] = [];
+	/** Longest time for which more than one target held a key, in milliseconds. */
+	longestOverlapMs = 0;
 	/** Longest time without a holder by key, in milliseconds; counted after the first holder of the key. */
 	readonly longestGapMs = new Map<number, number>();
+	private readonly overlapsSince = new Map<number, number>();
 	private readonly lastHeldAt = new Map<number, number>();
 	private incarnationCount = 0;
 
@@ -172,7 +176,7 @@
 
 	/** The daemon that the store names as leader. */
 	leaderDaemon(): FleetDaemon | undefined {
-		const item = this.store.get('eelgrasswheel/leader');
+		const item = this.store.get(storeKeys.leader);
 		const name = item && (JSON.parse(item.value) as {daemon: string}).daemon;
 		return this.daemons.find(daemon => daemon.name === name);
 	}
@@ -184,6 +188,19 @@
 		return findRange(ranges, key)?.owner.id;
 	}
 
+	/** Keys that no target holds. */
+	unheldKeys(): number[] {
+		return checkedKeys.filter(key => ![...this.holders.values()].some(holder => holder.isHolding(key)));
+	}
+
+	/** Ends the lease of the leader without its knowledge, as the platform may do. */
+	revokeLeadership(): void {
+		const item = this.store.get(storeKeys.leader);
+		if (item) {
+			this.store.endLease((JSON.parse(item.value) as {lease: number}).lease);
+		}
+	}
+
 	/** Ticks the daemons, advances the clock and checks ownership, step by step for the given duration. */
 	async run(durationMs: number, advance: (ms: number) => Promise<unknown>): Promise<void> {
 		for (let passed = 0; passed < durationMs; passed += stepMs) {
@@ -218,6 +235,11 @@
 			const currentHolders = [...this.holders.values()].filter(holder => holder.isHolding(key, now));
 			if (currentHolders.length > 1) {
 				this.overlappingHolds.push(`key ${key} at ${now}: ${currentHolders.map(({incarnation}) => incarnation.id).join(', ')}`);
+				const since = this.overlapsSince.get(key) ?? now - stepMs;
+				this.overlapsSince.set(key, since);
+				this.longestOverlapMs = Math.max(this.longestOverlapMs, now - since);
+			} else {
+				this.overlapsSince.delete(key);
 			}
 
 			const lastHeldAt = this.lastHeldAt.get(key);
--- a/tests/decisions/key-ownership.test.ts
+++ b/tests/decisions/key-ownership.test.ts
@@ -3,11 +3,15 @@
 import {LogEvent} from '../../src/model/events.js';
 import {TargetState} from '../../src/model/fleet.js';
 import {KeyedFleet} from '../../standins/keyed-fleet.js';
+import {HoldStart, LateOrders, exactly} from '../../standins/late-orders.js';
 import {StoreFault} from '../../standins/memory-coordination-store.js';
 
 /** Longest hold in the fleet, including clock drift, in milliseconds. */
 const longestHoldMs = 10_200;
 
+/** Time until a late order is carried out, in milliseconds; PROTOCOL.md: "may be applied seconds later". */
+const lateOrderMs = 3000;
+
 /** Time within which a key has to be served again after all daemons have stopped, in milliseconds. */
 const servedAgainMs = 1000;
 
@@ -245,11 +249,13 @@
 		gapLimitMs: longestHoldMs + 3500,
 		events: [LogEvent.OrderFailed],
 		async simulate({fleet, run}) {
-			fleet.holder(1).delaysOrders = true;
+			fleet.holder(1).lateOrders = new LateOrders({
+				share: 1, lateness: exactly(lateOrderMs), holdStart: HoldStart.Arrival, areProbesLate: true, seed: 1,
+			});
 			await run(1200);
 			fleet.leaderDaemon()?.stop();
 			await run(3000);
-			fleet.holder(1).delaysOrders = false;
+			fleet.holder(1).lateOrders = undefined;
 			await run(12_000);
 		},
 	},
