fix(fleet): a daemon writes its entry again when the store has removed it

Cause: the entry was taken as present while renewals of the lease succeed. The daemon now registers again once its view, complete up to the revision of its own write, lacks the entry.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -99,8 +99,13 @@
 		const member: Member = {
 			daemon, availabilityZone, ip, port, room: spareCapacity(settings),
 		};
-		this.membership = new Membership(member, this.store, log, () => {
-			this.sync.recordStoreAnswer();
+		this.membership = new Membership(member, {
+			store: this.store,
+			view: this.view,
+			log,
+			onAnswer: () => {
+				this.sync.recordStoreAnswer();
+			},
 		});
 		const loads = new TargetLoads();
 		this.statements = new TargetStatements(log, {
--- a/src/decisions/fleet/membership.ts
+++ b/src/decisions/fleet/membership.ts
@@ -6,6 +6,7 @@
 import {LogEvent, type EventLog} from '../../model/events.js';
 import type {Member} from '../../model/fleet.js';
 import {storeKeys} from './daemon-documents.js';
+import type {FleetView} from './fleet-view.js';
 
 /** Duration of the lease, after which the entry of a stopped daemon expires, in milliseconds. */
 const leaseMs = 9000;
@@ -16,24 +17,44 @@
 /** Pause after a failed call in milliseconds. */
 const retryMs = 500;
 
+/** Dependencies of the membership. */
+export type MembershipOptions = {
+	store: CoordinationStore;
+	view: FleetView;
+	log: EventLog;
+	/** Called whenever the store has answered. */
+	onAnswer(): void;
+};
+
+/** The entry as this daemon wrote it. */
+type Registration = {
+	lease: number;
+	/** Revision of the entry. */
+	revision: number;
+};
+
 /** Writes the entry, renews its lease and removes it. */
 export class Membership {
-	private lease: number | undefined;
+	private registration: Registration | undefined;
 	private nextCallAt = 0;
 	private isBusy = false;
 	private hasLeft = false;
 
-	/** @param onAnswer called whenever the store has answered */
-	constructor(
-		private readonly member: Member,
-		private readonly store: CoordinationStore,
-		private readonly log: EventLog,
-		private readonly onAnswer: () => void,
-	) {}
+	constructor(private readonly member: Member, private readonly options: MembershipOptions) {}
 
 	/** Called periodically. */
 	tick(now = performance.now()): void {
-		if (this.isBusy || this.hasLeft || now < this.nextCallAt) {
+		if (this.isBusy || this.hasLeft) {
+			return;
+		}
+
+		if (this.isEntryRemoved) {
+			this.registration = undefined;
+			this.nextCallAt = 0;
+			this.options.log.record(LogEvent.LeaseLost, {detail: 'the entry was removed although its lease goes on'});
+		}
+
+		if (now < this.nextCallAt) {
 			return;
 		}
 
@@ -44,42 +65,45 @@
 	/** Removes the entry. */
 	async leave(): Promise<void> {
 		this.hasLeft = true;
-		if (this.lease !== undefined) {
-			await this.store.endLease(this.lease);
+		if (this.registration) {
+			await this.options.store.endLease(this.registration.lease);
 		}
 	}
 
+	/** True if the store removed the entry, or a write that an earlier call left unanswered bound it to a lease that has ended. */
+	private get isEntryRemoved(): boolean {
+		const {view} = this.options;
+		return this.registration !== undefined && view.revision >= this.registration.revision && !view.members.has(this.member.daemon);
+	}
+
 	private async step(): Promise<void> {
 		try {
-			await (this.lease === undefined ? this.register() : this.renew(this.lease));
+			await (this.registration ? this.options.store.renewLease(this.registration.lease) : this.register());
 			this.nextCallAt = performance.now() + renewalMs;
-			this.onAnswer();
+			this.options.onAnswer();
 		} catch (error) {
 			this.nextCallAt = performance.now() + retryMs;
 			if (!(error instanceof RouterError)) {
-				this.log.record(LogEvent.InternalFailure, {detail: describeFailure(error)});
+				this.options.log.record(LogEvent.InternalFailure, {detail: describeFailure(error)});
 				return;
 			}
 
 			if (error instanceof LeaseEndedError) {
-				this.lease = undefined;
+				this.registration = undefined;
 				this.nextCallAt = 0;
 			}
 
-			this.log.record(LogEvent.LeaseLost, {detail: error.message});
+			this.options.log.record(LogEvent.LeaseLost, {detail: error.message});
 		} finally {
 			this.isBusy = false;
 		}
 	}
 
 	private async register(): Promise<void> {
-		const {id} = await this.store.openLease(leaseMs);
+		const {store} = this.options;
+		const {id} = await store.openLease(leaseMs);
 		const key = `${storeKeys.members}${this.member.daemon}`;
-		await this.store.write({expected: [], puts: [{key, value: JSON.stringify(this.member), lease: id}]});
-		this.lease = id;
-	}
-
-	private async renew(lease: number): Promise<void> {
-		await this.store.renewLease(lease);
+		const revision = await store.write({expected: [], puts: [{key, value: JSON.stringify(this.member), lease: id}]});
+		this.registration = {lease: id, revision};
 	}
 }
--- a/tests/platform/contained-failures.test.ts
+++ b/tests/platform/contained-failures.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
+import {FleetView} from '../../src/decisions/fleet/fleet-view.js';
 import {Membership} from '../../src/decisions/fleet/membership.js';
 import type {CoordinationStore} from '../../src/model/coordination-store.js';
 import {LogEvent} from '../../src/model/events.js';
@@ -24,11 +25,16 @@
 		};
 		const membership = new Membership({
 			daemon: 'daemon-1', availabilityZone: 'zone', ip: '127.0.0.1', port: 1, room: 1,
-		}, store as unknown as CoordinationStore, {
-			record(event) {
-				events.push(event);
+		}, {
+			store: store as unknown as CoordinationStore,
+			view: new FleetView(),
+			log: {
+				record(event) {
+					events.push(event);
+				},
 			},
-		}, () => undefined);
+			onAnswer: () => undefined,
+		});
 		for (let elapsedMs = 0; elapsedMs < 2000; elapsedMs += 20) {
 			membership.tick();
 			// eslint-disable-next-line no-await-in-loop -- the clock is advanced step by step.
