fix(leadership): a leader whose key was removed stops leading although its lease goes on

Two targets held the same keys for 7,700 ms in a test: the store removed the leader's key, the renewals of its lease went on to succeed, and a second daemon took the free key. Both considered themselves confirmed. The former leader renewed the holds of a target that the new one could not reach and had taken over.

Cause: the leader proved its leadership by the renewal of its lease only, and never looked at the key.

The leadership ends as soon as the view, complete up to the revision of the key, shows another one or none; no order is sent from then on.

--- a/src/decisions/ownership/leadership.ts
+++ b/src/decisions/ownership/leadership.ts
@@ -61,7 +61,7 @@
 
 	/** True while no other daemon can have acquired leadership. */
 	get isConfirmed(): boolean {
-		return this.term !== undefined && this.confirmationAgeMs() < this.term.lease.durationMs - confirmationMarginMs;
+		return this.term !== undefined && !this.isKeyRemoved && this.confirmationAgeMs() < this.term.lease.durationMs - confirmationMarginMs;
 	}
 
 	/** True from the acquisition of the lease until this daemon knows that it has ended. */
@@ -90,6 +90,11 @@
 			return;
 		}
 
+		if (this.term && this.isKeyRemoved) {
+			void this.run(async () => this.giveUp('the leader\'s key was removed'), now + retryDelayMs);
+			return;
+		}
+
 		if (this.term && this.options.isCutOff()) {
 			void this.run(async () => this.giveUp('cut off from all targets'), now + retryDelayMs);
 			return;
@@ -105,6 +110,12 @@
 		}
 	}
 
+	/** True once the view shows that the store removed the leader's key, which may happen although the lease goes on. */
+	private get isKeyRemoved(): boolean {
+		const {view} = this.options;
+		return this.term !== undefined && view.revision >= this.term.revision && view.leader?.revision !== this.term.revision;
+	}
+
 	/** Resigns leadership permanently, so that another daemon takes over at once. */
 	async resign(): Promise<void> {
 		this.isResigned = true;
