test(standins): one meter of holders for both fleets, late orders on sockets

`HoldMeter` measures for how long keys have two holders or none, for the fleet on a paused clock and for targets on sockets; it was a part of `KeyedFleet`. `PlatformTargetServer` applies the late orders and the deafness of its `KeyHolder` to grants, releases and probes, as `KeyHolderOrders` does; requests of callers are served.

--- a/standins/keyed-fleet.ts
+++ b/standins/keyed-fleet.ts
@@ -9,8 +9,9 @@
 import {KeyLeader} from '../src/decisions/ownership/key-leader.js';
 import type {EventLog, LogEvent, LogFields} from '../src/model/events.js';
 import {TargetState, type Member, type Target} from '../src/model/fleet.js';
-import {findRange, lastKey} from '../src/model/key-ownership.js';
+import {findRange} from '../src/model/key-ownership.js';
 import type {RouteConfiguration} from '../src/model/route-configuration.js';
+import {HoldMeter, unheldKeys} from './hold-meter.js';
 import {KeyHolder, KeyHolderOrders} from './key-holder.js';
 import {createLonePermits} from './lone-permits.js';
 import {MemoryCoordinationStore, type MemoryStoreClient} from './memory-coordination-store.js';
@@ -21,9 +22,6 @@
 /** Interval between ticks of the daemons and between checks of ownership, in milliseconds. */
 const stepMs = 10;
 
-/** Sample of the key space whose ownership is checked. */
-const checkedKeys = Array.from({length: 32}, (_, index) => Math.floor(index * lastKey / 31));
-
 const configuration: RouteConfiguration = {
 	version: 1,
 	routes: [],
@@ -112,14 +110,7 @@
 	readonly holders = new Map<string, KeyHolder>();
 	readonly daemons: FleetDaemon[] = [];
 	readonly events: Array<{event: LogEvent; daemon: string; at: number} & LogFields> = [];
-	/** Moments at which more than one target held a key, as text. */
-	readonly overlappingHolds: string[] = [];
-	/** Longest time for which more than one target held a key, in milliseconds. */
-	longestOverlapMs = 0;
-	/** Longest time without a holder by key, in milliseconds; counted after the first holder of the key. */
-	readonly longestGapMs = new Map<number, number>();
-	private readonly overlapsSince = new Map<number, number>();
-	private readonly lastHeldAt = new Map<number, number>();
+	private readonly meter = new HoldMeter();
 	private incarnationCount = 0;
 
 	constructor(daemonCount: number, targetCount: number) {
@@ -133,6 +124,16 @@
 		}
 	}
 
+	/** Moments at which more than one target held a key, as text. */
+	get overlappingHolds(): readonly string[] {
+		return this.meter.overlaps;
+	}
+
+	/** Longest time for which more than one target held a key, in milliseconds. */
+	get longestOverlapMs(): number {
+		return this.meter.longestOverlapMs;
+	}
+
 	/** Starts a daemon, or a new process of it. */
 	addDaemon(name: string): void {
 		this.daemons.push(new FleetDaemon(name, this));
@@ -188,9 +189,8 @@
 		return findRange(ranges, key)?.owner.id;
 	}
 
-	/** Keys that no target holds. */
 	unheldKeys(): number[] {
-		return checkedKeys.filter(key => ![...this.holders.values()].some(holder => holder.isHolding(key)));
+		return unheldKeys([...this.holders.values()]);
 	}
 
 	/** Ends the lease of the leader without its knowledge, as the platform may do. */
@@ -210,17 +210,16 @@
 
 			// eslint-disable-next-line no-await-in-loop -- the clock advances step by step.
 			await advance(stepMs);
-			this.checkOwnership();
+			this.meter.check([...this.holders.values()]);
 		}
 	}
 
-	/** Discards the gaps measured so far. */
 	resetGaps(): void {
-		this.longestGapMs.clear();
+		this.meter.resetGaps();
 	}
 
 	maxGapMs(): number {
-		return Math.max(0, ...this.longestGapMs.values());
+		return this.meter.maxGapMs();
 	}
 
 	stop(): void {
@@ -228,26 +227,4 @@
 			daemon.stop();
 		}
 	}
-
-	private checkOwnership(): void {
-		const now = performance.now();
-		for (const key of checkedKeys) {
-			const currentHolders = [...this.holders.values()].filter(holder => holder.isHolding(key, now));
-			if (currentHolders.length > 1) {
-				this.overlappingHolds.push(`key ${key} at ${now}: ${currentHolders.map(({incarnation}) => incarnation.id).join(', ')}`);
-				const since = this.overlapsSince.get(key) ?? now - stepMs;
-				this.overlapsSince.set(key, since);
-				this.longestOverlapMs = Math.max(this.longestOverlapMs, now - since);
-			} else {
-				this.overlapsSince.delete(key);
-			}
-
-			const lastHeldAt = this.lastHeldAt.get(key);
-			if (currentHolders.length > 0) {
-				this.lastHeldAt.set(key, now);
-			} else if (lastHeldAt !== undefined) {
-				this.longestGapMs.set(key, Math.max(now - lastHeldAt, this.longestGapMs.get(key) ?? 0));
-			}
-		}
-	}
 }
--- a/standins/platform-target-server.ts
+++ b/standins/platform-target-server.ts
@@ -2,12 +2,14 @@
  * Stand-in of a target on the platform: it holds keys and answers requests with a response seal.
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {FenceRejectedError} from '../src/model/errors.js';
 import {TargetState} from '../src/model/fleet.js';
 import type {KeyGrant, KeyOrder} from '../src/model/key-orders.js';
 import {WireHeader, wireKeys, wirePaths} from '../src/platform/wire.js';
 import {listenJson, sendJson} from './json-http.js';
 import {KeyHolder} from './key-holder.js';
+import {HoldStart} from './late-orders.js';
 import type {MemoryCoordinationStore} from './memory-coordination-store.js';
 
 /** Settings of a target. */
@@ -27,6 +29,8 @@
 	onRun(target: string, requestId: string, key: number): void;
 };
 
+const healthPath = '/health';
+
 type WireOrder = {from: number; target: number; fence: number; holdMs: number};
 
 /** Serves one target on loopback. */
@@ -78,11 +82,16 @@
 	}
 
 	protected async handle(request: IncomingMessage, response: ServerResponse, body: unknown): Promise<void> {
+		const arrival = await this.receive(request, response);
+		if (!arrival) {
+			return;
+		}
+
 		const {from: first, target: last, fence, holdMs: holdDurationMs} = (body ?? {}) as WireOrder;
 		const order = {range: {first, last}, fence, timeoutMs: 0};
 		switch (request.url ?? '') {
 			case wirePaths.grant: {
-				this.grant(response, {...order, holdDurationMs});
+				this.grant(response, {...order, holdDurationMs}, arrival.holdStartsAt);
 				return;
 			}
 
@@ -91,7 +100,7 @@
 				return;
 			}
 
-			case '/health': {
+			case healthPath: {
 				sendJson(response, 200, {}, {[WireHeader.Target]: this.options.id});
 				return;
 			}
@@ -134,4 +143,28 @@
 		});
 		sendJson(response, 200, {target: id}, {[WireHeader.RequestId]: requestId, [WireHeader.Seal]: `${id}.${requestId}`, ...this.statementHeaders});
 	}
+
+	/** Applies the faults of orders and probes; resolves when the request is to be carried out, with undefined if it is lost. */
+	private async receive(request: IncomingMessage, response: ServerResponse): Promise<{holdStartsAt: number} | undefined> {
+		const {isUnreachable, lateOrders} = this.holder;
+		const holdStartsAt = performance.now();
+		const isProbe = request.url === healthPath;
+		if (!isProbe && request.url !== wirePaths.grant && request.url !== wirePaths.release) {
+			return {holdStartsAt};
+		}
+
+		if (isUnreachable) {
+			return undefined;
+		}
+
+		const lateMs = lateOrders?.draw(isProbe);
+		if (!lateOrders || lateMs === undefined) {
+			return {holdStartsAt};
+		}
+
+		await delay(lateMs);
+		// The caller gets no answer.
+		response.destroy();
+		return {holdStartsAt: lateOrders.holdStart === HoldStart.Arrival ? holdStartsAt : performance.now()};
+	}
 }
