--- a/tests/platform/orders-carried-out-late.test.ts
+++ b/tests/platform/orders-carried-out-late.test.ts
@@ -58,7 +58,7 @@
 }
 
 for (const {title, network, isLeaderStopped} of cases) {
-	test.failing(`should not leave keys to a target that carries a grant out 8 s late, ${title}`, async t => {
+	test(`should not leave keys to a target that carries a grant out 8 s late, ${title}`, async t => {
 		const events: Array<{event: LogEvent} & LogFields> = [];
 		const deployment = new PlatformDeployment({
 			network, daemonCount: 3, targetCount: 3, isKeyed: true, workMs: 20,
