--- a/src/decisions/fleet/configuration-freshness.ts
+++ b/src/decisions/fleet/configuration-freshness.ts
@@ -3,6 +3,7 @@
  */
 import type {Cancellation} from '../../model/cancellation.js';
 import {elapsedSince, currentMoment, type Moment} from '../ownership/moment.js';
+import {EvidenceWaiters, evidenceWaitMs, failureBackoffMs} from './evidence-waiters.js';
 
 /** Strictest bound in the users' requirements, in milliseconds. */
 const defaultBoundMs = 2000;
@@ -13,12 +14,6 @@
 /** Share of the bound after which a missing version makes the active one outdated; peers may have reported the version late. */
 const outdatedAfterShare = 0.5;
 
-/** Time after a failed request in which evidence is not waited for, in milliseconds. */
-const failureBackoffMs = 500;
-
-/** Longest wait for evidence, in milliseconds; long enough for an answer of a peer and then one of the store. */
-const evidenceWaitMs = 300;
-
 /** Time for which a peer's report that it reaches the store counts, in milliseconds; idle peers report every 250 ms. */
 const storeContactLifetimeMs = 1000;
 
@@ -41,7 +36,7 @@
 	private missingVersions: MissingVersion[] = [];
 	/** Monotonic time at which a peer with a newer version last reached the store. */
 	private lastObtainableAt = Number.NEGATIVE_INFINITY;
-	private readonly waiters = new Set<(isFresh: boolean) => void>();
+	private readonly waiters = new EvidenceWaiters();
 
 	/** @param boundMs time in which a configuration has to be active on every daemon, in milliseconds */
 	constructor(readonly boundMs = defaultBoundMs) {}
@@ -125,7 +120,7 @@
 	/** Records that neither the store nor a peer has evidence: pending waits end, and new ones fail at once for some time. */
 	recordFailure(): void {
 		this.failedAt = currentMoment();
-		this.settle(false);
+		this.waiters.settle(false);
 	}
 
 	/**
@@ -142,24 +137,7 @@
 			return false;
 		}
 
-		return new Promise<boolean>(resolve => {
-			const settle = (isFresh: boolean): void => {
-				clearTimeout(timer);
-				this.waiters.delete(settle);
-				cancellation.unsubscribe(onCancelled);
-				resolve(isFresh);
-			};
-
-			const onCancelled = (): void => {
-				settle(false);
-			};
-
-			const timer = setTimeout(() => {
-				settle(false);
-			}, Math.max(0, Math.min(evidenceWaitMs, leftMs)));
-			this.waiters.add(settle);
-			cancellation.subscribe(onCancelled);
-		});
+		return this.waiters.wait(cancellation, Math.min(evidenceWaitMs, leftMs));
 	}
 
 	private get missingForMs(): number {
@@ -169,13 +147,7 @@
 
 	private settleIfFresh(): void {
 		if (this.isFresh) {
-			this.settle(true);
-		}
-	}
-
-	private settle(isFresh: boolean): void {
-		for (const settle of this.waiters) {
-			settle(isFresh);
+			this.waiters.settle(true);
 		}
 	}
 }
