feat(fleet): evidence that the known owners of keys are the newest ones

Callers see no change yet: nothing reads the evidence.

Change: a view knows up to which moment its owners were the newest ones. A daemon that followed another one reads the owners before its own watches count: updates of peers raise the revision without owners. Owners that a watch brings are applied even if peers have raised the revision above them. Events 2015 and 2016, gauge owner_evidence_age_seconds.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -6,6 +6,7 @@
 import {ConfigurationFreshness} from '../decisions/fleet/configuration-freshness.js';
 import {FleetSync} from '../decisions/fleet/fleet-sync.js';
 import {FleetView} from '../decisions/fleet/fleet-view.js';
+import {LeaderWord} from '../decisions/fleet/leader-word.js';
 import {Membership} from '../decisions/fleet/membership.js';
 import {PeerExchange} from '../decisions/fleet/peer-exchange.js';
 import {decodePeerMessage, type PeerMessage} from '../decisions/fleet/peer-message.js';
@@ -120,6 +121,11 @@
 			log.record(LogEvent.PeerMessageRejected, {detail});
 		});
 		this.leader = this.createLeader(loads, exchange);
+		const {leadership} = this.leader;
+		const {holdLimitMs, thawSlackMs} = settings;
+		const leaderWord = new LeaderWord({
+			leadership, ownerFreshness: this.view.ownerFreshness, limits: {holdLimitMs, thawSlackMs}, readOwners: async () => this.sync.refreshOwners(),
+		});
 		this.relayTransport = new PeerRelayTransport(daemon);
 		this.relay = this.createRelay(loads);
 		const forwarder = new Forwarder({
@@ -140,7 +146,7 @@
 		});
 		this.metrics = this.createMetrics(forwarder);
 		this.kernel = createPlatformKernel(daemon, {
-			view: this.view, sync: this.sync, membership: this.membership, exchange, forwarder, loads, statements: this.statements, leader: this.leader, log,
+			view: this.view, sync: this.sync, membership: this.membership, exchange, forwarder, loads, statements: this.statements, leader: this.leader, leaderWord, log,
 		}, this.createEdgeServices());
 	}
 
@@ -247,6 +253,9 @@
 				requestEvidence: () => {
 					this.exchange.requestEvidence();
 				},
+				requestLeaderEvidence: () => {
+					this.exchange.requestLeaderEvidence();
+				},
 			},
 			random: Math.random,
 		});
@@ -370,6 +379,7 @@
 			unansweredGrants: () => this.leader.unansweredGrants,
 			configurationVersion: () => this.view.configuration?.version ?? 0,
 			configurationEvidenceAgeMs: () => this.view.freshness.ageMs,
+			ownerEvidenceAgeMs: () => this.view.ownerFreshness.ageMs,
 			isStoreReachable: () => this.sync.isStoreReachable,
 			limitedTargets: () => this.statements.limitedCount,
 			oldestLimitAgeMs: () => this.statements.oldestLimitAgeMs(),
--- a/src/decisions/fleet/evidence-requester.ts
+++ b/src/decisions/fleet/evidence-requester.ts
@@ -4,6 +4,7 @@
 import type {CoordinationStore, StoreChange} from '../../model/coordination-store.js';
 import {LogEvent, type EventLog} from '../../model/events.js';
 import {currentMoment, type Moment} from '../ownership/moment.js';
+import {storeKeys} from './daemon-documents.js';
 import type {FleetView} from './fleet-view.js';
 import type {UpdateRelay} from './update-relay.js';
 import type {ViewWriter} from './view-writer.js';
@@ -86,10 +87,15 @@
 		void (change.key === configurationKey ? this.readConfiguration() : this.read(change.key));
 	}
 
-	/** Applies the store's configuration even if peers have raised the view's revision above it; versions only rise. */
-	applyConfigurationChanges(changes: readonly StoreChange[]): void {
-		const {writer, configurationKey} = this.options;
-		for (const change of changes.filter(({key}) => key === configurationKey)) {
+	/**
+	 * Applies the store's configuration and owners even if peers have raised the view's revision above them: updates of peers contain no
+	 * owners, and the versions and revisions of both only rise.
+	 */
+	applyRisingChanges(changes: readonly StoreChange[]): void {
+		const {view, writer, configurationKey} = this.options;
+		const isNewerOwners = ({key, revision}: StoreChange): boolean => key.startsWith(storeKeys.assignments)
+			&& revision > (view.assignments.get(key.slice(storeKeys.assignments.length))?.revision ?? 0);
+		for (const change of changes.filter(each => each.key === configurationKey || isNewerOwners(each))) {
 			writer.apply(change);
 		}
 	}
--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -11,8 +11,11 @@
 import {
 	elapsedSince, shiftMoment, currentMoment, type Moment,
 } from '../ownership/moment.js';
+import {storeKeys} from './daemon-documents.js';
 import type {FleetView} from './fleet-view.js';
 import {EvidenceRequester} from './evidence-requester.js';
+import {OwnerEvidenceRequester} from './owner-evidence-requester.js';
+import {ownerEvidenceLifetimeMs} from './owner-freshness.js';
 import type {UpdateRelay} from './update-relay.js';
 import {ViewWriter, type PlatformDocuments} from './view-writer.js';
 
@@ -28,6 +31,9 @@
 	requestEvidence() {
 		// No other daemon reads the store.
 	},
+	requestLeaderEvidence() {
+		// No other daemon leads.
+	},
 };
 
 /** Options of the synchronization. */
@@ -45,6 +51,12 @@
 /** Longest wait of a watch as a share of the configuration's bound, so that evidence from its end still counts at the next end. */
 const watchWaitShare = 0.5;
 
+/**
+ * Longest wait of a watch as a share of the lifetime of evidence for owners, if there are keyed services: the evidence of a watch that
+ * brings changes counts from its begin, and has to last until the end of the next one.
+ */
+const ownerWatchShare = 0.25;
+
 /** Pause between two watches in milliseconds, so that changes are relayed in batches. */
 const batchDelayMs = 300;
 
@@ -85,6 +97,7 @@
 	private readonly random: () => number;
 	private readonly writer: ViewWriter;
 	private readonly evidenceRequester: EvidenceRequester;
+	private readonly ownerEvidenceRequester: OwnerEvidenceRequester;
 	private isStopped = false;
 	private isWatching = false;
 	/** Until then the pending watch is not interrupted: it is a catch-up query, which the store answers at once. */
@@ -104,7 +117,8 @@
 	/** True after a watch that did not bring the revision that peers have, until the store answers again. */
 	private isWatchSilent = false;
 	private endFollowing: (() => void) | undefined;
-	private readonly watchWaitMs: number;
+	/** Revision up to which all owners are known; updates from peers do not contain them. */
+	private ownersKnownTo = 0;
 	constructor(
 		private readonly store: CoordinationStore,
 		private readonly view: FleetView,
@@ -118,7 +132,15 @@
 		this.evidenceRequester = new EvidenceRequester({
 			store, view, writer: this.writer, relay, log, configurationKey: documents.configurationKey,
 		});
-		this.watchWaitMs = Math.floor(Math.min(watchLimitMs, view.freshness.boundMs * watchWaitShare));
+		this.ownerEvidenceRequester = new OwnerEvidenceRequester({
+			view,
+			relay,
+			log,
+			isStoreReachable: () => this.isStoreReachable,
+			readOwners: () => {
+				void this.refreshOwners();
+			},
+		});
 	}
 
 	/** True unless the store did not answer the last call, or a watch did not bring the revision that peers have. */
@@ -168,6 +190,7 @@
 		}
 
 		this.evidenceRequester.tick(now);
+		this.ownerEvidenceRequester.tick(now);
 	}
 
 	/** Reads one key; its value may be too large for messages between daemons. */
@@ -175,6 +198,16 @@
 		await this.evidenceRequester.read(key);
 	}
 
+	/** Reads all owners of keys; returns false if that failed. */
+	async refreshOwners(): Promise<boolean> {
+		try {
+			return await this.readOwners();
+		} catch (error) {
+			this.log.record(LogEvent.StoreReadFailed, {key: storeKeys.assignments, detail: error instanceof Error ? error.message : String(error)});
+			return false;
+		}
+	}
+
 	/**
 	 * Applies changes that another daemon has read, unless changes before them are missing; `tick` requests the missing ones.
 	 *
@@ -255,6 +288,10 @@
 
 		this.mustQueryStore = false;
 		try {
+			if (!this.mustList && this.mayMissOwners) {
+				await this.readOwners();
+			}
+
 			await (this.mustList ? this.list() : this.watch());
 		} catch (error) {
 			if (error instanceof HistoryLostError) {
@@ -297,6 +334,7 @@
 
 		this.view.revision = revision;
 		this.evidenceRequester.confirm(requestedAt);
+		this.confirmOwners(requestedAt, revision);
 		if (this.hasListed && !this.relay.isFollowing()) {
 			this.publishListing(after, [...items, ...removals], revision);
 		}
@@ -333,8 +371,10 @@
 	private async watch(): Promise<void> {
 		const after = this.view.revision;
 		const isBehind = this.newestPeerRevision > after;
+		const areOwnersKnown = this.ownersKnownTo >= after;
+		const {watchWaitMs} = this;
 		const requestedAt = currentMoment();
-		const {changes, revision} = await this.waitForChanges(after);
+		const {changes, revision} = await this.waitForChanges(after, watchWaitMs);
 		this.recordSuccess();
 		this.capPeerRevision(revision, requestedAt.monotonic);
 		if (revision < after) {
@@ -348,8 +388,13 @@
 		}
 
 		this.applyUpdate({after, changes, revision});
-		this.evidenceRequester.applyConfigurationChanges(changes);
-		this.evidenceRequester.confirm(changes.length === 0 ? unchangedUntil(requestedAt, this.watchWaitMs) : requestedAt);
+		this.evidenceRequester.applyRisingChanges(changes);
+		const confirmedAt = changes.length === 0 ? unchangedUntil(requestedAt, watchWaitMs) : requestedAt;
+		this.evidenceRequester.confirm(confirmedAt);
+		if (areOwnersKnown) {
+			this.confirmOwners(confirmedAt, revision);
+		}
+
 		if (changes.length > 0) {
 			this.relay.publish({after, changes, revision});
 			// Changes also collect while the answer to a catch-up query is on its way, so that its duration counts as pause.
@@ -357,11 +402,39 @@
 		}
 	}
 
-	private async waitForChanges(after: number): Promise<StoreChanges> {
+	/** Longest wait of the next watch, in milliseconds. */
+	private get watchWaitMs(): number {
+		const {view} = this;
+		const waitMs = Math.min(watchLimitMs, view.freshness.boundMs * watchWaitShare);
+		return Math.floor(view.hasKeyedServices ? Math.min(waitMs, ownerEvidenceLifetimeMs * ownerWatchShare) : waitMs);
+	}
+
+	/** True for a daemon that has followed another one until now and may have missed a message with owners. */
+	private get mayMissOwners(): boolean {
+		return this.view.hasKeyedServices && this.ownersKnownTo < this.view.revision && !this.relay.isFollowing();
+	}
+
+	private async readOwners(): Promise<boolean> {
+		const requestedAt = currentMoment();
+		const {items, revision} = await this.store.list(storeKeys.assignments);
+		this.evidenceRequester.applyRisingChanges(items);
+		this.confirmOwners(requestedAt, revision);
+		return !this.writer.hasMalformedOwners;
+	}
+
+	/** Records that the known owners were the newest ones, up to a revision. */
+	private confirmOwners(at: Moment, revision: number): void {
+		if (!this.writer.hasMalformedOwners) {
+			this.ownersKnownTo = Math.max(this.ownersKnownTo, revision);
+			this.view.ownerFreshness.confirm(at);
+		}
+	}
+
+	private async waitForChanges(after: number, waitMs: number): Promise<StoreChanges> {
 		this.isWatching = true;
 		this.answerDueAt = this.newestPeerRevision > after ? performance.now() + this.catchUpTimeoutMs : 0;
 		try {
-			return await this.store.watch('', after, this.watchWaitMs);
+			return await this.store.watch('', after, waitMs);
 		} finally {
 			this.isWatching = false;
 			this.answerDueAt = 0;
--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -9,6 +9,7 @@
 import type {RouteConfiguration} from '../../model/route-configuration.js';
 import {RouteIndex} from '../routing/route-index.js';
 import {ConfigurationFreshness} from './configuration-freshness.js';
+import {OwnerFreshness} from './owner-freshness.js';
 
 /** A target that the store no longer lists. */
 type RemovedTarget = {
@@ -49,6 +50,7 @@
 	leader: KnownLeader | undefined;
 	readonly members = new Map<string, Member>();
 	readonly assignments = new Map<string, KnownAssignment>();
+	readonly ownerFreshness = new OwnerFreshness();
 	private readonly assignmentHistory = new Map<string, KnownAssignment[]>();
 	private routes: RouteIndex | undefined;
 	private readonly targets = new Map<string, Target>();
@@ -73,6 +75,16 @@
 		return this.routes?.configuration;
 	}
 
+	/** True if the active configuration has services whose keys have owners. */
+	get hasKeyedServices(): boolean {
+		return [...this.configuration?.services.values() ?? []].some(({isKeyed}) => isKeyed);
+	}
+
+	/** True if requests may be sent to the known owners. There are none before the first listing of the store. */
+	get mayUseOwners(): boolean {
+		return this.ownerFreshness.isFresh || (this.revision === 0 && !this.ownerFreshness.hasEvidence);
+	}
+
 	/** Waits for evidence that the active limits for callers are the newest ones. */
 	async confirmLimits(cancellation: Cancellation): Promise<boolean> {
 		return await this.freshness.waitForEvidence(cancellation) && this.configuration?.hasUnknownLimits === false;
--- /dev/null
+++ b/src/decisions/fleet/owner-freshness.ts
@@ -0,0 +1,78 @@
+/**
+ * Freshness of the owners of keys: evidence that no target other than the known owners may hold the keys.
+ *
+ * The leader gives the keys of an owner that has not answered to another one no sooner than after the lifetime of such evidence.
+ * A daemon that sends only with fresh evidence never sends to the old owner by then; see docs/design/owner-evidence.md.
+ */
+import type {Cancellation} from '../../model/cancellation.js';
+import {elapsedSince, currentMoment, type Moment} from '../ownership/moment.js';
+import {EvidenceWaiters, evidenceWaitMs, failureBackoffMs} from './evidence-waiters.js';
+
+/** Time for which owners may be sent requests after they were known to be the newest, in milliseconds. */
+export const ownerEvidenceLifetimeMs = 2000;
+
+/** Tracks until when the known owners were confirmed as the newest ones. */
+export class OwnerFreshness {
+	private confirmedAt: Moment | undefined;
+	private failedAt: Moment | undefined;
+	private readonly waiters = new EvidenceWaiters();
+
+	/** True once there was any evidence. */
+	get hasEvidence(): boolean {
+		return this.confirmedAt !== undefined;
+	}
+
+	get isFresh(): boolean {
+		return this.ageMs <= ownerEvidenceLifetimeMs;
+	}
+
+	/** True while requests wait for evidence. */
+	get isEvidenceNeeded(): boolean {
+		return this.waiters.size > 0;
+	}
+
+	/** Age of the evidence in milliseconds. */
+	get ageMs(): number {
+		return this.confirmedAt ? elapsedSince(this.confirmedAt) : Infinity;
+	}
+
+	/**
+	 * Records that the known owners were the newest ones.
+	 *
+	 * @param at a moment at which they were; requested evidence counts from the request
+	 */
+	confirm(at: Moment): void {
+		if (elapsedSince(at) >= this.ageMs) {
+			return;
+		}
+
+		this.confirmedAt = at;
+		if (this.isFresh) {
+			this.failedAt = undefined;
+			this.waiters.settle(true);
+		}
+	}
+
+	/**
+	 * Waits for evidence; false if none came in time, or the request was cancelled. After a wait in vain, others fail at once for
+	 * some time.
+	 *
+	 * @param leftMs remaining time of the caller, in milliseconds
+	 */
+	async waitForEvidence(cancellation: Cancellation, leftMs = Infinity): Promise<boolean> {
+		if (this.isFresh) {
+			return true;
+		}
+
+		if (cancellation.isCancelled || (this.failedAt && elapsedSince(this.failedAt) <= failureBackoffMs)) {
+			return false;
+		}
+
+		const isConfirmed = await this.waiters.wait(cancellation, Math.min(evidenceWaitMs, leftMs));
+		if (!isConfirmed && !cancellation.isCancelled && leftMs >= evidenceWaitMs) {
+			this.failedAt = currentMoment();
+		}
+
+		return isConfirmed;
+	}
+}
--- a/src/decisions/fleet/peer-exchange.ts
+++ b/src/decisions/fleet/peer-exchange.ts
@@ -91,6 +91,14 @@
 	sentAt: Moment;
 };
 
+/** Evidence of a peer for the owners of keys. */
+type OwnerEvidence = {
+	/** When the peer's owners were the newest ones. */
+	at: Moment;
+	/** Revisions of the assignments that the peer has. */
+	assignments: PeerMessage['assignments'];
+};
+
 /** Sends messages to peers and handles those that it receives. */
 export class PeerExchange {
 	private keys = new Map<string, number[]>();
@@ -108,6 +116,8 @@
 	private keysReportedAt = 0;
 	private lastInFlightJson = '';
 	private readonly evidenceRequests: EvidenceRequest[] = [];
+	/** Evidence for owners that this daemon does not have yet. */
+	private pendingOwnerEvidence: OwnerEvidence | undefined;
 	/** Starts at the time of day, so that requests of an earlier process of this daemon have lower numbers. */
 	private nextRequestNumber = Date.now();
 
@@ -128,6 +138,7 @@
 		this.reportZoneLoad(now);
 		this.reportKeys(now);
 		this.requestAssignments(now);
+		this.applyPendingOwnerEvidence();
 		this.options.permits.tick(now);
 		this.options.hubs.prune();
 	}
@@ -156,19 +167,15 @@
 		}
 	}
 
-	/** Requests evidence that the active configuration is the newest one, from the daemon that watches the store. */
+	/** Requests evidence that the active configuration and the known owners are the newest ones, from the daemon that watches the store. */
 	requestEvidence(now = performance.now()): void {
-		const {hubs, sync, view} = this.options;
-		const member = view.members.get(hubs.watcher(sync.isStoreReachable, now) ?? '');
-		if (!member) {
-			return;
-		}
+		const {hubs, sync} = this.options;
+		this.requestEvidenceFrom(hubs.watcher(sync.isStoreReachable, now));
+	}
 
-		const request = {number: this.nextRequestNumber, sentAt: currentMoment()};
-		this.nextRequestNumber += 1;
-		this.evidenceRequests.push(request);
-		this.evidenceRequests.splice(0, this.evidenceRequests.length - evidenceRequestLimit);
-		this.send({wants: {evidence: request.number}}, [member]);
+	/** Requests the same from the leader, whose word holds while the store is unreachable. */
+	requestLeaderEvidence(): void {
+		this.requestEvidenceFrom(this.options.view.leader?.daemon);
 	}
 
 	/** Sends peers the owners that were just written. A peer that misses the message notices it by the revisions in later ones. */
@@ -222,6 +229,7 @@
 		this.receiveEvidence(message);
 		if (message.change) {
 			this.receiveAssignmentChange(message.change);
+			this.applyPendingOwnerEvidence();
 		}
 
 		this.recordMissingAssignments(message, now);
@@ -260,15 +268,52 @@
 		view.applyAssignment(applyAssignmentChange(change, change.base === undefined ? undefined : known?.assignment));
 	}
 
+	private requestEvidenceFrom(daemon = ''): void {
+		const member = this.options.view.members.get(daemon);
+		if (!member || daemon === this.options.daemon) {
+			return;
+		}
+
+		const request = {number: this.nextRequestNumber, sentAt: currentMoment()};
+		this.nextRequestNumber += 1;
+		this.evidenceRequests.push(request);
+		this.evidenceRequests.splice(0, this.evidenceRequests.length - evidenceRequestLimit);
+		this.send({wants: {evidence: request.number}}, [member]);
+	}
+
 	/** Counts the age of the evidence from the time of the request, because the answer may have waited in a socket. */
-	private receiveEvidence({evidence}: PeerMessage): void {
+	private receiveEvidence({evidence, assignments}: PeerMessage): void {
 		const {view} = this.options;
 		const request = this.evidenceRequests.find(({number}) => number === evidence?.question);
-		if (!evidence || !request || (view.configuration?.version ?? 0) < evidence.version) {
+		if (!evidence || !request) {
 			return;
 		}
 
-		view.freshness.confirm(shiftMoment(request.sentAt, -evidence.ageMs));
+		if ((view.configuration?.version ?? 0) >= evidence.version) {
+			view.freshness.confirm(shiftMoment(request.sentAt, -evidence.ageMs));
+		}
+
+		if (evidence.ownersAgeMs !== undefined) {
+			this.receiveOwnerEvidence({at: shiftMoment(request.sentAt, -evidence.ownersAgeMs), assignments});
+		}
+	}
+
+	/** Applies evidence for owners that are known here, and keeps it until then; the message with newer owners may be on its way. */
+	private receiveOwnerEvidence(evidence: OwnerEvidence): void {
+		const {assignments, ownerFreshness} = this.options.view;
+		if (Object.entries(evidence.assignments).every(([service, revision]) => (assignments.get(service)?.revision ?? 0) >= revision)) {
+			ownerFreshness.confirm(evidence.at);
+		} else {
+			this.pendingOwnerEvidence = evidence;
+		}
+	}
+
+	private applyPendingOwnerEvidence(): void {
+		const {pendingOwnerEvidence} = this;
+		if (pendingOwnerEvidence) {
+			this.pendingOwnerEvidence = undefined;
+			this.receiveOwnerEvidence(pendingOwnerEvidence);
+		}
 	}
 
 	private recordMissingAssignments({daemon, assignments}: PeerMessage, now: number): void {
@@ -330,7 +375,12 @@
 		const {view} = this.options;
 		const {ageMs} = view.freshness;
 		if (wants.evidence !== undefined && view.configuration && Number.isFinite(ageMs)) {
-			this.send({evidence: {question: wants.evidence, version: view.configuration.version, ageMs: Math.ceil(ageMs)}}, [member]);
+			const ownersAgeMs = view.ownerFreshness.hasEvidence ? Math.ceil(view.ownerFreshness.ageMs) : undefined;
+			this.send({
+				evidence: {
+					question: wants.evidence, version: view.configuration.version, ageMs: Math.ceil(ageMs), ownersAgeMs,
+				},
+			}, [member]);
 		}
 
 		for (const [service, revision] of Object.entries(wants.assignments ?? {})) {
--- a/src/decisions/fleet/peer-message.ts
+++ b/src/decisions/fleet/peer-message.ts
@@ -71,11 +71,16 @@
 	change: z.optional(assignmentChangeSchema),
 	/**
 	 * Data that the sender requests: changes of the store after a revision, assignments newer than the revisions that it has, and
-	 * evidence that its configuration is the newest one, as the answer to an evidence request with this number.
+	 * evidence that its configuration and its owners of keys are the newest ones, as the answer to an evidence request with this number.
 	 */
 	wants: z.optional(z.object({after: z.optional(counter), assignments: z.optional(revisionsSchema), evidence: z.optional(counter)})),
-	/** Answer to an evidence request: its number, the sender's active version, and the age of the sender's evidence for it. */
-	evidence: z.optional(z.object({question: counter, version: counter, ageMs: counter})),
+	/**
+	 * Answer to an evidence request: its number, the sender's active version, the age of the sender's evidence for it, and the age of
+	 * the sender's evidence for the owners of keys in its `assignments`.
+	 */
+	evidence: z.optional(z.object({
+		question: counter, version: counter, ageMs: counter, ownersAgeMs: z.optional(counter),
+	})),
 	/** What targets have said of themselves, as far as the sender knows. */
 	statements: z.optional(z.record(z.string(), z.extend(limitSchema, {bornAt: counter, isLeaving: z.optional(z.boolean())}))),
 	/** Asks for a permit to send a request to a target that names a limit. */
--- a/src/decisions/fleet/update-relay.ts
+++ b/src/decisions/fleet/update-relay.ts
@@ -11,6 +11,8 @@
 	publish(update: StoreUpdate): void;
 	/** Requests the changes after a revision from a daemon with a newer one. */
 	requestChanges(after: number): void;
-	/** Requests evidence that the active configuration is the newest one, from the daemon that watches the store. */
+	/** Requests evidence that the active configuration and the known owners are the newest ones, from the daemon that watches the store. */
 	requestEvidence(): void;
+	/** Requests the same from the leader. */
+	requestLeaderEvidence(): void;
 };
--- a/src/decisions/fleet/view-writer.ts
+++ b/src/decisions/fleet/view-writer.ts
@@ -42,6 +42,11 @@
 		return this.omitted.has(key);
 	}
 
+	/** True if the newest owners of the keys of any service could not be decoded. */
+	get hasMalformedOwners(): boolean {
+		return [...this.malformed.keys()].some(key => key.startsWith(storeKeys.assignments));
+	}
+
 	/** Records that a key has a newer value, which was omitted from an update. */
 	recordOmitted({key, revision}: StoreChange): void {
 		this.omitted.set(key, revision);
--- a/src/model/events.ts
+++ b/src/model/events.ts
@@ -35,6 +35,8 @@
 	DocumentRejected = 2012,
 	LeaderChanged = 2013,
 	StoreReadFailed = 2014,
+	OwnersUnconfirmed = 2015,
+	OwnersConfirmed = 2016,
 	TargetChanged = 2020,
 	TargetRemoved = 2021,
 	TargetEjected = 2022,
--- a/src/services/platform-kernel.ts
+++ b/src/services/platform-kernel.ts
@@ -3,6 +3,7 @@
  */
 import {ServiceBroker, type Context, type ServiceSchema} from 'moleculer';
 import type {FleetSync} from '../decisions/fleet/fleet-sync.js';
+import type {LeaderWord} from '../decisions/fleet/leader-word.js';
 import type {FleetView} from '../decisions/fleet/fleet-view.js';
 import type {Membership} from '../decisions/fleet/membership.js';
 import type {PeerExchange} from '../decisions/fleet/peer-exchange.js';
@@ -33,6 +34,7 @@
 	loads: TargetLoads;
 	statements: TargetStatements;
 	leader: KeyLeader;
+	leaderWord: LeaderWord;
 	log: EventLog;
 };
 
@@ -95,7 +97,7 @@
 }
 
 /** Service "ownership": leadership and the assignment of keys to owners. */
-function createOwnershipService({leader, log}: PlatformComponents): ServiceSchema {
+function createOwnershipService({leader, leaderWord, log}: PlatformComponents): ServiceSchema {
 	const timers = new TimerSet(log);
 	return {
 		name: 'ownership',
@@ -108,6 +110,8 @@
 		started() {
 			timers.repeat(tickMs, () => {
 				leader.tick();
+			}, () => {
+				leaderWord.tick();
 			});
 		},
 		stopped() {
--- a/src/services/platform-metrics-service.ts
+++ b/src/services/platform-metrics-service.ts
@@ -27,6 +27,8 @@
 	configurationVersion(): number;
 	/** Age of the evidence that this version is the newest, in milliseconds. */
 	configurationEvidenceAgeMs(): number;
+	/** Age of the evidence that the known owners of keys are the newest ones, in milliseconds. */
+	ownerEvidenceAgeMs(): number;
 	isStoreReachable(): boolean;
 	/** Targets that name a limit. */
 	limitedTargets(): number;
@@ -67,6 +69,7 @@
 		this.addGauge('unanswered_grants', 'Grants of this leader that got no answer and may still arrive.', () => sources.unansweredGrants());
 		this.addGauge('configuration_version', 'Version of the configuration in force.', () => sources.configurationVersion());
 		this.addGauge('configuration_evidence_age_seconds', 'Age of the evidence that this version is the newest one.', () => sources.configurationEvidenceAgeMs() / secondMs);
+		this.addGauge('owner_evidence_age_seconds', 'Age of the evidence that the known owners of keys are the newest ones.', () => sources.ownerEvidenceAgeMs() / secondMs);
 		this.addGauge('store_reachable', '1 while the platform\'s store answers.', () => Number(sources.isStoreReachable()));
 		this.addGauge('limited_targets', 'Targets that name a limit.', () => sources.limitedTargets());
 		this.addGauge('oldest_limit_age_seconds', 'Time since a limit in force was last named, for the target of which this is longest.', () => sources.oldestLimitAgeMs() / secondMs);
--- a/standins/relayed-fleet.ts
+++ b/standins/relayed-fleet.ts
@@ -6,6 +6,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {FleetSync} from '../src/decisions/fleet/fleet-sync.js';
 import {FleetView} from '../src/decisions/fleet/fleet-view.js';
+import {LeaderWord} from '../src/decisions/fleet/leader-word.js';
 import {PeerExchange} from '../src/decisions/fleet/peer-exchange.js';
 import {decodePeerMessage, type PeerMessage} from '../src/decisions/fleet/peer-message.js';
 import {ZoneHubs} from '../src/decisions/fleet/zone-hubs.js';
@@ -17,6 +18,7 @@
 import {PermitIssuers} from '../src/decisions/limits/permit-issuers.js';
 import {Permits} from '../src/decisions/limits/permits.js';
 import {TargetStatements} from '../src/decisions/limits/target-statements.js';
+import {Leadership} from '../src/decisions/ownership/leadership.js';
 import {TargetState, type Member, type Target} from '../src/model/fleet.js';
 import {
 	AttemptEnd, isDaemonSpecific, OutcomeKind, type Attempt, type AttemptResult, type CallerRequest, type Outcome, type RelayAttempt, type RelayResult,
@@ -24,6 +26,7 @@
 import {decodeConfiguration} from '../src/platform/documents.js';
 import {CutConnections, type CutMode} from './cut-connections.js';
 import {MemoryCoordinationStore, type MemoryStoreClient} from './memory-coordination-store.js';
+import {createPlatformSettings} from './platform-settings.js';
 
 /** Interval between ticks of a daemon, in milliseconds. */
 const tickMs = 20;
@@ -70,10 +73,15 @@
 	readonly relay: RequestRelay;
 	/** Forwards to targets that answer every request, unless the fleet has other targets. */
 	readonly forwarder: Forwarder;
+	/** Undefined unless the daemon competes for the leadership. */
+	leadership: Leadership | undefined;
 	isStopped = false;
 	watchCount = 0;
 	readCount = 0;
 	listCount = 0;
+	/** Messages that wait in the socket of a suspended daemon; undefined while it runs. */
+	private inbox: PeerMessage[] | undefined;
+	private leaderWord: LeaderWord | undefined;
 	private readonly timer: NodeJS.Timeout;
 
 	constructor(readonly member: Member, fleet: RelayedFleet) {
@@ -114,6 +122,9 @@
 				requestEvidence: () => {
 					this.exchange.requestEvidence();
 				},
+				requestLeaderEvidence: () => {
+					this.exchange.requestLeaderEvidence();
+				},
 			},
 		});
 		this.permits = new Permits({
@@ -186,7 +197,9 @@
 		});
 		void this.sync.run();
 		this.timer = setInterval(() => {
-			if (!this.isStopped) {
+			if (!this.isStopped && !this.inbox) {
+				this.leadership?.tick();
+				this.leaderWord?.tick();
 				this.exchange.tick();
 				this.sync.tick();
 				this.forwarder.tick();
@@ -194,6 +207,45 @@
 		}, tickMs);
 	}
 
+	/** Competes for the leadership from now on. */
+	compete(random: () => number): void {
+		const {daemon} = this.member;
+		const {leaseMinimumMs, holdLimitMs, thawSlackMs} = createPlatformSettings({daemon, ip: '', storeIp: ''});
+		const {ownerFreshness} = this.view;
+		this.leadership = new Leadership({
+			daemon, store: this.client, view: this.view, log: silentLog, leaseMinimumMs, random, isCutOff: () => false,
+		});
+		this.leaderWord = new LeaderWord({
+			leadership: this.leadership, ownerFreshness, limits: {holdLimitMs, thawSlackMs}, readOwners: async () => this.sync.refreshOwners(),
+		});
+	}
+
+	receive(message: PeerMessage): void {
+		if (this.inbox) {
+			this.inbox.push(message);
+		} else if (!this.isStopped) {
+			this.exchange.receive(message);
+		}
+	}
+
+	get isSuspended(): boolean {
+		return this.inbox !== undefined;
+	}
+
+	/** Suspends the process: timers do not run, and messages and answers of the store wait. */
+	suspend(durationMs: number): void {
+		this.inbox = [];
+		this.client.answerDelayMs += durationMs;
+		setTimeout(() => {
+			this.client.answerDelayMs -= durationMs;
+			const messages = this.inbox ?? [];
+			this.inbox = undefined;
+			for (const message of messages) {
+				this.receive(message);
+			}
+		}, durationMs);
+	}
+
 	close(): void {
 		clearInterval(this.timer);
 		this.sync.stop();
@@ -318,7 +370,7 @@
 
 	send(from: RelayedDaemon, message: PeerMessage, members: Iterable<Member>): void {
 		const text = JSON.stringify(message);
-		if (from.isStopped || text.length > maxDatagramBytes || (this.dropsUpdates && message.update)) {
+		if (from.isStopped || from.isSuspended || text.length > maxDatagramBytes || (this.dropsUpdates && message.update)) {
 			return;
 		}
 
@@ -328,8 +380,8 @@
 			const to = this.daemon(daemon);
 			for (const delayMs of this.deliveryDelays?.() ?? [datagramDelayMs]) {
 				setTimeout(() => {
-					if (!to.isStopped && !this.blockedReceivers.has(daemon)) {
-						to.exchange.receive(decodePeerMessage(JSON.parse(text)));
+					if (!this.blockedReceivers.has(daemon)) {
+						to.receive(decodePeerMessage(JSON.parse(text)));
 					}
 				}, delayMs);
 			}
