fix(forwarding): send keyed requests only under confirmed owners

Cause: nothing bounded the age of the assignment by which a daemon sends.

Change: the forwarder asks for the evidence before it chooses the owner, in each attempt, and once more after the wait for a permit.

--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -47,6 +47,8 @@
 const retryDelaysMs = {
 	moving: 100,
 	ownerLost: 400,
+	/** Other daemons know the owners. */
+	ownersUnconfirmed: 100,
 	overloaded: 200,
 	noTarget: 300,
 	starting: 300,
@@ -322,6 +324,12 @@
 	/** Makes one attempt; returns the final outcome, or undefined if another attempt may follow. */
 	private async attemptOnce(context: ForwardingContext): Promise<Outcome | undefined> {
 		for (;;) {
+			// eslint-disable-next-line no-await-in-loop -- see below.
+			const refusal = context.service.isKeyed && await this.confirmOwners(context);
+			if (refusal) {
+				return refusal;
+			}
+
 			// eslint-disable-next-line no-await-in-loop -- one target is considered after another.
 			const chosen = context.service.isKeyed ? await this.findOwner(context) : this.chooseUnkeyedTarget(context);
 			if (!chosen) {
@@ -400,7 +408,7 @@
 		const {isAdmitted, retryAfterMs} = await permits.acquire(target, route.priority, waitMs, cancellation);
 		if (isAdmitted) {
 			// The target may have left, or the key may have moved, while the request waited for its turn.
-			return statements.pauseLeftMs(target) === 0 && view.isReady(target) && (!service.isKeyed || this.isOwner(context, target));
+			return statements.pauseLeftMs(target) === 0 && view.isReady(target) && (!service.isKeyed || (view.mayUseOwners && this.isOwner(context, target)));
 		}
 
 		context.deniedTargets.set(target.id, retryAfterMs);
@@ -414,6 +422,16 @@
 		return range?.previous.length === 0 && !range.isBlocked && isSameIncarnation(range.owner, target);
 	}
 
+	/** Waits shortly for evidence that the known owners are the newest ones; returns the refusal if none came. */
+	private async confirmOwners(context: ForwardingContext): Promise<Outcome | undefined> {
+		const {view} = this.options;
+		if (view.mayUseOwners || await view.ownerFreshness.waitForEvidence(context.request.cancellation, remainingMs(context) - minUsefulBudgetMs)) {
+			return undefined;
+		}
+
+		return this.giveUp(context, OutcomeReason.OwnersUnconfirmed, retryDelaysMs.ownersUnconfirmed);
+	}
+
 	/** Returns the owner of the request's key; undefined if the assignment changed during a wait, so that the lookup starts again. */
 	private async findOwner(context: ForwardingContext): Promise<Target | Outcome | undefined> {
 		const {view} = this.options;
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -162,6 +162,8 @@
 	NoOwner = 'no_owner',
 	KeyMoving = 'key_moving',
 	OwnerLost = 'owner_lost',
+	/** The known owner of the key may no longer be the newest one; other daemons may know. */
+	OwnersUnconfirmed = 'owners_unconfirmed',
 	Overloaded = 'overloaded',
 	/** The target refused a request of this daemon and wants none from it for a time. */
 	TargetPaused = 'target_paused',
@@ -186,6 +188,7 @@
 	OutcomeReason.NoRoute,
 	OutcomeReason.ConfigurationOutdated,
 	OutcomeReason.ConfigurationUnconfirmed,
+	OutcomeReason.OwnersUnconfirmed,
 	OutcomeReason.TargetsUnreachable,
 	OutcomeReason.DaemonStopping,
 ]);
