test(forwarding): histories of faults around moves of keys

Callers see no change. One more case plays a leader that is cut off with a follower while a successor moves keys.

--- a/standins/relayed-fleet.ts
+++ b/standins/relayed-fleet.ts
@@ -283,6 +283,8 @@
 	/** Number of messages sent between availability zones. */
 	crossZoneMessages = 0;
 	dropsUpdates = false;
+	/** Daemons that exchange messages only with each other. */
+	readonly isolated = new Set<string>();
 	/** Number of requests that were relayed to peers. */
 	relayCount = 0;
 	/** Number of probes of targets. */
@@ -380,7 +382,7 @@
 			const to = this.daemon(daemon);
 			for (const delayMs of this.deliveryDelays?.() ?? [datagramDelayMs]) {
 				setTimeout(() => {
-					if (!this.blockedReceivers.has(daemon)) {
+					if (!this.blockedReceivers.has(daemon) && this.isolated.has(daemon) === this.isolated.has(from.member.daemon)) {
 						to.receive(decodePeerMessage(JSON.parse(text)));
 					}
 				}, delayMs);
--- a/tests/decisions/outdated-owner.test.ts
+++ b/tests/decisions/outdated-owner.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {wordReachMs} from '../../src/decisions/fleet/leader-word.js';
 import {ownerEvidenceLifetimeMs} from '../../src/decisions/fleet/owner-freshness.js';
 import {OutcomeKind, OutcomeReason, type Outcome} from '../../src/model/forwarding.js';
 import {callerRequest} from '../../standins/caller-request.js';
@@ -350,3 +351,33 @@
 		t.true(late.length > 0);
 	});
 });
+
+test.serial('should end the word of a leader that is cut off before its successor may move keys without proof', async t => {
+	await withLedFleet(mediumFleet, async run => {
+		const {fleet, leader, wait} = run;
+		const sent = recordSent(fleet);
+		const successor = fleet.daemon('two-1');
+		successor.compete(() => fleet.random());
+		const follower = fleet.daemon('one-3');
+		for (const daemon of [leader, follower]) {
+			daemon.client.isDisconnected = true;
+			fleet.isolated.add(daemon.member.daemon);
+		}
+
+		const cutAt = performance.now();
+		while (successor.leadership?.isConfirmed !== true) {
+			// eslint-disable-next-line no-await-in-loop -- time passes in steps.
+			await wait(10);
+		}
+
+		const takenOverAt = performance.now();
+		await sendThrough('one-3', wordReachMs - ownerEvidenceLifetimeMs, run);
+		const move = moveAsLeader(successor, 'b', 3);
+		await sendThrough('one-3', 2 * ownerEvidenceLifetimeMs, run);
+		t.truthy(await move);
+		const lastSentAt = Math.max(...sent.filter(({daemon}) => daemon === 'one-3').map(({at}) => at));
+		t.true(lastSentAt - cutAt > outageMs, `sent until ${lastSentAt - cutAt} ms after the cut`);
+		t.true(lastSentAt < takenOverAt + wordReachMs, `sent until ${lastSentAt - takenOverAt} ms after the takeover`);
+		t.log(`sent until ${lastSentAt - cutAt} ms after the cut, ${lastSentAt - takenOverAt} ms after the takeover`);
+	});
+});
