--- a/tests/decisions/removed-entries.test.ts
+++ b/tests/decisions/removed-entries.test.ts
@@ -96,7 +96,7 @@
 		const client = store.createClient();
 		const view = new FleetView();
 		const sync = new FleetSync(client, view, {
-			configurationKey: 'configuration', targetsPrefix: 'targets/', decodeConfiguration: () => ({version: 1, routes: []}) as unknown as RouteConfiguration, decodeTarget() {
+			configurationKey: 'configuration', targetsPrefix: 'targets/', decodeConfiguration: () => ({version: 1, routes: [], services: new Map()}) as unknown as RouteConfiguration, decodeTarget() {
 				throw new Error('there are no targets');
 			},
 		}, {log: silentLog});
