--- a/standins/keyed-fleet.ts
+++ b/standins/keyed-fleet.ts
@@ -134,11 +134,18 @@
 		return this.meter.longestOverlapMs;
 	}
 
-	/** Starts a daemon, or a new process of it. */
+	/** Starts a daemon. */
 	addDaemon(name: string): void {
 		this.daemons.push(new FleetDaemon(name, this));
 	}
 
+	/** Ends the process of a daemon and starts another under its name. */
+	restartDaemon(daemon: FleetDaemon): void {
+		daemon.stop();
+		this.daemons.splice(this.daemons.indexOf(daemon), 1);
+		this.addDaemon(daemon.name);
+	}
+
 	/** Writes the member entry of a daemon, which stays in the store after its process has stopped. */
 	putMemberEntry(name: string): void {
 		const member: Member = {
--- a/tests/decisions/orders-carried-out-late.test.ts
+++ b/tests/decisions/orders-carried-out-late.test.ts
@@ -148,10 +148,8 @@
 	{
 		title: 'the process of the leader ends and starts again',
 		daemonCounts: [1, 3],
-		async change({fleet, run}, leader) {
-			leader.stop();
-			await run(300);
-			fleet.addDaemon(leader.name);
+		async change({fleet}, leader) {
+			fleet.restartDaemon(leader);
 		},
 	},
 	{
