fix(ownership): keys are granted without proof only once no daemon sends to the owner before

A daemon that is cut off from the store and its peers sends requests to the owner that it knows for the lifetime of its evidence (2 s), or as long as the word of an earlier leader counts (11 s after a change of the leader).

Cause: the leader granted keys as soon as the hold of a silent owner counted as expired, also right after a move that was written late, or a change of the leader. It now waits until evidence for the owner before has ended, if that owner has not proved that it holds none. With the usual times this costs nothing: the move is written about 1.1 s after the unanswered grant, and its hold counts as expired after 4.2 s. After a change of the leader, the keys of a target that falls silent wait for up to 11 s from the takeover.

--- a/src/decisions/fleet/leader-word.ts
+++ b/src/decisions/fleet/leader-word.ts
@@ -1,7 +1,7 @@
 /**
  * The leader's own evidence that its owners of keys are the newest ones, which other daemons request while the store is unreachable.
  */
-import {HoldPolicy, type HoldLimits} from '../ownership/hold-policy.js';
+import {clockDriftFactor, HoldPolicy, type HoldLimits} from '../ownership/hold-policy.js';
 import type {Leadership} from '../ownership/leadership.js';
 import {currentMoment} from '../ownership/moment.js';
 import {ownerEvidenceLifetimeMs, type OwnerFreshness} from './owner-freshness.js';
@@ -9,9 +9,6 @@
 /** Age of the leadership's confirmation up to which the word counts at most, in milliseconds; store outages are bridged up to here. */
 const wordLimitMs = 9000;
 
-/** Part by which the lifetime of evidence is longer for a clock that runs slow, as for the clocks of targets. */
-const clockDriftFactor = 1.02;
-
 /** Time between the end of all evidence from the word and the first move of another leader, in milliseconds. */
 const wordMarginMs = 500;
 
--- a/src/decisions/ownership/assignment-manager.ts
+++ b/src/decisions/ownership/assignment-manager.ts
@@ -110,6 +110,7 @@
 	private async takeOver(): Promise<void> {
 		const known = await this.currentAssignment();
 		if (known) {
+			this.rangeOrders.recordEarlierLeader();
 			this.applyAssignment(known.assignment, known.revision);
 			const draft = new AssignmentDraft(known.assignment);
 			draft.raiseFences();
--- a/src/decisions/ownership/hold-policy.ts
+++ b/src/decisions/ownership/hold-policy.ts
@@ -17,8 +17,8 @@
  */
 const outageConfirmationAgeMs = 700;
 
-/** Factor by which the clocks of targets may run slow. */
-const clockDriftFactor = 1.02;
+/** Factor by which clocks may run slow. */
+export const clockDriftFactor = 1.02;
 
 /** Allowance for timers of targets that fire late, in milliseconds. */
 const expiryMarginMs = 60;
--- a/src/decisions/ownership/range-orders.ts
+++ b/src/decisions/ownership/range-orders.ts
@@ -10,8 +10,10 @@
 } from '../../model/key-ownership.js';
 import type {ServiceRule} from '../../model/route-configuration.js';
 import type {FleetView} from '../fleet/fleet-view.js';
+import {wordReachMs} from '../fleet/leader-word.js';
+import {ownerEvidenceLifetimeMs} from '../fleet/owner-freshness.js';
 import type {TargetLoads} from '../forwarding/target-loads.js';
-import {grantTimeoutMs, type HoldPolicy} from './hold-policy.js';
+import {clockDriftFactor, grantTimeoutMs, type HoldPolicy} from './hold-policy.js';
 import {expiryOf, KeyHolds, type HoldEvidence} from './key-holds.js';
 import type {Leadership} from './leadership.js';
 import type {RangeState} from './range-state.js';
@@ -65,7 +67,8 @@
 	private releasesInDoubt = 0;
 	/** Pace of the releases to targets that do not answer. */
 	private readonly evictions = new Map<string, ReleasePacing>();
-
+	/** Time until which daemons may send requests to owners that an earlier leader has confirmed. */
+	private earlierEvidenceUntil = -Infinity;
 	private readonly term: number;
 
 	constructor(private readonly options: RangeOrdersOptions, private readonly takeoverAt: number) {
@@ -77,6 +80,11 @@
 		return [...this.holds.values()].reduce((sum, holds) => sum + holds.unansweredCount(now), 0);
 	}
 
+	/** Called if another leader has assigned keys before. */
+	recordEarlierLeader(): void {
+		this.earlierEvidenceUntil = this.takeoverAt + wordReachMs;
+	}
+
 	/** Sends the orders that are due for a range, given its owners in the store. */
 	sendDueOrders(state: RangeState, now: number): void {
 		for (const incarnation of state.range.previous) {
@@ -85,7 +93,7 @@
 			}
 		}
 
-		if (state.isFullyCleared) {
+		if (state.isFullyCleared && this.mayBeGranted(state, now)) {
 			this.grant(state, now);
 		}
 	}
@@ -144,6 +152,12 @@
 		return leadership.isConfirmed && leadership.termCount === this.term;
 	};
 
+	/** False while a daemon may send requests to a previous owner that may still carry out an earlier grant; see docs/design/owner-evidence.md. */
+	private mayBeGranted(state: RangeState, now: number): boolean {
+		const evidenceUntil = Math.max(state.assignedAt + (ownerEvidenceLifetimeMs * clockDriftFactor), this.earlierEvidenceUntil);
+		return now > evidenceUntil || state.range.previous.every(incarnation => this.isFree(incarnation, state.range, now));
+	}
+
 	/** Makes sure that a previous incarnation no longer holds the range. */
 	private clearPreviousOwner(state: RangeState, incarnation: TargetIncarnation, now: number): void {
 		const {log, responsiveness} = this.options;
--- a/src/decisions/ownership/range-state.ts
+++ b/src/decisions/ownership/range-state.ts
@@ -11,6 +11,8 @@
 	readonly cleared = new Set<string>();
 	/** Previous incarnations that do not respond: they are suspected, or their release failed. */
 	readonly unresponsive = new Set<string>();
+	/** Time from which the store has named this owner, or this leader has known it. */
+	assignedAt = performance.now();
 	handover: string | undefined;
 	/** When the owner last acknowledged a grant of this range. */
 	grantedAt: number | undefined;
@@ -32,6 +34,7 @@
 
 		const state = new RangeState(range);
 		if (isSameOwner) {
+			state.assignedAt = this.assignedAt;
 			state.grantedAt = this.grantedAt;
 			state.grantedHoldMs = this.grantedHoldMs;
 			state.nextGrantAt = this.nextGrantAt;
