test(forwarding): evidence for owners in the forwarder and at the first byte

Callers: a request that waits for a connection may be sent to an owner that is no longer confirmed by then.

Eight cases of the age of the evidence hold.

--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -62,6 +62,8 @@
 	connectionLimit: number;
 	/** True if the attempt is not sent unless a connection to the target is open. */
 	usesOpenConnection?: boolean;
+	/** Asked right before the first byte; nothing is sent unless it returns true. */
+	mayBeSent?(): boolean;
 	/** Called with what the target says about itself, as soon as the head of its answer is read. */
 	onStatement(statement: TargetStatement): void;
 };
--- a/tests/decisions/forwarder.test.ts
+++ b/tests/decisions/forwarder.test.ts
@@ -3,12 +3,12 @@
 import {FleetView} from '../../src/decisions/fleet/fleet-view.js';
 import {Forwarder} from '../../src/decisions/forwarding/forwarder.js';
 import {TargetLoads} from '../../src/decisions/forwarding/target-loads.js';
-import {currentMoment} from '../../src/decisions/ownership/moment.js';
+import {currentMoment, shiftMoment} from '../../src/decisions/ownership/moment.js';
 import {initialAssignment} from '../../src/decisions/ownership/assignment-draft.js';
 import {LogEvent, type LogFields} from '../../src/model/events.js';
 import {TargetState, type Target} from '../../src/model/fleet.js';
 import {
-	AttemptEnd, OutcomeKind, OutcomeReason, type Attempt, type AttemptResult, type Outcome,
+	AttemptEnd, isDaemonSpecific, OutcomeKind, OutcomeReason, type Attempt, type AttemptResult, type Outcome,
 } from '../../src/model/forwarding.js';
 import type {RouteConfiguration} from '../../src/model/route-configuration.js';
 import {createLonePermits} from '../../standins/lone-permits.js';
@@ -391,3 +391,89 @@
 		clock.uninstall();
 	}
 });
+
+type OwnerCase = {
+	title: string;
+	/** Age of the evidence that the known owners are the newest ones, in milliseconds. */
+	ageMs: number;
+	steps: Step[];
+	expected: Expected;
+	path?: string;
+	/** Time after which newer evidence arrives, in milliseconds. */
+	renewedAfterMs?: number;
+	isRelayed?: boolean;
+};
+
+const unconfirmed = {kind: OutcomeKind.NotRun, reason: OutcomeReason.OwnersUnconfirmed, attemptCount: 0};
+
+const ownerCases: OwnerCase[] = [
+	{
+		title: 'send to an owner that was confirmed 2 s ago', ageMs: 2000, steps: [answered], expected: {kind: OutcomeKind.Answered, attemptCount: 1, status: 200},
+	},
+	{
+		title: 'send nothing to an owner that was confirmed longer ago', ageMs: 2001, steps: [answered], expected: unconfirmed,
+	},
+	{
+		title: 'send to an owner that is confirmed 50 ms later', ageMs: 2001, renewedAfterMs: 50, steps: [answered], expected: {kind: OutcomeKind.Answered, attemptCount: 1, status: 200},
+	},
+	{
+		title: 'send nothing to an owner that is confirmed after 301 ms', ageMs: 2001, renewedAfterMs: 301, steps: [answered], expected: unconfirmed,
+	},
+	{
+		title: 'not try an owner again that is no longer confirmed after a refusal', ageMs: 1950, steps: [{end: AttemptEnd.Refused, afterMs: 100}, answered], expected: {...unconfirmed, attemptCount: 1},
+	},
+	{
+		title: 'not report a request as not run that an owner may have run before it was no longer confirmed',
+		ageMs: 1950,
+		steps: [{end: AttemptEnd.Ambiguous, afterMs: 100}, answered],
+		expected: {kind: OutcomeKind.Unknown, reason: OutcomeReason.OwnersUnconfirmed, attemptCount: 1},
+	},
+	{
+		title: 'let the peer try another daemon that relayed a request for an owner that is not confirmed', ageMs: 2001, isRelayed: true, steps: [answered], expected: unconfirmed,
+	},
+	{
+		title: 'send a request without a key whatever is known of owners', path: '/read/a', ageMs: 60_000, steps: [answered], expected: {kind: OutcomeKind.Answered, attemptCount: 1, status: 200},
+	},
+];
+
+for (const {
+	title, path = '/record/a', ageMs, renewedAfterMs, isRelayed = false, steps, expected,
+} of ownerCases) {
+	test.serial(`should ${title}`, async t => {
+		const {outcome, attemptCount} = await withClock(async tick => {
+			const {forwarder, view, attempts} = setUp(steps);
+			view.ownerFreshness.confirm(shiftMoment(currentMoment(), -ageMs));
+			const outcomes = forwarder.forward(callerRequest(path, isRelayed ? {relay: {daemon: 'peer', deliveredAttempts: 0}} : {}));
+			if (renewedAfterMs !== undefined) {
+				await tick(renewedAfterMs);
+				view.ownerFreshness.confirm(currentMoment());
+			}
+
+			await tick(1000);
+			return {outcome: await outcomes, attemptCount: attempts.length};
+		});
+		const {kind, reason, attemptCount: expectedCount, status} = expected;
+		t.is(outcome.kind, kind);
+		t.is(outcome.reason, reason);
+		t.is(attemptCount, expectedCount);
+		t.is(outcome.answer?.status, status);
+		t.is(isDaemonSpecific(outcome.reason), outcome.reason === OutcomeReason.OwnersUnconfirmed);
+	});
+}
+
+test.serial.failing('should not begin to send to an owner that is no longer confirmed once the connection is open, and not eject it', async t => {
+	const {outcome, lines, wereSent} = await withClock(async tick => {
+		const {forwarder, view, attempts, lines} = setUp([{end: AttemptEnd.NotSent, afterMs: 100}, answered]);
+		view.ownerFreshness.confirm(shiftMoment(currentMoment(), -1950));
+		const outcomes = forwarder.forward(callerRequest('/record/a'));
+		await tick(50);
+		const wereSent = [attempts[0]?.mayBeSent?.()];
+		await tick(1);
+		wereSent.push(attempts[0]?.mayBeSent?.());
+		await tick(1000);
+		return {outcome: await outcomes, lines, wereSent};
+	});
+	t.deepEqual(wereSent, [true, false]);
+	t.is(outcome.reason, OutcomeReason.OwnersUnconfirmed);
+	t.false(lines.some(({event}) => event === LogEvent.TargetEjected));
+});
--- a/tests/platform/target-exchange.test.ts
+++ b/tests/platform/target-exchange.test.ts
@@ -219,6 +219,24 @@
 	t.is(result.end, AttemptEnd.NotSent);
 });
 
+test.failing('should not send a request that may no longer be sent when the connection is open', async t => {
+	let text = '';
+	const server = await listen((_socket, received) => {
+		text += received;
+	});
+	const transport = new TargetTransport(new PlatformTargetProtocol());
+	const result = await transport.send(callerRequest(), {
+		target: targetOf(server), budgetMs: 1000, timeoutMs: 1000, cancellation: new Cancellation(), connectionLimit: 4, mayBeSent: () => false, onStatement: () => undefined,
+	});
+	await new Promise(resolve => {
+		setTimeout(resolve, 100);
+	});
+	transport.close();
+	server.close();
+	t.is(result.end, AttemptEnd.NotSent);
+	t.is(text, '');
+});
+
 test('should not send a request whose caller disconnects while the connection is being opened', async t => {
 	let text = '';
 	const server = await listen((_socket, received) => {
