fix(platform): let an order name its target, and take no other's answer for it

What callers see: after an address was given to another target, that one takes the grants and releases of the former one, with its fencing tokens, and its 200 counts as the former target's: keys are believed released or granted that are not, and requests are refused or run at the wrong place.

Cause: orders took any 200 as an answer of the incarnation. Only the identity probe looked at the id in the answer.

Change: grants and releases carry the id of their target. PROTOCOL.md: "If the system adds `Target-Instance` with the `id` of a server, any other server responds with 421 and does not run the request." A 421, or any answer that names another id, is a TargetReplacedError; a 421 that names the id itself, 404, 405 and the like prove nothing and stay a failed order. It extends TargetUnavailableError, so that the present caller treats it as a failed order. The stand-in target answers 421 to orders for another one.

--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -175,6 +175,19 @@
 	override name = 'OrderUnsentError';
 }
 
+/**
+ * Another target answered an order, so that the order was not carried out and the incarnation that it was for is no longer at its
+ * address.
+ */
+export class TargetReplacedError extends TargetUnavailableError {
+	override name = 'TargetReplacedError';
+
+	/** @param answeredBy id of the target that answered; undefined if it names none */
+	constructor(target: string, readonly answeredBy: string | undefined) {
+		super(target, `another target answers at its address: ${answeredBy ?? 'it names no id'}`);
+	}
+}
+
 /** A compare-and-swap failed because another writer changed the value first. */
 export class ConflictError extends RouterError {
 	override name = 'ConflictError';
--- a/src/model/key-orders.ts
+++ b/src/model/key-orders.ts
@@ -23,7 +23,7 @@
 
 /**
  * Calls reject with `TargetUnavailableError` if no success answer arrives; the target may have executed the order or may still do
- * so, unless the error is an `OrderUnsentError`.
+ * so, unless the error is an `OrderUnsentError`, or a `TargetReplacedError`, which proves that its incarnation is gone.
  */
 export type KeyOrders = {
 	/** Rejects with `FenceRejectedError` if the target has received a higher fencing token for the range. */
--- a/src/platform/key-orders.ts
+++ b/src/platform/key-orders.ts
@@ -2,7 +2,9 @@
  * Sends grants and releases of key ranges to the targets of keyed services.
  */
 import type {KeyOrders, KeyOrder, KeyGrant} from '../model/key-orders.js';
-import {FenceRejectedError, OrderUnsentError, TargetUnavailableError} from '../model/errors.js';
+import {
+	FenceRejectedError, OrderUnsentError, TargetReplacedError, TargetUnavailableError,
+} from '../model/errors.js';
 import type {TargetIncarnation} from '../model/fleet.js';
 import type {KeyRange} from '../model/key-ownership.js';
 import {ConnectionPool} from '../transport/connection-pool.js';
@@ -36,18 +38,24 @@
 
 	async identify(target: TargetIncarnation, healthPath: string, timeoutMs: number): Promise<string | undefined> {
 		const answer = await this.call(target, async () => callJson(this.pool, target.address, {method: 'GET', path: healthPath, timeoutMs}));
-		const id = answer.headers[WireHeader.Target];
-		return typeof id === 'string' ? id : undefined;
+		return answeringId(answer);
 	}
 
 	close(): void {
 		this.pool.close();
 	}
 
+	/** @throws {TargetReplacedError} if another target answers: it responds with 421 to an order that names its receiver */
 	private async send(target: TargetIncarnation, path: string, body: unknown, {timeoutMs, mayBeSent}: KeyOrder): Promise<JsonAnswer> {
-		return this.call(target, async () => callJson(this.pool, target.address, {
-			method: 'POST', path, body, timeoutMs, ...(mayBeSent && {mayBeSent}),
+		const answer = await this.call(target, async () => callJson(this.pool, target.address, {
+			method: 'POST', path, body, headers: {[WireHeader.ExpectedTarget]: target.id}, timeoutMs, ...(mayBeSent && {mayBeSent}),
 		}));
+		const id = answeringId(answer);
+		if (id === undefined ? answer.status === 421 : id !== target.id) {
+			throw new TargetReplacedError(target.id, id);
+		}
+
+		return answer;
 	}
 
 	private async call(target: TargetIncarnation, makeCall: () => Promise<JsonAnswer>): Promise<JsonAnswer> {
@@ -64,6 +72,12 @@
 	}
 }
 
+/** Returns the id that an answer names; undefined if it names none. */
+function answeringId({headers}: JsonAnswer): string | undefined {
+	const id = headers[WireHeader.Target];
+	return typeof id === 'string' ? id : undefined;
+}
+
 function encodeRange(range: KeyRange, fence: number): {from: number; target: number; fence: number} {
 	return {from: range.first, target: range.last, fence};
 }
--- a/src/transport/json-call.ts
+++ b/src/transport/json-call.ts
@@ -13,6 +13,7 @@
 	method: 'GET' | 'POST' | 'DELETE';
 	path: string;
 	body?: unknown;
+	headers?: Record<string, string>;
 	timeoutMs: number;
 	/** Checked right before the first byte is sent, for a call that is no longer allowed once its connection has opened late. */
 	mayBeSent?(): boolean;
@@ -115,7 +116,7 @@
 		connection.dispatch({
 			path: call.path,
 			method: call.method,
-			headers: body === undefined ? [] : ['content-type', 'application/json'],
+			headers: {...call.headers, ...(body !== undefined && {'content-type': 'application/json'})},
 			body,
 			idempotent: false,
 		}, handler);
--- a/standins/platform-target-server.ts
+++ b/standins/platform-target-server.ts
@@ -78,6 +78,12 @@
 	}
 
 	protected async handle(request: IncomingMessage, response: ServerResponse, body: unknown): Promise<void> {
+		const expectedId = request.headers[WireHeader.ExpectedTarget];
+		if (expectedId !== undefined && expectedId !== this.options.id) {
+			this.refuseMisdirected(request, response);
+			return;
+		}
+
 		const {from: first, target: last, fence, holdMs: holdDurationMs} = (body ?? {}) as WireOrder;
 		const order = {range: {first, last}, fence, timeoutMs: 0};
 		switch (request.url ?? '') {
@@ -122,9 +128,7 @@
 		const requestId = String(request.headers[WireHeader.RequestId] ?? '');
 		const isExpected = request.headers[WireHeader.ExpectedTarget] === id;
 		if (!isExpected || (isKeyed && !this.holder.isHolding(key))) {
-			sendJson(response, 421, {}, {
-				[WireHeader.RequestId]: requestId, [WireHeader.NotRun]: '1', [WireHeader.Target]: id, ...this.statementHeaders,
-			});
+			this.refuseMisdirected(request, response);
 			return;
 		}
 
@@ -134,4 +138,13 @@
 		});
 		sendJson(response, 200, {target: id}, {[WireHeader.RequestId]: requestId, [WireHeader.Seal]: `${id}.${requestId}`, ...this.statementHeaders});
 	}
+
+	private refuseMisdirected(request: IncomingMessage, response: ServerResponse): void {
+		sendJson(response, 421, {}, {
+			[WireHeader.RequestId]: String(request.headers[WireHeader.RequestId] ?? ''),
+			[WireHeader.NotRun]: '1',
+			[WireHeader.Target]: this.options.id,
+			...this.statementHeaders,
+		});
+	}
 }
