fix(transport): accept an answer on the connection that replaced a closed one

What callers see: when a target closes an idle connection at the moment at which it is used again, the target runs the request and answers, but its answer is thrown away: a request that must not be repeated ends with 502, a safe one costs a retry. An answered grant counts as unanswered, so that its target is suspected, and as one that may arrive later.

Cause: an HTTP connection opens another socket if the first one ends between the choice of the connection and the first byte. The end of the first socket was recorded for the connection, and made every answer on the second one look cut off.

Change: only the latest socket of a connection can make an answer incomplete.

A reset instead of a close was and is reported as not sent.

--- a/src/transport/http-connection.ts
+++ b/src/transport/http-connection.ts
@@ -26,11 +26,15 @@
 /** Replaces an address that is none, which undici rejects with an exception. No connection to it is opened. */
 const placeholderAddress = '0.0.0.0:1';
 
-/** Opens its socket on the first exchange. Exchanges fail unsent if the address is none. */
+/**
+ * Opens its socket on the first exchange, and another one if the server closes the idle socket as the next exchange begins.
+ * Exchanges fail unsent if the address is none.
+ */
 export class HttpConnection {
 	private readonly client: Client;
 	private readonly parsedAddress: Address | undefined;
 	private socket: Socket | undefined;
+	/** True if the latest socket has failed. */
 	private hasSocketFailed = false;
 	private isClosed = false;
 	/** Ids of the requests that were refused on this connection. */
@@ -112,13 +116,18 @@
 			host: ip, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: keepAliveProbeDelayMs,
 		});
 		this.socket = socket;
+		this.hasSocketFailed = false;
+		const recordFailure = (): void => {
+			this.hasSocketFailed ||= this.socket === socket;
+		};
+
 		const connectTimer = setTimeout(() => {
 			socket.destroy(new Error('The connection was not established in time.'));
 		}, connectTimeoutMs);
 		let isOpen = false;
 		// Must be registered before undici's listener, which treats a reset as the end of an answer without a length.
 		socket.on('error', (error: NodeJS.ErrnoException) => {
-			this.hasSocketFailed = true;
+			recordFailure();
 			if (error.code === 'ECONNRESET') {
 				error.code = maskedResetCode;
 			}
@@ -130,7 +139,9 @@
 		});
 		// Node reports a reset that arrives together with data as a normal end, but the socket has no remote address then.
 		socket.on('end', () => {
-			this.hasSocketFailed ||= socket.remoteAddress === undefined;
+			if (socket.remoteAddress === undefined) {
+				recordFailure();
+			}
 		});
 		socket.once('connect', () => {
 			isOpen = true;
