--- a/standins/key-holder.ts
+++ b/standins/key-holder.ts
@@ -1,7 +1,9 @@
 /**
  * Stand-in of targets that hold keys: fencing tokens, holds and handovers, with faults in the delivery of orders.
  */
-import {FenceRejectedError, OrderUnsentError, TargetUnavailableError} from '../src/model/errors.js';
+import {
+	FenceRejectedError, OrderUnsentError, TargetReplacedError, TargetUnavailableError,
+} from '../src/model/errors.js';
 import type {TargetIncarnation} from '../src/model/fleet.js';
 import type {KeyGrant, KeyOrder, KeyOrders} from '../src/model/key-orders.js';
 import {areOverlapping, subtractRange, type KeyRange} from '../src/model/key-ownership.js';
@@ -132,12 +134,16 @@
 
 	async grant(target: TargetIncarnation, grant: KeyGrant): Promise<void> {
 		await this.call(target, grant, (holder, arrivedAt) => {
+			expectReceiver(target, holder);
 			holder.grant(grant, arrivedAt);
 		});
 	}
 
 	async release(target: TargetIncarnation, order: KeyOrder): Promise<string | undefined> {
-		return this.call(target, order, holder => holder.release(order));
+		return this.call(target, order, holder => {
+			expectReceiver(target, holder);
+			return holder.release(order);
+		});
 	}
 
 	async identify(target: TargetIncarnation, _healthPath: string, timeoutMs: number): Promise<string | undefined> {
@@ -201,6 +207,13 @@
 
 type CarryOut<Answer> = (holder: KeyHolder, arrivedAt: number) => Answer;
 
+/** A target refuses orders that name another one. */
+function expectReceiver({id}: TargetIncarnation, {incarnation}: KeyHolder): void {
+	if (incarnation.id !== id) {
+		throw new TargetReplacedError(id, incarnation.id);
+	}
+}
+
 /** Calls a function now; the result returns or throws its outcome. */
 function settle<Answer>(carryOut: () => Answer): () => Answer {
 	try {
