--- /dev/null
+++ b/standins/raw-caller.ts
@@ -0,0 +1,65 @@
+/**
+ * Callers that write requests byte by byte and read answers when they are told to.
+ */
+import {Buffer} from 'node:buffer';
+import {connect, type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+
+export function get(path: string): string {
+	return `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`;
+}
+
+/** Sends bytes and returns what was received until the connection closed or the text matched `until`. */
+export async function exchange(port: number, text: string, until?: RegExp): Promise<string> {
+	return new Promise((resolve, reject) => {
+		let received = '';
+		const socket = connect(port, '127.0.0.1', () => {
+			socket.write(text);
+		});
+		socket.on('data', data => {
+			received += data.toString();
+			if (until?.test(received)) {
+				socket.destroy();
+			}
+		});
+		socket.on('error', reject);
+		socket.on('close', () => {
+			resolve(received);
+		});
+	});
+}
+
+/** A connection whose bytes are read only on request. */
+export async function openUnread(port: number): Promise<Socket> {
+	return new Promise(resolve => {
+		const socket = connect(port, '127.0.0.1', () => {
+			socket.pause();
+			resolve(socket);
+		});
+	});
+}
+
+/** Reads to the end of the connection, and returns what was received and the error that ended it. */
+export async function readAll(socket: Socket): Promise<{text: string; error: string | undefined}> {
+	return new Promise(resolve => {
+		const chunks: Uint8Array[] = [];
+		let error: string | undefined;
+		socket.on('data', chunk => {
+			chunks.push(chunk);
+		});
+		socket.once('error', ({code}: NodeJS.ErrnoException) => {
+			error = code;
+		});
+		socket.once('close', () => {
+			resolve({text: Buffer.concat(chunks).toString(), error});
+		});
+		socket.resume();
+	});
+}
+
+export async function waitUntil(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		// eslint-disable-next-line no-await-in-loop -- polling.
+		await delay(2);
+	}
+}
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -1,7 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {
-	connect, type AddressInfo, type Server, type Socket,
-} from 'node:net';
+import {connect, type AddressInfo, type Server} from 'node:net';
 import {PassThrough, Readable} from 'node:stream';
 import {Worker} from 'node:worker_threads';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -12,6 +10,9 @@
 import type {CallerLimits} from '../../src/model/route-configuration.js';
 import {OpenRequests} from '../../src/services/open-requests.js';
 import {createPlatformGatewayService} from '../../src/services/platform-gateway-service.js';
+import {
+	exchange, get, openUnread, readAll, waitUntil,
+} from '../../standins/raw-caller.js';
 
 /** Delay of the test's dispatcher before it answers, in milliseconds. */
 const answerMs = 20;
@@ -126,26 +127,6 @@
 	t.pass();
 }
 
-/** Sends bytes and returns what was received until the connection closed or the text matched `until`. */
-async function exchange(port: number, text: string, until?: RegExp): Promise<string> {
-	return new Promise((resolve, reject) => {
-		let received = '';
-		const socket = connect(port, '127.0.0.1', () => {
-			socket.write(text);
-		});
-		socket.on('data', data => {
-			received += data.toString();
-			if (until?.test(received)) {
-				socket.destroy();
-			}
-		});
-		socket.on('error', reject);
-		socket.on('close', () => {
-			resolve(received);
-		});
-	});
-}
-
 const malformed: Array<{title: string; text: string; status: number; headerTimeoutMs?: number}> = [
 	{title: 'two content lengths', text: 'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab', status: 400},
 	{title: 'both a content length and chunked encoding', text: 'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n', status: 400},
@@ -309,45 +290,6 @@
 	});
 });
 
-function get(path: string): string {
-	return `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`;
-}
-
-/** A connection whose bytes are read only on request. */
-async function openUnread(port: number): Promise<Socket> {
-	return new Promise(resolve => {
-		const socket = connect(port, '127.0.0.1', () => {
-			socket.pause();
-			resolve(socket);
-		});
-	});
-}
-
-/** Reads to the end of the connection, and returns the number of bytes and the error that ended it. */
-async function readAll(socket: Socket): Promise<{text: string; error: string | undefined}> {
-	return new Promise(resolve => {
-		const chunks: Uint8Array[] = [];
-		let error: string | undefined;
-		socket.on('data', chunk => {
-			chunks.push(chunk);
-		});
-		socket.once('error', ({code}: NodeJS.ErrnoException) => {
-			error = code;
-		});
-		socket.once('close', () => {
-			resolve({text: Buffer.concat(chunks).toString(), error});
-		});
-		socket.resume();
-	});
-}
-
-async function waitUntil(condition: () => boolean): Promise<void> {
-	while (!condition()) {
-		// eslint-disable-next-line no-await-in-loop -- polling.
-		await delay(2);
-	}
-}
-
 test('should not lose a pipelined answer that is ready before the one ahead of it when the daemon stops', async t => {
 	await withGateway(t, async ({port, forwarded, stop}) => {
 		const received = exchange(port, `${get('/slow')}${get('/fast')}`);
