refactor(http): keep callers' connections in a class of its own

The gateway of the daemon for the published protocol needs the same rules: which requests are open on a connection, and when it can be closed without cutting an answer.

--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -5,11 +5,10 @@
  * answer to a protocol error until earlier requests on the connection are answered; see docs/style-conflicts.md.
  */
 import {
-	createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse,
+	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
 import {Readable} from 'node:stream';
-import {setImmediate as nextTurn} from 'node:timers/promises';
 import type {Service, ServiceBroker, ServiceSchema} from 'moleculer';
 import {
 	BadRequestError, describeFailure, LimitExceededError, LimitName, RouterError,
@@ -20,7 +19,10 @@
 	OutcomeKind, OutcomeReason, type CallerRequest, type Outcome, type RelayOrigin,
 } from '../model/forwarding.js';
 import {initialLimits, type CallerLimits} from '../model/route-configuration.js';
-import {OpenRequest, RequestStage, type OpenRequests} from './open-requests.js';
+import {
+	CallerConnections, CallerEnd, malformedStatus, type RequestState,
+} from './caller-connections.js';
+import {RequestStage, type OpenRequests} from './open-requests.js';
 import {openBody} from './request-body.js';
 
 /** Adapter that extracts what the gateway needs from the headers of a request. */
@@ -63,48 +65,14 @@
 /** Time a caller has to send the body after the headers, in milliseconds. */
 const bodyTimeoutMs = 30_000;
 
-/** Time for a caller to close a connection after its last answer, in milliseconds; as long as callers wait to connect. */
-const callerCloseMs = 1000;
-
 /** Bytes of a header line in addition to its name and value: colon, space and line end. */
 const headerLineBytes = 4;
 
-/** Status codes for malformed requests by the parser's error code; 400 for all others. */
-const malformedStatuses = new Map([
-	['HPE_HEADER_OVERFLOW', 431],
-	['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413],
-	['ERR_HTTP_REQUEST_TIMEOUT', 408],
-]);
-
 const secondMs = 1000;
 
 /** Retry delay sent to callers while the limits are not confirmed as the newest, in milliseconds. */
 const unconfirmedRetryMs = 300;
 
-/** State of a caller's connection. */
-type Connection = {
-	/** Cancellations of requests that were read and not yet answered. */
-	pending: Set<Cancellation>;
-	/** Requests whose answers have not been passed to the kernel, and the one whose answer closes the connection. */
-	unfinished: Set<OpenRequest>;
-	/** Raw answer to a malformed request; sent once all earlier requests are answered, then the connection closes. */
-	lastAnswer: string | undefined;
-	/** True until the first request is read. */
-	isNew: boolean;
-	/** Answer to the last request that was read. */
-	latest: ServerResponse | undefined;
-	/** Bytes read when the last request was answered. */
-	answeredBytes: number;
-	/** True once an answer was begun that closes the connection; requests behind it get no answer. */
-	isClosing: boolean;
-};
-
-/** State of a request while it is handled. */
-type RequestState = {
-	cancellation: Cancellation;
-	openRequest: OpenRequest;
-};
-
 /** Result of forwarding a request. */
 type ForwardResult = {
 	caller: CallerRequest;
@@ -169,7 +137,7 @@
 /** HTTP server with the state of its connections. */
 class Gateway {
 	private readonly server: Server;
-	private readonly connections = new Map<Socket, Connection>();
+	private readonly connections: CallerConnections;
 	private isDraining = false;
 
 	constructor(private readonly options: PlatformGatewayOptions, private readonly broker: ServiceBroker) {
@@ -178,28 +146,7 @@
 		}, (request, response) => {
 			void this.handle(request, response);
 		});
-		// Node's own function resets a connection on which the caller's next request crosses, with the answer before it.
-		this.server.closeIdleConnections = () => {
-			void this.closeIdleConnections();
-		};
-
-		this.server.on('connection', socket => {
-			const connection: Connection = {
-				pending: new Set(), unfinished: new Set(), lastAnswer: undefined, isNew: true, latest: undefined, answeredBytes: 0, isClosing: false,
-			};
-			this.connections.set(socket, connection);
-			delayClose(socket);
-			socket.once('close', () => {
-				for (const request of connection.unfinished) {
-					this.options.openRequests.remove(request);
-				}
-			});
-			for (const event of ['end', 'close']) {
-				socket.once(event, () => {
-					this.removeConnection(socket);
-				});
-			}
-		});
+		this.connections = new CallerConnections(this.server, options.openRequests, [CallerEnd.Written, CallerEnd.Closed]);
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			void this.refuseMalformed(error, socket as Socket);
 		});
@@ -223,32 +170,13 @@
 
 	/** Closes the connections without an open request; no other request is read from then on. */
 	closeConnections(): void {
-		for (const [socket, connection] of this.connections) {
-			connection.isClosing = true;
-			if (connection.pending.size === 0 && connection.unfinished.size === 0) {
-				socket.destroy();
-			}
-		}
+		this.connections.closeAll();
 	}
 
 	closeListener(): void {
 		this.server.close();
 	}
 
-	/** Closes the connections that were used and on which nothing is under way. New ones stay for their first request. */
-	private async closeIdleConnections(): Promise<void> {
-		// After a stall, requests that have arrived are read first.
-		await nextTurn();
-		await nextTurn();
-		for (const [socket, connection] of this.connections) {
-			const {pending, unfinished, isNew, answeredBytes} = connection;
-			if (!isNew && pending.size === 0 && unfinished.size === 0 && socket.bytesRead === answeredBytes) {
-				connection.isClosing = true;
-				socket.destroySoon();
-			}
-		}
-	}
-
 	private applyLimits(): CallerLimits {
 		const limits = this.options.limits() ?? initialLimits;
 		this.server.headersTimeout = limits.headerTimeoutMs;
@@ -257,34 +185,15 @@
 		return limits;
 	}
 
-	private removeConnection(socket: Socket): void {
-		const connection = this.connections.get(socket);
-		this.connections.delete(socket);
-		for (const cancellation of connection?.pending ?? []) {
-			cancellation.cancel();
-		}
-	}
-
 	private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const {socket} = request;
-		const connection = this.connections.get(socket);
-		if (connection?.isClosing) {
-			// The caller repeats a request that it sent behind the last answer.
-			request.resume();
+		const state = this.connections.begin(request, response);
+		if (!state) {
 			return;
 		}
 
-		const cancellation = new Cancellation();
-		connection?.pending.add(cancellation);
-		const openRequest = new OpenRequest(request.method ?? 'GET', request.url ?? '/');
-		this.options.openRequests.add(openRequest);
-		if (connection) {
-			connection.latest = response;
-		}
-
 		response.sendDate = false;
 		try {
-			const {caller, outcome, refusal} = await this.forward(request, response, {cancellation, openRequest});
+			const {caller, outcome, refusal} = await this.forward(request, response, state);
 			if (refusal) {
 				this.refusePermanently(response, refusal);
 				return;
@@ -294,43 +203,12 @@
 			this.answer(response, outcome);
 			this.options.onOutcome(caller, outcome);
 		} catch (error) {
-			await this.answerFailure(response, error, cancellation);
+			await this.answerFailure(response, error, state.cancellation);
 		} finally {
-			this.removeWhenFinished(response, openRequest, connection);
-			connection?.pending.delete(cancellation);
-			this.sendLastAnswer(socket, connection);
+			this.connections.end(response, state);
 		}
 	}
 
-	/**
-	 * The end of the process destroys what has not been passed to the kernel, and resets a connection with unread bytes, which
-	 * may destroy its last answer.
-	 */
-	private removeWhenFinished(response: ServerResponse, request: OpenRequest, connection: Connection | undefined): void {
-		if (response.req.socket.destroyed || !connection) {
-			this.options.openRequests.remove(request);
-			return;
-		}
-
-		request.stage = RequestStage.Answering;
-		connection.unfinished.add(request);
-		const onWritten = (): void => {
-			request.stage = RequestStage.Closing;
-			connection.answeredBytes = response.req.socket.bytesRead;
-			if (!connection.isClosing || connection.latest !== response) {
-				connection.unfinished.delete(request);
-				this.options.openRequests.remove(request);
-			}
-		};
-
-		if (response.writableFinished) {
-			onWritten();
-			return;
-		}
-
-		response.once('close', onWritten);
-	}
-
 	private async forward(request: IncomingMessage, response: ServerResponse, {cancellation, openRequest}: RequestState): Promise<ForwardResult> {
 		const limits = this.applyLimits();
 		checkHeaderSize(request, limits);
@@ -357,13 +235,13 @@
 				response.destroy();
 			},
 		};
-		await this.detectEarlyDisconnect(request.socket);
+		await this.connections.detectEarlyDisconnect(request.socket);
 		openRequest.stage = RequestStage.Forwarding;
 		const outcome = await this.broker.call<Outcome, CallerRequest>('dispatcher.forward', caller);
 		const failure = caller.body instanceof Readable ? caller.body.errored : undefined;
 		if (failure instanceof BadRequestError) {
 			// The rest of the body stays unread.
-			this.closeConnectionAfter(response);
+			this.connections.closeAfter(response);
 			if (await this.isFinalRefusal(failure, cancellation)) {
 				return {caller, outcome, refusal: failure};
 			}
@@ -383,21 +261,6 @@
 		return areLimitsConfirmed && limits !== undefined && limits[error.limit] <= error.limitBytes;
 	}
 
-	/**
-	 * A caller may disconnect while its connection waits to be accepted. The server reads the end of the connection one event
-	 * loop turn after the request, so the first request of a connection waits two turns before it is forwarded.
-	 */
-	private async detectEarlyDisconnect(socket: Socket): Promise<void> {
-		const connection = this.connections.get(socket);
-		if (!connection?.isNew) {
-			return;
-		}
-
-		connection.isNew = false;
-		await nextTurn();
-		await nextTurn();
-	}
-
 	private addOutcomeHeaders(response: ServerResponse, request: CallerRequest, outcome: Outcome): void {
 		if (this.options.outcomeHeaders && !response.headersSent) {
 			response.setHeaders(new Map(Object.entries(this.options.outcomeHeaders(request, outcome))));
@@ -406,7 +269,7 @@
 
 	private answer(response: ServerResponse, outcome: Outcome): void {
 		if (this.isDraining || outcome.reason === OutcomeReason.DaemonStopping) {
-			this.closeConnectionAfter(response);
+			this.connections.closeAfter(response);
 		}
 
 		switch (outcome.kind) {
@@ -447,17 +310,6 @@
 		}
 	}
 
-	/** If the caller has sent another request behind this one, the connection stays open, because that one may run already. */
-	private closeConnectionAfter(response: ServerResponse): void {
-		const connection = this.connections.get(response.req.socket);
-		if (response.headersSent || connection?.latest !== response) {
-			return;
-		}
-
-		response.setHeader('connection', 'close');
-		connection.isClosing = true;
-	}
-
 	private async answerFailure(response: ServerResponse, error: unknown, cancellation: Cancellation): Promise<void> {
 		const {log} = this.options;
 		if (error instanceof BadRequestError) {
@@ -483,14 +335,14 @@
 	private refusePermanently(response: ServerResponse, error: BadRequestError): void {
 		this.options.log.record(LogEvent.RequestMalformed, {status: error.status, detail: error.message});
 		// The rest of a refused body stays unread.
-		this.closeConnectionAfter(response);
+		this.connections.closeAfter(response);
 		sendFailure(response, error.status, error.code);
 	}
 
 	/** Refuses a request that did not run and that a newer configuration may allow. */
 	private refuseTemporarily(response: ServerResponse, error: BadRequestError): void {
 		this.options.log.record(LogEvent.RequestRefused, {reason: OutcomeReason.ConfigurationUnconfirmed, detail: error.message, retryAfterMs: unconfirmedRetryMs});
-		this.closeConnectionAfter(response);
+		this.connections.closeAfter(response);
 		if (!response.headersSent) {
 			response.setHeader('retry-after', retryAfterText(unconfirmedRetryMs));
 		}
@@ -509,46 +361,10 @@
 		const isFinal = parserStatus !== 431 || await this.isFinalRefusal(new LimitExceededError(LimitName.HeaderBytes, parserMaxHeaderBytes), new Cancellation());
 		const status = isFinal ? parserStatus : 503;
 		this.options.log.record(LogEvent.RequestMalformed, {status, detail: error.message});
-		const connection = this.connections.get(socket);
-		const retryAfter = isFinal ? '' : `Retry-After: ${retryAfterText(unconfirmedRetryMs)}\r\n`;
-		const answer = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nContent-Length: 0\r\n${retryAfter}Connection: close\r\n\r\n`;
-		if (!connection) {
-			socket.end(answer);
-			return;
-		}
-
-		connection.lastAnswer = answer;
-		this.sendLastAnswer(socket, connection);
-	}
-
-	private sendLastAnswer(socket: Socket, connection: Connection | undefined): void {
-		if (connection?.lastAnswer !== undefined && connection.pending.size === 0) {
-			socket.end(connection.lastAnswer, () => {
-				socket.destroy();
-			});
-			connection.lastAnswer = undefined;
-		}
+		this.connections.refuseMalformed(socket, status, isFinal ? '' : `Retry-After: ${retryAfterText(unconfirmedRetryMs)}\r\n`);
 	}
 }
 
-/**
- * Node closes a connection as soon as its last answer was passed to the kernel. If the caller has sent more by then, the kernel
- * resets the connection, which destroys the rest of the answer. So the connection is closed for writing, and what the caller
- * sends is discarded until it closes the connection as well.
- */
-function delayClose(socket: Socket): void {
-	socket.destroySoon = () => {
-		socket.end(() => {
-			const timer = setTimeout(() => {
-				socket.destroy();
-			}, callerCloseMs);
-			socket.once('close', () => {
-				clearTimeout(timer);
-			});
-		});
-	};
-}
-
 /** Seconds with fractions, the format that the platform's callers expect. */
 function retryAfterText(delayMs: number): string {
 	return (delayMs / secondMs).toFixed(2);
@@ -565,10 +381,6 @@
 	}
 }
 
-function malformedStatus(code: string | undefined): number {
-	return malformedStatuses.get(code ?? '') ?? 400;
-}
-
 function sendBufferedAnswer(response: ServerResponse, {answer, body}: Outcome): void {
 	const status = answer?.status ?? 502;
 	const hasBody = status >= 200 && status !== 204 && status !== 304;
