fix(http): cut no answer at the end of the daemon for the published protocol

What callers see, at the gateway of this daemon: on a stop, the rest of an answer that is being written is cut (3.9 of 32 MB that the gateway had taken over received by a caller that reads slowly), an answer behind one that closes the connection is lost (1 of 2), and a request that crosses the close resets the connection and what it had not delivered (128,000 of 200,000 bytes). A request behind the closing answer runs at its server, without an answer. Malformed bytes behind a request cut its answer at any time.

Cause: connections were closed by Node's own rules: idle ones include those whose answer is being written, the header that closes a connection was chosen when a request came, not when its answer began, and the daemon exited when no request was in flight, whatever callers had received.

Change: the gateway keeps its connections as the platform's does. A request is open until its answer is with the kernel; the daemon waits for open requests, for callers who do not read 10 s longer than for the last request. It logs those that it cuts.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -8,6 +8,7 @@
 import {EtcdStore} from '../published/etcd-store.js';
 import {HttpVmList} from '../published/http-vm-list.js';
 import {createKernel} from '../services/kernel.js';
+import {OpenRequests} from '../services/open-requests.js';
 import {HttpTargetControl} from '../targets/http-target-control.js';
 import {HttpTransport} from '../targets/http-transport.js';
 import {RoarrLog} from './roarr-log.js';
@@ -20,6 +21,9 @@
 /** Interval at which a shutdown checks for requests in flight, in milliseconds. */
 const drainPollMs = 20;
 
+/** Time for callers to read their answers once no request is in flight, in milliseconds; as long as they have to send their headers. */
+const slowReaderLimitMs = 10_000;
+
 /** Runs one daemon in this process. */
 export class Daemon {
 	readonly log: EventLog;
@@ -27,6 +31,7 @@
 	private readonly vmList: HttpVmList;
 	private readonly targets = new HttpTargetControl();
 	private readonly transport = new HttpTransport();
+	private readonly openRequests = new OpenRequests();
 	private readonly kernel: ServiceBroker;
 	private readonly core: RouterCore;
 	private peers: TrpcPeers | undefined;
@@ -58,7 +63,9 @@
 			daemon: id,
 			core: this.core,
 			metrics: new StatsdMetrics(settings.statsdHost, settings.statsdPort, id),
-			gateway: {host: settings.host, port: settings.port, peerSecret: settings.peerSecret},
+			gateway: {
+				host: settings.host, port: settings.port, peerSecret: settings.peerSecret, openRequests: this.openRequests,
+			},
 			control: {host: settings.host, port: settings.controlPort, peerSecret: settings.peerSecret},
 		});
 	}
@@ -77,9 +84,9 @@
 		return this.stopped;
 	}
 
-	/** Returns the number of requests in flight, which the end of the process cuts. */
+	/** Logs the requests that the end of the process leaves without a complete answer, and returns their number. */
 	recordCutRequests(): number {
-		return this.core.dispatcher.load;
+		return this.openRequests.recordCut(this.log);
 	}
 
 	private async shutDownOnce(): Promise<void> {
@@ -92,18 +99,22 @@
 		await this.kernel.call('gateway.closeListener');
 		this.log.record(LogEvent.ShutdownStep, {step: 'in flight'});
 		await this.waitForRequests();
+		await this.kernel.call('gateway.closeConnections');
 		await this.kernel.stop();
 		await this.closeAdapters();
 		this.log.record(LogEvent.DaemonStopped, {});
 	}
 
-	/** Refuses new requests on connections that are still open and waits until the accepted ones have completed. */
+	/** Refuses new requests on connections that are still open and waits until the accepted ones have been answered. */
 	private async waitForRequests(): Promise<void> {
 		await this.kernel.call('dispatcher.beginShutdown');
+		let lastInFlightAt = performance.now();
 		for (;;) {
 			// eslint-disable-next-line no-await-in-loop -- polling; it ends because every request has a deadline.
 			const load = await this.kernel.call<number>('dispatcher.load');
-			if (load === 0) {
+			const now = performance.now();
+			lastInFlightAt = load > 0 ? now : lastInFlightAt;
+			if (load === 0 && (this.openRequests.count === 0 || now > lastInFlightAt + slowReaderLimitMs)) {
 				return;
 			}
 
--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -168,17 +168,7 @@
 
 	/** Logs the requests that the end of the process leaves without a complete answer, and returns their number. */
 	recordCutRequests(): number {
-		const now = performance.now();
-		const requests = this.openRequests.listUnanswered();
-		for (const {
-			requestId, method, path, stage, receivedAt,
-		} of requests) {
-			this.log.record(LogEvent.RequestCut, {
-				request: requestId, method, path, stage, ageMs: Math.round(now - receivedAt),
-			});
-		}
-
-		return requests.length;
+		return this.openRequests.recordCut(this.log);
 	}
 
 	private async shutDownOnce(): Promise<void> {
--- a/src/services/gateway-service.ts
+++ b/src/services/gateway-service.ts
@@ -1,7 +1,8 @@
 /**
  * Service "gateway": accepts callers' requests over HTTP.
  */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Service, ServiceBroker, ServiceSchema} from 'moleculer';
 import ApiService from 'moleculer-web';
 import type {Denials} from '../decisions/denials.js';
@@ -13,8 +14,11 @@
 import {
 	ContractHeader, forwardedHeaderList, notRunOutcome, unknownOutcome,
 } from '../model/headers.js';
-import {Cancellation} from '../model/cancellation.js';
 import type {RoutedRequest} from '../model/request.js';
+import {
+	CallerConnections, CallerEnd, malformedStatus, type RequestState,
+} from './caller-connections.js';
+import {RequestStage, type OpenRequests} from './open-requests.js';
 import {openBody} from './request-body.js';
 
 export type GatewayOptions = {
@@ -22,6 +26,7 @@
 	port: number;
 	/** Secret shared by the daemons; marks requests forwarded by another daemon. */
 	peerSecret: string;
+	openRequests: OpenRequests;
 };
 
 /** Health check paths for the platform's balancer. */
@@ -36,10 +41,19 @@
 
 type ApiRequest = IncomingMessage & {originalUrl?: string};
 
-type HandlerContext = {isDraining: boolean; peerSecret: string; denials: Pick<Denials, 'judge'>};
+type HandlerContext = {
+	connections: CallerConnections;
+	peerSecret: string;
+	denials: Pick<Denials, 'judge'>;
+	isDraining(): boolean;
+};
+
+/** What the library adds to the service. */
+type GatewayService = {server: Server};
 
 export function createGatewayService(options: GatewayOptions, denials: Pick<Denials, 'judge'>): ServiceSchema {
 	let isDraining = false;
+	let connections: CallerConnections;
 	return {
 		name: 'gateway',
 		mixins: [ApiService],
@@ -57,7 +71,9 @@
 				logging: false,
 				use: [
 					async function (this: Service, request: ApiRequest, response: ServerResponse) {
-						await handle(this.broker, request, response, {isDraining, peerSecret: options.peerSecret, denials});
+						await handle(this.broker, request, response, {
+							connections, peerSecret: options.peerSecret, denials, isDraining: () => isDraining,
+						});
 					},
 				],
 			}],
@@ -69,13 +85,19 @@
 			},
 			/** Stops listening; requests in flight continue. */
 			closeListener(this: Service) {
-				const {server} = this as unknown as {server: {close: () => void; closeIdleConnections: () => void}};
-				server.close();
-				server.closeIdleConnections();
+				(this as unknown as GatewayService).server.close();
+			},
+			/** Forwards no further request, for an exit that would cut it. */
+			closeConnections() {
+				connections.closeAll();
 			},
 		},
 		created(this: Service) {
-			const {server} = this as unknown as {server: {headersTimeout: number; requestTimeout: number; keepAliveTimeout: number}};
+			const {server} = this as unknown as GatewayService;
+			connections = new CallerConnections(server, options.openRequests, [CallerEnd.Closed]);
+			server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+				refuseMalformed(connections, error, socket as Socket);
+			});
 			server.headersTimeout = headersTimeoutMs;
 			server.requestTimeout = requestTimeoutMs;
 			server.keepAliveTimeout = requestTimeoutMs;
@@ -83,52 +105,69 @@
 	};
 }
 
-async function handle(broker: ServiceBroker, request: ApiRequest, response: ServerResponse, {isDraining, peerSecret, denials}: HandlerContext): Promise<void> {
-	const path = request.originalUrl ?? request.url ?? '/';
-	if (path === livePath) {
-		answer(response, 200, {live: true});
+async function handle(broker: ServiceBroker, request: ApiRequest, response: ServerResponse, context: HandlerContext): Promise<void> {
+	const {connections, denials, isDraining} = context;
+	const state = connections.begin(request, response);
+	if (!state) {
 		return;
 	}
 
-	if (path === readyPath) {
-		const isReady = !isDraining && await broker.call<boolean>('dispatcher.isReady');
-		answer(response, isReady ? 200 : 503, {ready: isReady});
-		return;
-	}
-
-	if (isDraining) {
-		response.setHeader('connection', 'close');
-	}
+	/** Called right before an answer begins. */
+	const beginAnswer = (): void => {
+		if (isDraining()) {
+			connections.closeAfter(response);
+		}
+	};
 
 	try {
-		await forward(broker, request, response, {path, peerSecret});
+		await respond(broker, request, response, {...context, state, beginAnswer});
 	} catch (error) {
 		if (error instanceof BadRequestError) {
-			if (!response.headersSent) {
-				// The rest of a refused body stays unread.
-				response.setHeader('connection', 'close');
-			}
-
+			// The rest of a refused body stays unread.
+			connections.closeAfter(response);
 			fail(response, denials.judge(error));
 			return;
 		}
 
+		beginAnswer();
 		fail(response, error instanceof RouterError ? error : new OutcomeUnknownError(`The router failed: ${String(error)}`));
+	} finally {
+		connections.end(response, state);
 	}
 }
 
-async function forward(broker: ServiceBroker, request: ApiRequest, response: ServerResponse, {path, peerSecret}: {path: string; peerSecret: string}): Promise<void> {
+type AnswerContext = HandlerContext & {state: RequestState; beginAnswer(): void};
+
+async function respond(broker: ServiceBroker, request: ApiRequest, response: ServerResponse, context: AnswerContext): Promise<void> {
+	const {isDraining, beginAnswer} = context;
+	const path = request.originalUrl ?? request.url ?? '/';
+	if (path === livePath) {
+		beginAnswer();
+		answer(response, 200, {live: true});
+		return;
+	}
+
+	if (path === readyPath) {
+		const isReady = !isDraining() && await broker.call<boolean>('dispatcher.isReady');
+		beginAnswer();
+		answer(response, isReady ? 200 : 503, {ready: isReady});
+		return;
+	}
+
+	const outcome = await forward(broker, request, response, {...context, path});
+	if (outcome.kind !== OutcomeKind.Answered && outcome.truncated !== true && outcome.error) {
+		beginAnswer();
+		fail(response, outcome.error);
+	}
+}
+
+async function forward(broker: ServiceBroker, request: ApiRequest, response: ServerResponse, context: AnswerContext & {path: string}): Promise<Outcome> {
+	const {connections, state: {cancellation, openRequest}, peerSecret, path, beginAnswer} = context;
 	const head: RequestHead = {
 		method: request.method ?? 'GET', path, host: request.headers.host ?? '', headers: request.headers,
 	};
-	const receivedAt = performance.now();
+	const {receivedAt} = openRequest;
 	const match = await broker.call<Match, RequestHead>('dispatcher.match', head);
-	const cancellation = new Cancellation();
-	response.once('close', () => {
-		if (!response.writableFinished) {
-			cancellation.cancel();
-		}
-	});
 	const routed: RoutedRequest = {
 		...match,
 		method: head.method,
@@ -141,6 +180,7 @@
 		cancellation,
 		responder: {
 			start(status, headers) {
+				beginAnswer();
 				response.writeHead(status, headers);
 				return response;
 			},
@@ -149,15 +189,19 @@
 			},
 		},
 	};
-	finish(response, await broker.call<Outcome, RoutedRequest>('dispatcher.dispatch', routed));
+	await connections.detectEarlyDisconnect(request.socket);
+	openRequest.stage = RequestStage.Forwarding;
+	return broker.call<Outcome, RoutedRequest>('dispatcher.dispatch', routed);
 }
 
-function finish(response: ServerResponse, outcome: Outcome): void {
-	if (outcome.kind === OutcomeKind.Answered || outcome.truncated === true || !outcome.error) {
+/** Answers bytes that the parser could not read as a request, after all earlier requests on the connection. */
+function refuseMalformed(connections: CallerConnections, error: NodeJS.ErrnoException, socket: Socket): void {
+	if (error.code === 'ECONNRESET' || !socket.writable) {
+		socket.destroy();
 		return;
 	}
 
-	fail(response, outcome.error);
+	connections.refuseMalformed(socket, malformedStatus(error.code));
 }
 
 function fail(response: ServerResponse, error: RouterError): void {
--- a/src/services/kernel.ts
+++ b/src/services/kernel.ts
@@ -8,7 +8,7 @@
 import {createControlService} from './control-service.js';
 import {createDispatcherService} from './dispatcher-service.js';
 import {createDistributionService} from './distribution-service.js';
-import {createGatewayService} from './gateway-service.js';
+import {createGatewayService, type GatewayOptions} from './gateway-service.js';
 import {createLeaderService} from './leader-service.js';
 import {createMetricsService} from './metrics-service.js';
 import {createOperatorService} from './operator-service.js';
@@ -17,7 +17,7 @@
 	daemon: string;
 	core: RouterCore;
 	metrics: Metrics;
-	gateway: {host: string; port: number; peerSecret: string};
+	gateway: GatewayOptions;
 	control: {host: string; port: number; peerSecret: string};
 };
 
--- a/src/services/open-requests.ts
+++ b/src/services/open-requests.ts
@@ -1,6 +1,7 @@
 /**
  * Callers' requests that were read and have no complete answer.
  */
+import {LogEvent, type EventLog} from '../model/events.js';
 
 /** How far a request has come. */
 export enum RequestStage {
@@ -38,8 +39,17 @@
 		this.requests.delete(request);
 	}
 
-	/** The requests without a complete answer. */
-	listUnanswered(): OpenRequest[] {
-		return [...this.requests].filter(({stage}) => stage !== RequestStage.Closing);
+	/** Logs the requests that the end of the process leaves without a complete answer, and returns their number. */
+	recordCut(log: EventLog, now = performance.now()): number {
+		const cut = [...this.requests].filter(({stage}) => stage !== RequestStage.Closing);
+		for (const {
+			requestId, method, path, stage, receivedAt,
+		} of cut) {
+			log.record(LogEvent.RequestCut, {
+				request: requestId, method, path, stage, ageMs: Math.round(now - receivedAt),
+			});
+		}
+
+		return cut.length;
 	}
 }
--- a/standins/raw-caller.ts
+++ b/standins/raw-caller.ts
@@ -36,6 +36,9 @@
 			socket.pause();
 			resolve(socket);
 		});
+		socket.on('error', () => {
+			// Reported when the rest is read.
+		});
 	});
 }
 
@@ -43,16 +46,19 @@
 export async function readAll(socket: Socket): Promise<{text: string; error: string | undefined}> {
 	return new Promise(resolve => {
 		const chunks: Uint8Array[] = [];
-		let error: string | undefined;
+		const finish = (): void => {
+			resolve({text: Buffer.concat(chunks).toString(), error: (socket.errored as NodeJS.ErrnoException | undefined)?.code});
+		};
+
+		if (socket.closed) {
+			finish();
+			return;
+		}
+
 		socket.on('data', chunk => {
 			chunks.push(chunk);
 		});
-		socket.once('error', ({code}: NodeJS.ErrnoException) => {
-			error = code;
-		});
-		socket.once('close', () => {
-			resolve({text: Buffer.concat(chunks).toString(), error});
-		});
+		socket.once('close', finish);
 		socket.resume();
 	});
 }
--- a/tests/http/gateway-failure.test.ts
+++ b/tests/http/gateway-failure.test.ts
@@ -5,6 +5,7 @@
 import {BadRequestError, NotRunError, NotRunReason} from '../../src/model/errors.js';
 import {ContractHeader} from '../../src/model/headers.js';
 import {createGatewayService} from '../../src/services/gateway-service.js';
+import {OpenRequests} from '../../src/services/open-requests.js';
 import {freePort} from './deployment.js';
 
 const match = () => ({service: {maxBodyBytes: 100}, requestClass: {deadlineMs: 1000}});
@@ -41,7 +42,9 @@
 		const port = await freePort();
 		const broker = new ServiceBroker({logger: false, transporter: null, skipProcessEventRegistration: true});
 		broker.createService({name: 'dispatcher', actions: {match, dispatch}});
-		broker.createService(createGatewayService({host: '127.0.0.1', port, peerSecret: 'secret'}, {judge: denial => denial}));
+		broker.createService(createGatewayService({
+			host: '127.0.0.1', port, peerSecret: 'secret', openRequests: new OpenRequests(),
+		}, {judge: denial => denial}));
 		await broker.start();
 		try {
 			const answer = await request(`http://127.0.0.1:${port}/registry/applicant-1`);
