fix(http): close connections for writing first after timeouts and odd bytes

What callers see, at both gateways: a connection that is closed because it was idle, or because of bytes that are no request, or of headers that come too late, is reset as soon as the caller sends more, and the part of the answer before that it has not received is lost. With two requests and malformed bytes behind them, a caller that reads slowly gets the 400 in place of the second answer. On a stop, the same happens to the end of an answer that began before.

Cause: these closes went past the rule that a connection is first closed for writing; the refusal of malformed bytes waited until answers were decided, not until they were sent; the daemon did not wait for a caller to close a connection whose last answer did not announce it.

Change: every close but the last one before the exit ends writing first and discards what follows for up to a second; a connection that is being closed counts as open, so that the daemon waits for it. The refusal goes behind the last answer. Once the listener is closed, a connection is closed as soon as nothing is under way on it.

--- a/src/services/caller-connections.ts
+++ b/src/services/caller-connections.ts
@@ -30,17 +30,17 @@
 type Connection = {
 	/** Cancellations of requests that were read and not yet answered. */
 	pending: Set<Cancellation>;
-	/** Requests whose answers have not been passed to the kernel, and the one whose answer closes the connection. */
+	/** Requests whose answers have not been passed to the kernel, and the last one while its connection is being closed. */
 	unfinished: Set<OpenRequest>;
-	/** Raw answer to a malformed request; sent once all earlier requests are answered, then the connection closes. */
+	/** Raw answer to a malformed request; sent once all earlier answers were sent, then the connection closes. */
 	lastAnswer: string | undefined;
 	/** True until the first request is read. */
 	isNew: boolean;
-	/** Answer to the last request that was read. */
-	latest: ServerResponse | undefined;
+	/** The last request that was read, and its answer. */
+	latest: {request: OpenRequest; response: ServerResponse} | undefined;
 	/** Bytes read when the last request was answered. */
 	answeredBytes: number;
-	/** True once an answer was begun that closes the connection; requests behind it get no answer. */
+	/** True once the connection is to be closed, or an answer was begun that closes it; requests from then on get no answer. */
 	isClosing: boolean;
 };
 
@@ -56,15 +56,24 @@
 /** The connections of one server. */
 export class CallerConnections {
 	private readonly connections = new Map<Socket, Connection>();
+	/** True once the listener is closed; connections are closed as they become idle. */
+	private isEnding = false;
 
 	constructor(server: Server, private readonly openRequests: OpenRequests, private readonly ends: readonly CallerEnd[]) {
 		server.on('connection', socket => {
 			this.add(socket);
 		});
-		// Node's own function resets a connection on which the caller's next request crosses, with the answer before it.
+		// Node's own functions reset a connection on which the caller's next request crosses, with the answer before it.
 		server.closeIdleConnections = () => {
-			void this.closeIdle();
+			this.isEnding = true;
+			for (const socket of this.connections.keys()) {
+				void this.closeIfIdle(socket);
+			}
 		};
+
+		server.on('timeout', (socket: Socket) => {
+			void this.closeIfIdle(socket, socket.bytesRead);
+		});
 	}
 
 	/** Records a request that was read; undefined if it is behind the last answer on its connection, so that its caller repeats it. */
@@ -80,7 +89,7 @@
 		const openRequest = new OpenRequest(request.method ?? 'GET', request.url ?? '/');
 		this.openRequests.add(openRequest);
 		if (connection) {
-			connection.latest = response;
+			connection.latest = {request: openRequest, response};
 		}
 
 		return {cancellation, openRequest, connection};
@@ -90,7 +99,9 @@
 	end(response: ServerResponse, {cancellation, openRequest, connection}: RequestState): void {
 		this.removeWhenFinished(response, openRequest, connection);
 		connection?.pending.delete(cancellation);
-		this.sendLastAnswer(response.req.socket, connection);
+		if (connection) {
+			this.sendLastAnswer(response.req.socket, connection);
+		}
 	}
 
 	/**
@@ -111,7 +122,7 @@
 	/** If the caller has sent another request behind this one, the connection stays open, because that one may run already. */
 	closeAfter(response: ServerResponse): void {
 		const connection = this.connections.get(response.req.socket);
-		if (response.headersSent || connection?.latest !== response) {
+		if (response.headersSent || connection?.latest?.response !== response) {
 			return;
 		}
 
@@ -129,8 +140,28 @@
 		}
 	}
 
+	/** Returns true if bytes that the parser could not read as a request are to be answered with `refuse`. */
+	beginRefusal({code}: NodeJS.ErrnoException, socket: Socket): boolean {
+		const connection = this.connections.get(socket);
+		// The parser fails again with each byte that follows.
+		if (connection?.isClosing && code !== 'ECONNRESET') {
+			return false;
+		}
+
+		if (code === 'ECONNRESET' || !socket.writable) {
+			socket.destroy();
+			return false;
+		}
+
+		if (connection) {
+			connection.isClosing = true;
+		}
+
+		return true;
+	}
+
 	/** Answers bytes that the parser could not read as a request, after all earlier requests on the connection. */
-	refuseMalformed(socket: Socket, status: number, headers = ''): void {
+	refuse(socket: Socket, status: number, headers = ''): void {
 		const answer = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nContent-Length: 0\r\n${headers}Connection: close\r\n\r\n`;
 		const connection = this.connections.get(socket);
 		if (!connection) {
@@ -142,17 +173,29 @@
 		this.sendLastAnswer(socket, connection);
 	}
 
-	/** Closes the connections that were used and on which nothing is under way. New ones stay for their first request. */
-	private async closeIdle(): Promise<void> {
+	/**
+	 * Closes a connection that was used and on which nothing is under way. A new one stays for its first request.
+	 *
+	 * @param readBytes bytes that have been read if no part of a request is under way; by default those up to the last answer
+	 */
+	private async closeIfIdle(socket: Socket, readBytes?: number): Promise<void> {
 		// After a stall, requests that have arrived are read first.
 		await nextTurn();
 		await nextTurn();
-		for (const [socket, connection] of this.connections) {
-			const {pending, unfinished, isNew, answeredBytes} = connection;
-			if (!isNew && pending.size === 0 && unfinished.size === 0 && socket.bytesRead === answeredBytes) {
-				connection.isClosing = true;
-				socket.destroySoon();
-			}
+		const connection = this.connections.get(socket);
+		if (!connection || connection.isClosing) {
+			return;
+		}
+
+		const {
+			pending, unfinished, isNew, latest, answeredBytes,
+		} = connection;
+		const isIdle = pending.size === 0 && unfinished.size === 0 && socket.bytesRead === (readBytes ?? answeredBytes);
+		if (!isNew && latest && isIdle) {
+			connection.isClosing = true;
+			unfinished.add(latest.request);
+			this.openRequests.add(latest.request);
+			socket.destroySoon();
 		}
 	}
 
@@ -195,12 +238,7 @@
 		request.stage = RequestStage.Answering;
 		connection.unfinished.add(request);
 		const onWritten = (): void => {
-			request.stage = RequestStage.Closing;
-			connection.answeredBytes = response.req.socket.bytesRead;
-			if (!connection.isClosing || connection.latest !== response) {
-				connection.unfinished.delete(request);
-				this.openRequests.remove(request);
-			}
+			void this.finish(response, request, connection);
 		};
 
 		if (response.writableFinished) {
@@ -211,12 +249,30 @@
 		response.once('close', onWritten);
 	}
 
-	private sendLastAnswer(socket: Socket, connection: Connection | undefined): void {
-		if (connection?.lastAnswer !== undefined && connection.pending.size === 0) {
-			socket.end(connection.lastAnswer, () => {
-				socket.destroy();
-			});
-			connection.lastAnswer = undefined;
+	/** Called once an answer is with the kernel. */
+	private async finish({req: {socket}}: ServerResponse, request: OpenRequest, connection: Connection): Promise<void> {
+		request.stage = RequestStage.Closing;
+		connection.answeredBytes = socket.bytesRead;
+		if (connection.isClosing && connection.latest?.request === request) {
+			this.sendLastAnswer(socket, connection);
+			return;
+		}
+
+		connection.unfinished.delete(request);
+		if (this.isEnding) {
+			await this.closeIfIdle(socket);
+		}
+
+		if (!connection.unfinished.has(request)) {
+			this.openRequests.remove(request);
+		}
+	}
+
+	private sendLastAnswer(socket: Socket, {lastAnswer, pending, unfinished}: Connection): void {
+		const isNext = pending.size === 0 && [...unfinished].every(({stage}) => stage === RequestStage.Closing);
+		if (lastAnswer !== undefined && isNext && socket.writable) {
+			socket.write(lastAnswer);
+			socket.destroySoon();
 		}
 	}
 }
--- a/src/services/gateway-service.ts
+++ b/src/services/gateway-service.ts
@@ -96,7 +96,9 @@
 			const {server} = this as unknown as GatewayService;
 			connections = new CallerConnections(server, options.openRequests, [CallerEnd.Closed]);
 			server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-				refuseMalformed(connections, error, socket as Socket);
+				if (connections.beginRefusal(error, socket as Socket)) {
+					connections.refuse(socket as Socket, malformedStatus(error.code));
+				}
 			});
 			server.headersTimeout = headersTimeoutMs;
 			server.requestTimeout = requestTimeoutMs;
@@ -194,16 +196,6 @@
 	return broker.call<Outcome, RoutedRequest>('dispatcher.dispatch', routed);
 }
 
-/** Answers bytes that the parser could not read as a request, after all earlier requests on the connection. */
-function refuseMalformed(connections: CallerConnections, error: NodeJS.ErrnoException, socket: Socket): void {
-	if (error.code === 'ECONNRESET' || !socket.writable) {
-		socket.destroy();
-		return;
-	}
-
-	connections.refuseMalformed(socket, malformedStatus(error.code));
-}
-
 function fail(response: ServerResponse, error: RouterError): void {
 	if (response.headersSent) {
 		response.destroy();
--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -352,8 +352,7 @@
 
 	/** Answers bytes that the parser could not read as a request, after all earlier requests on the connection. */
 	private async refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
-		if (error.code === 'ECONNRESET' || !socket.writable) {
-			socket.destroy();
+		if (!this.connections.beginRefusal(error, socket)) {
 			return;
 		}
 
@@ -361,7 +360,7 @@
 		const isFinal = parserStatus !== 431 || await this.isFinalRefusal(new LimitExceededError(LimitName.HeaderBytes, parserMaxHeaderBytes), new Cancellation());
 		const status = isFinal ? parserStatus : 503;
 		this.options.log.record(LogEvent.RequestMalformed, {status, detail: error.message});
-		this.connections.refuseMalformed(socket, status, isFinal ? '' : `Retry-After: ${retryAfterText(unconfirmedRetryMs)}\r\n`);
+		this.connections.refuse(socket, status, isFinal ? '' : `Retry-After: ${retryAfterText(unconfirmedRetryMs)}\r\n`);
 	}
 }
 
--- a/tests/http/gateway-connections.test.ts
+++ b/tests/http/gateway-connections.test.ts
@@ -193,6 +193,7 @@
 
 const slowReaders: Array<{title: string; hasNextRequest: boolean}> = [
 	{title: 'a caller that reads slowly across the stop', hasNextRequest: false},
+	{title: 'a caller that reads slowly across the stop and sends another request', hasNextRequest: true},
 ];
 
 for (const {title, hasNextRequest} of slowReaders) {
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -431,3 +431,57 @@
 		t.true(text.length > answerBytes.buffered, `${text.length} bytes`);
 	});
 });
+
+/** Time after which idle connections and incomplete headers time out, in milliseconds. */
+const shortTimeoutMs = 300;
+
+/**
+ * Times at which the gateway has closed a connection for writing and not yet entirely, in milliseconds: it checks headers twice a
+ * second, Node's server waits a second longer than the idle timeout, and the caller has a second to close the connection as well.
+ */
+const closingMs = {headers: shortTimeoutMs + 700, idle: shortTimeoutMs + 1500};
+
+const partialHead = 'GET /2 HTTP/1.1\r\nHost: h\r\n';
+
+const closes: Array<{title: string; first: string; waitMs: number; next: string; expected: RegExp}> = [
+	{
+		title: 'the idle timeout', first: '', waitMs: closingMs.idle, next: get('/2'), expected: /^HTTP\/1\.1 200 [^.]*\/1\/\d+\.+$/v,
+	},
+	{
+		title: 'bytes that are not HTTP', first: '\u0001\u0002\r\n\r\n', waitMs: 10 * answerMs, next: get('/2'), expected: /^HTTP\/1\.1 200 [^.]*\/1\/\d+\.+HTTP\/1\.1 400 /v,
+	},
+	{
+		title: 'headers that are not completed in time', first: partialHead, waitMs: closingMs.headers, next: `\r\n${get('/3')}`, expected: /^HTTP\/1\.1 200 [^.]*\/1\/\d+\.+HTTP\/1\.1 408 /v,
+	},
+];
+
+for (const {title, first, waitMs, next, expected} of closes) {
+	test(`should deliver a whole answer on a connection that is closed because of ${title} while more bytes arrive`, async t => {
+		await withGateway(t, async ({port, forwarded}) => {
+			const socket = await openUnread(port);
+			socket.write(`${get(`/1/${answerBytes.buffered}`)}${first}`);
+			await delay(waitMs);
+			socket.write(next);
+			await delay(answerMs);
+			socket.write(next);
+			await delay(answerMs);
+			const {text, error} = await readAll(socket);
+			t.is(error, undefined);
+			t.true(text.length > answerBytes.buffered, `${text.length} bytes`);
+			t.regex(text, expected);
+			t.deepEqual(forwarded.map(({path}) => path), [`/1/${answerBytes.buffered}`]);
+		}, {areLimitsConfirmed: true, limits: {...limits, headerTimeoutMs: shortTimeoutMs, idleTimeoutMs: shortTimeoutMs}});
+	});
+}
+
+test('should answer all requests in order before it refuses malformed bytes behind them, to a caller that reads slowly', async t => {
+	await withGateway(t, async ({port, outcomes}) => {
+		const socket = await openUnread(port);
+		socket.write(`${get(`/1/${answerBytes.largest}`)}${get('/2')}\u0001\u0002\r\n\r\n`);
+		await waitUntil(() => outcomes.length === 2);
+		await delay(answerMs);
+		const {text, error} = await readAll(socket);
+		t.is(error, undefined);
+		t.deepEqual(text.match(/HTTP\/1\.1 \d{3}/gv), ['HTTP/1.1 200', 'HTTP/1.1 200', 'HTTP/1.1 400']);
+	});
+});
