--- a/standins/kept-connection.ts
+++ b/standins/kept-connection.ts
@@ -19,7 +19,7 @@
 	/** Address of the daemon. */
 	address: string;
 	method: 'GET' | 'POST';
-	path: string;
+	path: string | ((requestId: string) => string);
 	host: string;
 	budgetMs: number;
 	/** Pause between an answer and the next request, in milliseconds. */
@@ -60,7 +60,7 @@
 		const requestId = `${name}-${this.exchanges.length + 1}`;
 		const sentAt = performance.now();
 		const status = await new Promise<number | undefined>(resolve => {
-			const request = httpRequest(`http://${address}${path}`, {
+			const request = httpRequest(`http://${address}${typeof path === 'string' ? path : path(requestId)}`, {
 				agent: this.agent, method, headers: {host, [WireHeader.RequestId]: requestId, [WireHeader.Budget]: String(budgetMs)},
 			}, response => {
 				void readWhole(response).then(resolve);
--- a/standins/raw-caller.ts
+++ b/standins/raw-caller.ts
@@ -3,7 +3,6 @@
  */
 import {Buffer} from 'node:buffer';
 import {connect, type Socket} from 'node:net';
-import {setTimeout as delay} from 'node:timers/promises';
 
 export function get(path: string): string {
 	return `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`;
@@ -62,10 +61,3 @@
 		socket.resume();
 	});
 }
-
-export async function waitUntil(condition: () => boolean): Promise<void> {
-	while (!condition()) {
-		// eslint-disable-next-line no-await-in-loop -- polling.
-		await delay(2);
-	}
-}
--- a/standins/target-server.ts
+++ b/standins/target-server.ts
@@ -11,7 +11,10 @@
 
 /** Options of the stand-in. */
 export type TargetServerOptions = TargetOptions & {
-	/** Execution time of a request in milliseconds; the query parameter "work" overrides it. */
+	/**
+	 * Execution time of a request in milliseconds; the query parameter "work" overrides it. The parameter "bytes" asks for a longer
+	 * answer.
+	 */
 	workMs: number;
 	/** Time that warming keys takes, in milliseconds. */
 	warmMs: number;
@@ -86,7 +89,9 @@
 
 		await delay(Number(url.searchParams.get('work') ?? this.options.workMs));
 		this.model.end(execution);
-		sendJson(response, 200, {server: this.id, path: url.pathname, received: body});
+		sendJson(response, 200, {
+			server: this.id, path: url.pathname, received: body, padding: '.'.repeat(Number(url.searchParams.get('bytes') ?? 0)),
+		});
 	}
 }
 
--- a/tests/http/deployment.ts
+++ b/tests/http/deployment.ts
@@ -56,7 +56,7 @@
 			id: 'entry-1', role: VmRole.Entry, address: this.controlAddress, zone: 'zone-1', state: VmState.Live,
 		}]);
 		await Promise.all([this.store.listen(storePort), this.vmList.listen(vmListPort), this.target.listen(standinTargetPort)]);
-		this.daemon = new Daemon(readSettings({
+		await this.startDaemon({
 			id: 'entry-1',
 			zone: 'zone-1',
 			port: String(port),
@@ -66,8 +66,7 @@
 			peerSecret: 'secret-of-daemons',
 			operatorToken: 'operator-token',
 			vetoTokens: 'customer=veto-token',
-		}, {}));
-		await this.daemon.start();
+		});
 		await this.configure(targetPort ?? standinTargetPort);
 	}
 
@@ -84,6 +83,12 @@
 		await Promise.all([this.store.close(), this.vmList?.close(), this.target.close(), this.agent.destroy()]);
 	}
 
+	/** @param flags settings by their flags */
+	protected async startDaemon(flags: Record<string, string>): Promise<void> {
+		this.daemon = new Daemon(readSettings(flags, {}));
+		await this.daemon.start();
+	}
+
 	private async configure(targetPort: number): Promise<void> {
 		const server = {
 			address: `127.0.0.1:${targetPort}`, zone: 'zone-1', id: 'target-1', service: 'registry',
--- a/tests/http/gateway-connections.test.ts
+++ b/tests/http/gateway-connections.test.ts
@@ -7,8 +7,9 @@
 import type {RoutedRequest} from '../../src/model/request.js';
 import {createGatewayService} from '../../src/services/gateway-service.js';
 import {OpenRequests} from '../../src/services/open-requests.js';
+import {waitUntil} from '../../standins/program-process.js';
 import {
-	exchange, get, openUnread, readAll, waitUntil,
+	exchange, get, openUnread, readAll,
 } from '../../standins/raw-caller.js';
 
 /** Delay of the test's dispatcher before it answers, in milliseconds. */
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -10,8 +10,9 @@
 import type {CallerLimits} from '../../src/model/route-configuration.js';
 import {OpenRequests} from '../../src/services/open-requests.js';
 import {createPlatformGatewayService} from '../../src/services/platform-gateway-service.js';
+import {waitUntil} from '../../standins/program-process.js';
 import {
-	exchange, get, openUnread, readAll, waitUntil,
+	exchange, get, openUnread, readAll,
 } from '../../standins/raw-caller.js';
 
 /** Delay of the test's dispatcher before it answers, in milliseconds. */
--- a/tests/platform/signals.test.ts
+++ b/tests/platform/signals.test.ts
@@ -1,5 +1,3 @@
-import {readFile} from 'node:fs/promises';
-import {connect} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
 import {LogEvent} from '../../src/model/events.js';
@@ -7,6 +5,7 @@
 import type {DaemonProcess} from '../../standins/daemon-process.js';
 import {createPlatformSettings, platformPorts} from '../../standins/platform-settings.js';
 import {ProcessDeployment} from '../../standins/process-deployment.js';
+import {isListening, waitUntil} from '../../standins/program-process.js';
 
 /** Shortest and longest time that a request takes at its target, in milliseconds. */
 const workMs = {shortest: 100, longest: 1500};
@@ -82,40 +81,12 @@
 	});
 }
 
-async function isHandlingHangUp(pid: number): Promise<boolean> {
-	const status = await readFile(`/proc/${pid}/status`, 'utf8');
-	const mask = /^SigCgt:\s*(?<mask>[\da-f]+)$/mv.exec(status)?.groups?.mask ?? '0';
-	// SIGHUP is signal 1, and thus the lowest bit.
-	return BigInt(`0x${mask}`) % 2n === 1n;
-}
-
-async function isListening(address: string): Promise<boolean> {
-	const [ip, port] = address.split(':');
-	return new Promise(resolve => {
-		const socket = connect(Number(port), ip, () => {
-			socket.destroy();
-			resolve(true);
-		});
-		socket.once('error', () => {
-			resolve(false);
-		});
-	});
-}
-
-async function waitUntil(condition: () => Promise<boolean>): Promise<void> {
-	// eslint-disable-next-line no-await-in-loop -- polling.
-	while (!await condition()) {
-		// eslint-disable-next-line no-await-in-loop -- polling.
-		await delay(2);
-	}
-}
-
 const startMoments: Array<{title: string; network: string; signals: Signal[]; isReached(daemon: DaemonProcess): Promise<boolean>}> = [
 	{
-		title: 'SIGTERM as soon as signals are handled', network: '127.45', signals: [{signal: 'SIGTERM', atMs: 0}], isReached: async ({pid = 0}) => isHandlingHangUp(pid),
+		title: 'SIGTERM as soon as signals are handled', network: '127.45', signals: [{signal: 'SIGTERM', atMs: 0}], isReached: async daemon => daemon.isHandlingSignals(),
 	},
 	{
-		title: 'SIGINT shortly after', network: '127.46', signals: [{signal: 'SIGINT', atMs: 10}, {signal: 'SIGINT', atMs: 15}], isReached: async ({pid = 0}) => isHandlingHangUp(pid),
+		title: 'SIGINT shortly after', network: '127.46', signals: [{signal: 'SIGINT', atMs: 10}, {signal: 'SIGINT', atMs: 15}], isReached: async daemon => daemon.isHandlingSignals(),
 	},
 	{
 		title: 'SIGTERM as soon as callers can connect', network: '127.47', signals: [{signal: 'SIGTERM', atMs: 0}], isReached: async ({settings}) => isListening(settings.callerAddress),
@@ -159,7 +130,7 @@
 	const {daemon} = deployment;
 	try {
 		await deployment.listen();
-		await waitUntil(async () => isHandlingHangUp(daemon.pid ?? 0));
+		await waitUntil(async () => daemon.isHandlingSignals());
 		daemon.signal('SIGHUP');
 		t.true(await daemon.waitUntilReady());
 		// The settings had not been read when the signal came.
