fix(ownership): an order that another target answers proves the end of its incarnation

Releases to a lost target went on for ten minutes at an address that another server had taken over, and only an identity probe, which suspected targets get, could end them.

tests/decisions/unproved-grants.test.ts, third case: one unreleased range left 1 s after the other target had taken the address, none now.

--- a/src/decisions/ownership/range-orders.ts
+++ b/src/decisions/ownership/range-orders.ts
@@ -1,7 +1,9 @@
 /**
  * Orders to the targets of one keyed service: grants, renewals, releases, and identity probes of targets that do not answer.
  */
-import {FenceRejectedError, OrderUnsentError, RouterError} from '../../model/errors.js';
+import {
+	FenceRejectedError, OrderUnsentError, RouterError, TargetReplacedError,
+} from '../../model/errors.js';
 import {LogEvent, type EventLog, type LogFields} from '../../model/events.js';
 import {isSameIncarnation, type TargetIncarnation} from '../../model/fleet.js';
 import type {KeyOrders} from '../../model/key-orders.js';
@@ -389,6 +391,10 @@
 		log.record(LogEvent.OrderFailed, {
 			service: this.options.rule().name, order, target: incarnation.id, first, last, fence, wasSent, detail: error.message,
 		});
+		if (error instanceof TargetReplacedError) {
+			responsiveness.recordEnded(incarnation, performance.now());
+		}
+
 		if (responsiveness.recordFailure(incarnation, {wasSent, isGrant: order === OrderKind.Grant})) {
 			log.record(LogEvent.TargetSuspected, {
 				service: this.options.rule().name, target: incarnation.id, order, answeredMsAgo: this.answeredMsAgo(incarnation, performance.now()),
--- a/tests/decisions/unproved-grants.test.ts
+++ b/tests/decisions/unproved-grants.test.ts
@@ -3,6 +3,7 @@
 import {wordReachMs} from '../../src/decisions/fleet/leader-word.js';
 import {ownerEvidenceLifetimeMs} from '../../src/decisions/fleet/owner-freshness.js';
 import {LogEvent} from '../../src/model/events.js';
+import {KeyHolder} from '../../standins/key-holder.js';
 import {KeyedFleet} from '../../standins/keyed-fleet.js';
 import {StoreFault} from '../../standins/memory-coordination-store.js';
 
@@ -73,3 +74,23 @@
 		}
 	});
 }
+
+test.serial('should end the releases to a target once another one answers at its address', async t => {
+	const clock = FakeTimers.install({now: 1_800_000_000_000, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance']});
+	const fleet = new KeyedFleet(3, 4);
+	const run = async (durationMs: number): Promise<void> => fleet.run(durationMs, async ms => clock.tickAsync(ms));
+	const unreleasedCount = (): number => fleet.daemons[0].view.unreleasedRangeCount;
+	try {
+		await run(6000);
+		const {address} = fleet.holder(1).incarnation;
+		fleet.holder(1).isUnreachable = true;
+		await run(6000);
+		t.is(unreleasedCount(), 1);
+		fleet.holders.set(address, new KeyHolder({id: 'target-9', bornAt: 9, address}));
+		await run(1000);
+		t.is(unreleasedCount(), 0);
+	} finally {
+		fleet.stop();
+		clock.uninstall();
+	}
+});
