--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -99,8 +99,13 @@
 		const member: Member = {
 			daemon, availabilityZone, ip, port, room: spareCapacity(settings),
 		};
-		this.membership = new Membership(member, this.store, log, () => {
-			this.sync.recordStoreAnswer();
+		this.membership = new Membership(member, {
+			store: this.store,
+			view: this.view,
+			log,
+			onAnswer: () => {
+				this.sync.recordStoreAnswer();
+			},
 		});
 		const loads = new TargetLoads();
 		this.statements = new TargetStatements(log, {
@@ -368,6 +373,7 @@
 			targetConnections: () => this.transport.pool.openedCount,
 			isLeader: () => this.leader.leadership.isLeader,
 			unansweredGrants: () => this.leader.unansweredGrants,
+			unreleasedRanges: () => this.view.unreleasedRangeCount,
 			configurationVersion: () => this.view.configuration?.version ?? 0,
 			configurationEvidenceAgeMs: () => this.view.freshness.ageMs,
 			isStoreReachable: () => this.sync.isStoreReachable,
