fix(fleet): answer daemons whose entries have expired

Callers: a daemon that the store refuses for longer than its entry lasts goes on to serve keyed requests while a peer that watches, or the leader, confirms its owners.

Cause: the address of an answer was taken from the entry, which expires after 9 s without the store.

Change: a view remembers daemons whose entries have expired for 10 minutes; only answers to their messages are sent there.

--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -37,6 +37,9 @@
 /** Time for which it is remembered that an incarnation is leaving, in milliseconds; longer than any leaving target runs. */
 const leavingRetentionMs = 600_000;
 
+/** Time for which a daemon is remembered whose entry has expired, in milliseconds; bounds the memory. */
+const formerMemberRetentionMs = 600_000;
+
 /** Number of earlier assignments kept for each service, so that daemons a few changes behind need not get all ranges. */
 const assignmentHistoryLimit = 8;
 
@@ -51,6 +54,8 @@
 	readonly members = new Map<string, Member>();
 	readonly assignments = new Map<string, KnownAssignment>();
 	readonly ownerFreshness = new OwnerFreshness();
+	/** Daemons whose entries have expired, with the time of the removal. */
+	private readonly formerMembers = new Map<string, {member: Member; removedAt: number}>();
 	private readonly assignmentHistory = new Map<string, KnownAssignment[]>();
 	private routes: RouteIndex | undefined;
 	private readonly targets = new Map<string, Target>();
@@ -90,6 +95,19 @@
 		return await this.freshness.waitForEvidence(cancellation) && this.configuration?.hasUnknownLimits === false;
 	}
 
+	removeMember(daemon: string, now = performance.now()): void {
+		const member = this.members.get(daemon);
+		if (member) {
+			this.members.delete(daemon);
+			this.formerMembers.set(daemon, {member, removedAt: now});
+		}
+	}
+
+	/** A member, or one whose entry has expired: a daemon that the store refuses goes on to send messages, which need answers. */
+	findSender(daemon: string): Member | undefined {
+		return this.members.get(daemon) ?? this.formerMembers.get(daemon)?.member;
+	}
+
 	/** Activates a configuration unless the active one is as new; returns whether it did. */
 	applyConfiguration(configuration: RouteConfiguration): boolean {
 		if (this.configuration && this.configuration.version >= configuration.version) {
@@ -243,8 +261,14 @@
 		});
 	}
 
-	/** Drops targets that were removed long ago. */
+	/** Drops targets and daemons that were removed long ago. */
 	prune(now = performance.now()): void {
+		for (const [daemon, {removedAt}] of this.formerMembers) {
+			if (now - removedAt > formerMemberRetentionMs) {
+				this.formerMembers.delete(daemon);
+			}
+		}
+
 		for (const [id, {removedAt}] of this.removed) {
 			if (now - removedAt > removedRetentionMs) {
 				this.removed.delete(id);
--- a/src/decisions/fleet/peer-exchange.ts
+++ b/src/decisions/fleet/peer-exchange.ts
@@ -237,7 +237,7 @@
 			recordKeys(service, keys);
 		}
 
-		this.answerRequests(message, view.members.get(message.daemon));
+		this.answerRequests(message, view.findSender(message.daemon));
 		this.forwardToZone(message, now);
 	}
 
--- a/src/decisions/fleet/view-writer.ts
+++ b/src/decisions/fleet/view-writer.ts
@@ -136,7 +136,7 @@
 
 	private applyMember(daemon: string, value: string | undefined): void {
 		if (value === undefined) {
-			this.view.members.delete(daemon);
+			this.view.removeMember(daemon);
 			return;
 		}
 
--- a/tests/decisions/outdated-owner.test.ts
+++ b/tests/decisions/outdated-owner.test.ts
@@ -165,8 +165,6 @@
 	refusedFromMs?: {min: number; max: number};
 	isAffected?(name: string): boolean;
 	inject(run: LedRun): void;
-	/** Declares the test; marks it as failing while it is in KNOWN-RED.txt. */
-	declare?: typeof test.serial | typeof test.serial.failing;
 	/** Ends the fault. */
 	heal?(run: LimitedRun): void;
 };
@@ -212,7 +210,7 @@
 		title: 'of a daemon that is cut off from the store, so that its entry has expired', sizes: mostSizes, durationMs: faultMs, inject({fleet}) {
 			fleet.daemon('one-3').client.isDisconnected = true;
 			fleet.store.delete('eelgrasswheel/members/one-3');
-		}, declare: test.serial.failing,
+		},
 	},
 	{
 		title: 'of all daemons but one that is cut off from the store and its peers', sizes: allSizes, durationMs: faultMs, inject({fleet}) {
@@ -272,10 +270,10 @@
 }
 
 for (const {
-	title, sizes: ofSizes, durationMs, inject, heal, refusedFromMs, isAffected = () => false, declare = test.serial,
+	title, sizes: ofSizes, durationMs, inject, heal, refusedFromMs, isAffected = () => false,
 } of faultCases) {
 	for (const size of ofSizes) {
-		declare(`should serve requests ${title}, with ${daemonCount(size)} daemons`, async t => {
+		test.serial(`should serve requests ${title}, with ${daemonCount(size)} daemons`, async t => {
 			await withLedFleet(size, async run => {
 				const {fleet} = run;
 				const late: string[] = [];
