--- a/tests/decisions/outdated-owner.test.ts
+++ b/tests/decisions/outdated-owner.test.ts
@@ -206,6 +206,12 @@
 			fleet.daemon('one-3').client.isDisconnected = true;
 		},
 	},
+	{
+		title: 'of a daemon that is cut off from the store, so that its entry has expired', sizes: mostSizes, durationMs: faultMs, inject({fleet}) {
+			fleet.daemon('one-3').client.isDisconnected = true;
+			fleet.store.delete('eelgrasswheel/members/one-3');
+		},
+	},
 	{
 		title: 'of all daemons but one that is cut off from the store and its peers', sizes: allSizes, durationMs: faultMs, inject({fleet}) {
 			fleet.daemon('one-3').client.isDisconnected = true;
