fix(daemon): the end of a stop reads requests that arrived during a stall

Cause: after a stall of the process, timers run before sockets are read. The poll for open requests found none and closed all connections, with requests unread that had arrived during the stall.

The poll lets sockets be read twice before it counts none. tests/platform/stalled-stop.test.ts stalls the process at that moment: reset before, answered now.

--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -1,7 +1,7 @@
 /**
  * A daemon on the users' platform: connects adapters, decisions and kernel, and handles start and graceful shutdown.
  */
-import {setTimeout as delay} from 'node:timers/promises';
+import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
 import type {ServiceBroker} from 'moleculer';
 import {ConfigurationFreshness} from '../decisions/fleet/configuration-freshness.js';
 import {FleetSync} from '../decisions/fleet/fleet-sync.js';
@@ -211,9 +211,24 @@
 		}
 	}
 
+	/** After a stall, requests that have arrived are read first. */
+	private async hasNoRequests(): Promise<boolean> {
+		for (let turn = 0; turn < 2; turn += 1) {
+			if (this.openRequests.count > 0) {
+				return false;
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- sockets are read in each turn.
+			await nextTurn();
+		}
+
+		return this.openRequests.count === 0;
+	}
+
 	private async waitForRequests(exitBy: number): Promise<void> {
 		for (;;) {
-			if (this.openRequests.count === 0 || performance.now() >= exitBy) {
+			// eslint-disable-next-line no-await-in-loop -- polling.
+			if (await this.hasNoRequests() || performance.now() >= exitBy) {
 				return;
 			}
 
