test(ownership): keys count as free once an unanswered grant is forgotten

Cause: KeyHolds.add drops grants 30 s after their assumed expiry, whatever their outcome, and isFree takes that for proof. Change: a test that fails. Measured: isFree is true 41 s after the unanswered grant.

--- a/tests/decisions/key-holds.test.ts
+++ b/tests/decisions/key-holds.test.ts
@@ -227,3 +227,11 @@
 
 	t.is(holds.size, 1);
 });
+
+test.failing('should not call keys free because an unanswered grant was forgotten when a later one was sent', t => {
+	const holds = new KeyHolds(policy, 0);
+	answerFirst(holds);
+	holds.recordTimeout(holds.add(whole, 1, holdMs, 700), 1000);
+	holds.recordAnswer(holds.add(whole, 1, holdMs, 40_000), 40_010);
+	t.false(holds.isFree(whole, 42_000));
+});
