perf(fleet): watches of the store wait 1 s again with keyed services

The evidence for owners had shortened them to 500 ms, so that one that brings a change still counts at the end of the next.

--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -15,7 +15,6 @@
 import type {FleetView} from './fleet-view.js';
 import {EvidenceRequester} from './evidence-requester.js';
 import {OwnerEvidenceRequester} from './owner-evidence-requester.js';
-import {ownerEvidenceLifetimeMs} from './owner-freshness.js';
 import type {UpdateRelay} from './update-relay.js';
 import {ViewWriter, type PlatformDocuments} from './view-writer.js';
 
@@ -51,12 +50,6 @@
 /** Longest wait of a watch as a share of the configuration's bound, so that evidence from its end still counts at the next end. */
 const watchWaitShare = 0.5;
 
-/**
- * Longest wait of a watch as a share of the lifetime of evidence for owners, if there are keyed services: the evidence of a watch that
- * brings changes counts from its begin, and has to last until the end of the next one.
- */
-const ownerWatchShare = 0.25;
-
 /** Pause between two watches in milliseconds, so that changes are relayed in batches. */
 const batchDelayMs = 300;
 
@@ -119,6 +112,7 @@
 	private endFollowing: (() => void) | undefined;
 	/** Revision up to which all owners are known; updates from peers do not contain them. */
 	private ownersKnownTo = 0;
+	private readonly watchWaitMs: number;
 	constructor(
 		private readonly store: CoordinationStore,
 		private readonly view: FleetView,
@@ -132,6 +126,7 @@
 		this.evidenceRequester = new EvidenceRequester({
 			store, view, writer: this.writer, relay, log, configurationKey: documents.configurationKey,
 		});
+		this.watchWaitMs = Math.floor(Math.min(watchLimitMs, view.freshness.boundMs * watchWaitShare));
 		this.ownerEvidenceRequester = new OwnerEvidenceRequester({
 			view,
 			relay,
@@ -372,9 +367,8 @@
 		const after = this.view.revision;
 		const isBehind = this.newestPeerRevision > after;
 		const areOwnersKnown = this.ownersKnownTo >= after;
-		const {watchWaitMs} = this;
 		const requestedAt = currentMoment();
-		const {changes, revision} = await this.waitForChanges(after, watchWaitMs);
+		const {changes, revision} = await this.waitForChanges(after);
 		this.recordSuccess();
 		this.capPeerRevision(revision, requestedAt.monotonic);
 		if (revision < after) {
@@ -389,7 +383,7 @@
 
 		this.applyUpdate({after, changes, revision});
 		this.evidenceRequester.applyRisingChanges(changes);
-		const confirmedAt = changes.length === 0 ? unchangedUntil(requestedAt, watchWaitMs) : requestedAt;
+		const confirmedAt = changes.length === 0 ? unchangedUntil(requestedAt, this.watchWaitMs) : requestedAt;
 		this.evidenceRequester.confirm(confirmedAt);
 		if (areOwnersKnown) {
 			this.confirmOwners(confirmedAt, revision);
@@ -402,13 +396,6 @@
 		}
 	}
 
-	/** Longest wait of the next watch, in milliseconds. */
-	private get watchWaitMs(): number {
-		const {view} = this;
-		const waitMs = Math.min(watchLimitMs, view.freshness.boundMs * watchWaitShare);
-		return Math.floor(view.hasKeyedServices ? Math.min(waitMs, ownerEvidenceLifetimeMs * ownerWatchShare) : waitMs);
-	}
-
 	/** True for a daemon that has followed another one until now and may have missed a message with owners. */
 	private get mayMissOwners(): boolean {
 		return this.view.hasKeyedServices && this.ownersKnownTo < this.view.revision && !this.relay.isFollowing();
@@ -430,11 +417,11 @@
 		}
 	}
 
-	private async waitForChanges(after: number, waitMs: number): Promise<StoreChanges> {
+	private async waitForChanges(after: number): Promise<StoreChanges> {
 		this.isWatching = true;
 		this.answerDueAt = this.newestPeerRevision > after ? performance.now() + this.catchUpTimeoutMs : 0;
 		try {
-			return await this.store.watch('', after, waitMs);
+			return await this.store.watch('', after, this.watchWaitMs);
 		} finally {
 			this.isWatching = false;
 			this.answerDueAt = 0;
--- a/src/decisions/fleet/owner-evidence-requester.ts
+++ b/src/decisions/fleet/owner-evidence-requester.ts
@@ -15,8 +15,8 @@
 /** The same while callers' requests wait for the evidence. */
 const urgentIntervalMs = 60;
 
-/** Average interval between requests in milliseconds, and the number that may be sent sooner; two a second bound the load of the leader. */
-const averageIntervalMs = 500;
+/** Average interval between requests in milliseconds, and the number that may be sent sooner; they bound the load of the leader. */
+const averageIntervalMs = 750;
 const requestReserve = 4;
 
 /** Age of the evidence from which a daemon that follows another one reads the owners from the store, in milliseconds. */
