fix(fleet): a daemon does not write its entry again and again if its view never shows it

The store got 600 writes in 30 s in a test from a daemon whose own entry its view never contains, for instance because it cannot be decoded: since a missing entry is written again at once.

The next registration follows the one before after the interval of renewals, 3 s. tests/decisions/removed-entries.test.ts: 600 writes before, at most 11 now; an entry that was removed is back within 3 s as before.

--- a/src/decisions/fleet/membership.ts
+++ b/src/decisions/fleet/membership.ts
@@ -31,6 +31,7 @@
 	lease: number;
 	/** Revision of the entry. */
 	revision: number;
+	at: number;
 };
 
 /** Writes the entry, renews its lease and removes it. */
@@ -48,9 +49,10 @@
 			return;
 		}
 
-		if (this.isEntryRemoved) {
+		if (this.registration && this.isEntryRemoved) {
+			// An entry that the view can never show must not be written again and again.
+			this.nextCallAt = this.registration.at + renewalMs;
 			this.registration = undefined;
-			this.nextCallAt = 0;
 			this.options.log.record(LogEvent.LeaseLost, {detail: 'the entry was removed although its lease goes on'});
 		}
 
@@ -104,6 +106,6 @@
 		const {id} = await store.openLease(leaseMs);
 		const key = `${storeKeys.members}${this.member.daemon}`;
 		const revision = await store.write({expected: [], puts: [{key, value: JSON.stringify(this.member), lease: id}]});
-		this.registration = {lease: id, revision};
+		this.registration = {lease: id, revision, at: performance.now()};
 	}
 }
--- a/tests/decisions/removed-entries.test.ts
+++ b/tests/decisions/removed-entries.test.ts
@@ -129,3 +129,25 @@
 		}
 	});
 }
+
+test.serial('should not write the entry of a daemon again and again if its view never shows it', async t => {
+	const clock = install();
+	const store = new MemoryCoordinationStore();
+	const view = new FleetView();
+	const membership = new Membership(member, {
+		store: store.createClient(), view, log: silentLog, onAnswer: () => undefined,
+	});
+	try {
+		const before = store.revision;
+		for (let passed = 0; passed < 10 * stableWindowMs; passed += tickMs) {
+			view.revision = store.revision;
+			membership.tick();
+			// eslint-disable-next-line no-await-in-loop -- the clock advances step by step.
+			await clock.tickAsync(tickMs);
+		}
+
+		t.true(store.revision - before <= 11, `${store.revision - before} writes in ${10 * stableWindowMs} ms`);
+	} finally {
+		clock.uninstall();
+	}
+});
