--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -20,16 +20,18 @@
 import type {Trace, Violation} from './trace.js';
 import {configurationText} from './traffic.js';
 
-const leaderKey = 'eelgrasswheel/leader';
+export const leaderKey = 'eelgrasswheel/leader';
+
+/** Interval of the targets' heartbeats in milliseconds; `heartbeatMs` of the users' protocol, as in the settings. */
 const heartbeatMs = 1000;
 
-/** Interval at which the balancer asks daemons whether they are ready, in milliseconds; from the users' protocol. */
+/** Interval at which the balancer asks daemons whether they are ready, in milliseconds; PROTOCOL.md: "Once per second". */
 const readinessIntervalMs = 1000;
 
-/** Questions without a 200 after which a daemon gets no new connections; from the users' protocol. */
+/** Questions without a 200 after which a daemon gets no new connections; PROTOCOL.md: "After two misses". */
 const missLimit = 2;
 
-/** Heartbeats of silence after which an entry is removed; from the users' protocol. */
+/** Heartbeats of silence after which an entry is removed; PROTOCOL.md: "after three heartbeat intervals of silence". */
 const silentHeartbeats = 3;
 
 export type DeploymentOptions = {
@@ -199,6 +201,11 @@
 	}
 }
 
+/** Writes the entry of a target again. */
+export function putReady({life}: TargetSlot): void {
+	life.putEntry(TargetState.Ready);
+}
+
 /** Announces that a target leaves. */
 export function putDraining({life}: TargetSlot): void {
 	life.putEntry(TargetState.Draining);
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -7,13 +7,18 @@
 import {LinkState} from '../standins/delaying-proxy.js';
 import {StoreFault} from '../standins/memory-coordination-store.js';
 import {disturbDaemon, type DaemonSlot} from './daemon-slot.js';
-import {putDraining, type SoakDeployment, type TargetSlot} from './deployment.js';
+import {
+	leaderKey, putDraining, putReady, type SoakDeployment, type TargetSlot,
+} from './deployment.js';
 import type {Harm} from './link.js';
-import {FaultKind, Subject, type Step} from './schedule.js';
+import {
+	Deafness, Draws, FaultKind, Subject, type Step,
+} from './schedule.js';
+import type {Trouble} from './soak-target.js';
 import {Part, type Trace} from './trace.js';
 import {oddEntryText, oddResources} from './traffic.js';
 
-/** Time for which a target serves after its leaving was acknowledged, in milliseconds; `drainMs` of the settings and a little more. */
+/** Shortest time for which a target serves after its leaving was acknowledged, in milliseconds; `drainMs` of the settings and a little more. */
 const drainServiceMs = 2300;
 
 /** Interval at which the delay of a link changes, in milliseconds. */
@@ -29,6 +34,26 @@
 	[FaultKind.LinkCutIn, {in: LinkState.Cut}],
 ]);
 
+type TroubleOf = (step: Step, target: number) => Trouble;
+
+const lateOrdersOf: TroubleOf = ({kind, atMs, lateOrders}, target) => (
+	{lateOrders: {...lateOrders, isHeldUp: kind === FaultKind.OrdersHeldUp, draws: new Draws(atMs + target)}}
+);
+
+const troubles: ReadonlyMap<FaultKind, TroubleOf> = new Map<FaultKind, TroubleOf>([
+	[FaultKind.TargetSlow, ({amount}) => ({slowness: amount})],
+	[FaultKind.AnswersLost, () => ({losesAnswers: true})],
+	[FaultKind.OrdersLate, lateOrdersOf],
+	[FaultKind.OrdersHeldUp, lateOrdersOf],
+	[FaultKind.TargetDeaf, ({amount}) => ({isDeaf: true, ignoresProbes: amount >= Number(Deafness.Probes)})],
+]);
+
+const storeFaults: ReadonlyMap<FaultKind, StoreFault> = new Map([
+	[FaultKind.StoreDown, StoreFault.Down],
+	[FaultKind.StoreLosesAnswers, StoreFault.LosesReplies],
+	[FaultKind.StoreWritesLate, StoreFault.DelaysWrites],
+]);
+
 /** What a fault acts on. */
 export type FaultContext = {deployment: SoakDeployment; trace: Trace; step: Step};
 
@@ -187,16 +212,10 @@
 	constructor(protected readonly context: FaultContext) {}
 
 	async play(): Promise<boolean> {
-		const {deployment, trace, step: {target, kind}} = this.context;
-		const slot = deployment.targets[target ?? 0];
-		if (!slot.isUp) {
-			return false;
-		}
-
-		const end = this.isPlanned ? () => undefined : trace.disturb(Part.Target, {target: slot.index, detail: kind});
-		await this.disturb(slot);
-		end();
-		return true;
+		const {deployment, step: {target}} = this.context;
+		const slots = deployment.targets.filter(({index, isUp}) => isUp && index === (target ?? index));
+		await Promise.all(slots.map(async slot => this.playAt(slot)));
+		return slots.length > 0;
 	}
 
 	protected get isPlanned(): boolean {
@@ -204,6 +223,15 @@
 	}
 
 	protected abstract disturb(slot: TargetSlot): Promise<void>;
+
+	/** Lasts until the last late order was carried out; the target counts as disturbed only while orders are sent. */
+	private async playAt(slot: TargetSlot): Promise<void> {
+		const {life, index} = slot;
+		const end = this.isPlanned ? () => undefined : this.context.trace.disturb(Part.Target, {target: index, detail: this.context.step.kind});
+		await this.disturb(slot);
+		end();
+		await delay(Math.max(0, life.ordersUntil - performance.now()));
+	}
 }
 
 class TargetCrashFault extends TargetFault {
@@ -239,18 +267,19 @@
 	protected override async disturb(slot: TargetSlot): Promise<void> {
 		const {step: {kind, durationMs, amount}} = this.context;
 		const {life} = slot;
-		if (kind === FaultKind.TargetSlow) {
-			life.slowness = amount;
-		} else if (kind === FaultKind.OrdersLate) {
-			life.orderDelayMs = amount;
-		} else {
-			life.losesAnswers = true;
+		const trouble = troubles.get(kind)?.(this.context.step, slot.index) ?? {};
+		const isSilent = kind === FaultKind.TargetDeaf && amount >= Number(Deafness.Heartbeats);
+		life.troubles.add(trouble);
+		if (isSilent) {
+			slot.silentSince ??= performance.now();
 		}
 
 		await delay(durationMs);
-		life.slowness = 1;
-		life.orderDelayMs = 0;
-		life.losesAnswers = false;
+		life.troubles.delete(trouble);
+		if (isSilent && slot.isUp && slot.life === life) {
+			slot.silentSince = undefined;
+			putReady(slot);
+		}
 	}
 }
 
@@ -265,26 +294,46 @@
 		}
 
 		const end = trace.disturb(Part.Store, {detail: kind});
+		const fault = storeFaults.get(kind);
 		const harm: Harm = kind === FaultKind.StoreSlow ? {delayMs: amount} : {};
 		const links = deployment.linksOf(undefined, undefined);
 		for (const link of links) {
 			link.add(harm);
 		}
 
-		if (kind !== FaultKind.StoreSlow) {
-			deployment.store.fault = kind === FaultKind.StoreDown ? StoreFault.Down : StoreFault.LosesReplies;
-		}
-
+		deployment.store.fault = fault ?? deployment.store.fault;
+		deployment.store.lateWriteDelayMs = amount;
 		await delay(durationMs);
 		for (const link of links) {
 			link.remove(harm);
 		}
 
-		if (kind !== FaultKind.StoreSlow) {
-			deployment.store.fault = StoreFault.None;
+		deployment.store.fault = fault === undefined ? deployment.store.fault : StoreFault.None;
+		end();
+		await delay(kind === FaultKind.StoreWritesLate ? amount : 0);
+		return true;
+	}
+}
+
+/** Ends the leader's lease; no request shows it while the link to the store is silent. */
+class LeaseRevokedFault implements Fault {
+	constructor(private readonly context: FaultContext) {}
+
+	async play(): Promise<boolean> {
+		const {deployment, trace, step: {kind, durationMs, amount}} = this.context;
+		const daemon = deployment.leaderIndex();
+		const isRevoked = deployment.store.revokeLease(leaderKey);
+		if (!isRevoked || amount === 0) {
+			return isRevoked;
 		}
 
+		const [link] = deployment.linksOf(daemon, undefined);
+		const harm: Harm = {out: LinkState.Silent, in: LinkState.Silent};
+		const end = trace.disturb(Part.Store, {daemon, isHealing: true, detail: kind});
+		link.add(harm);
+		await delay(durationMs);
 		end();
+		link.remove(harm);
 		return true;
 	}
 }
@@ -329,9 +378,13 @@
 	[FaultKind.TargetSlow]: TargetTroubleFault,
 	[FaultKind.AnswersLost]: TargetTroubleFault,
 	[FaultKind.OrdersLate]: TargetTroubleFault,
+	[FaultKind.OrdersHeldUp]: TargetTroubleFault,
+	[FaultKind.TargetDeaf]: TargetTroubleFault,
 	[FaultKind.StoreDown]: StoreTroubleFault,
 	[FaultKind.StoreSlow]: StoreTroubleFault,
 	[FaultKind.StoreLosesAnswers]: StoreTroubleFault,
+	[FaultKind.StoreWritesLate]: StoreTroubleFault,
+	[FaultKind.LeaseRevoked]: LeaseRevokedFault,
 	[FaultKind.StoreCompaction]: StoreTroubleFault,
 	[FaultKind.OddEntry]: OddEntryFault,
 	[FaultKind.NewConfiguration]: ConfigurationChange,
--- a/soak/regressions.ts
+++ b/soak/regressions.ts
@@ -2,7 +2,7 @@
  * Schedules that failed, each with its cause. Those of a seed change with the generator; the others are fixed.
  */
 import {
-	createSchedule, FaultKind, Subject, type ScheduleOptions, type Step,
+	createSchedule, FaultKind, orderLatenessMs, Subject, type ScheduleOptions, type Step,
 } from './schedule.js';
 
 /** A schedule and the deployment on which it failed. */
@@ -26,7 +26,7 @@
 
 function step(kind: FaultKind, changes: Partial<Step>): Step {
 	return {
-		atMs: 0, durationMs: 300, kind, daemon: 0, target: 0, amount: 0, signals: [], earlySignals: [], ...changes,
+		atMs: 0, durationMs: 300, kind, daemon: 0, target: 0, amount: 0, lateOrders: {percent: 100, delayMs: orderLatenessMs}, signals: [], earlySignals: [], ...changes,
 	};
 }
 
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -29,11 +29,19 @@
 	TargetSlow = 'target slow',
 	/** Requests and orders are carried out, but their answers are lost. */
 	AnswersLost = 'answers lost',
-	/** Orders are carried out late; their time counts from their arrival. */
+	/** A share of the orders gets no answer and is carried out late; holds count from the arrival. */
 	OrdersLate = 'orders late',
+	/** As above, but held up on their way, so that holds count from when they are carried out. */
+	OrdersHeldUp = 'orders held up',
+	/** Orders are lost, while requests are served. */
+	TargetDeaf = 'target deaf',
 	StoreDown = 'store down',
 	StoreSlow = 'store slow',
 	StoreLosesAnswers = 'store loses answers',
+	/** Writes get no answer and are carried out late. */
+	StoreWritesLate = 'store writes late',
+	/** The leader's lease ends before its time. */
+	LeaseRevoked = 'lease revoked',
 	StoreCompaction = 'store compaction',
 	OddEntry = 'odd entry',
 	NewConfiguration = 'new configuration',
@@ -46,6 +54,25 @@
 	All = 'all',
 }
 
+/** What a deaf target does not hear or say; each level includes those before it. */
+export enum Deafness {
+	Orders,
+	Probes,
+	/** Its entry is removed after some heartbeats, and is written again at the end. */
+	Heartbeats,
+}
+
+/** First and last value of what is drawn. */
+export type Bounds = [number, number];
+
+/** Orders that get no answer. */
+export type LateOrders = {
+	/** Share of the orders, in percent. */
+	percent: number;
+	/** Time after which each is carried out, in milliseconds. */
+	delayMs: Bounds;
+};
+
 /** Signal sent to a daemon some time after a step begins. */
 export type TimedSignal = {afterMs: number; signal: NodeJS.Signals};
 
@@ -57,10 +84,14 @@
 	kind: FaultKind;
 	/** Index of the daemon; for links, the daemon's end. */
 	daemon: number | Subject;
-	/** Index of the target; for links, the far end. Undefined for the store. */
+	/** Index of the target; for links, the far end. Undefined for the store, and for late orders of all targets. */
 	target: number | undefined;
-	/** Delay of links, orders and the store in milliseconds, factor of slow targets, number of the odd document. */
+	/**
+	 * Delay of links, writes and the store and further service of leaving targets in milliseconds, factor of slow targets,
+	 * `Deafness`, number of the odd document, 1 if the leader whose lease is revoked is cut off from the store as well.
+	 */
 	amount: number;
+	lateOrders: LateOrders;
 	/** Further signals of a stop. */
 	signals: TimedSignal[];
 	/** Signals to the process that replaces a stopped one, counted from its start. */
@@ -73,7 +104,7 @@
 	durationMs: number;
 	daemonCount: number;
 	targetCount: number;
-	/** Longest delay of a link per direction in milliseconds. */
+	/** Longest delay of a link per direction in milliseconds; not from the users' pages, which say only that links are harmed. */
 	delayLimitMs: number;
 };
 
@@ -88,12 +119,27 @@
 }
 
 /** Duration of the steps drawn from one theme, in milliseconds. */
-const episodeMs = 9000;
+const episodeMs = 12_000;
 
 /** Time without steps at the end of an episode, in milliseconds, so that planned work can follow without disruption nearby. */
 const calmMs = 2500;
 
 const themeCycle = [Theme.Planned, Theme.Ownership, Theme.Mixed, Theme.Ownership, Theme.Planned, Theme.Store];
+/** Lateness of orders in milliseconds; `fleetbench kinds`, applied_late: "gets no answer and is carried out 2 to 12 s later". */
+export const orderLatenessMs: Bounds = [2000, 12_000];
+
+/** Share of late orders in percent; `fleetbench kinds`, applied_late: "a share x (.5) of the orders", up to 0.7. */
+export const lateOrderPercents: Bounds = [50, 70];
+
+/** Lateness of writes in milliseconds; `fleetbench kinds`, platform_lost, late: "done 1 to 6 s later". */
+export const writeLatenessMs: Bounds = [1000, 6000];
+
+/** Service of a leaving target beyond `drainMs`, in milliseconds; PROTOCOL.md: "a little longer (at times many seconds)". */
+export const lingerMs: Bounds = [0, 6000];
+
+/** Delay of the store in milliseconds; PROTOCOL.md says "may be slow" and names no time, so that the bounds are not from the pages. */
+const storeDelayMs: Bounds = [50, 400];
+
 const repeatedSignals: NodeJS.Signals[] = ['SIGTERM', 'SIGTERM', 'SIGINT', 'SIGHUP'];
 
 /** How often a theme draws a kind, and the bounds of what is drawn for it. */
@@ -101,9 +147,10 @@
 	planned?: number;
 	ownership?: number;
 	store?: number;
-	/** Longest duration in milliseconds; the shortest one if it is absent. */
+	/** Shortest and longest duration in milliseconds; 300 if absent. */
+	shortestMs?: number;
 	longestMs?: number;
-	amount?: [number, number];
+	amount?: Bounds;
 };
 
 const plans: Record<FaultKind, KindPlan> = {
@@ -121,26 +168,41 @@
 	[FaultKind.LinkCutIn]: {ownership: 1, longestMs: 4000},
 	[FaultKind.TargetCrash]: {ownership: 1, longestMs: 4000},
 	[FaultKind.TargetRestart]: {ownership: 1},
-	[FaultKind.TargetDrain]: {planned: 1, ownership: 1, longestMs: 4500},
+	[FaultKind.TargetDrain]: {
+		planned: 1, ownership: 1, longestMs: 4500, amount: lingerMs,
+	},
 	[FaultKind.TargetSlow]: {ownership: 1, longestMs: 4000, amount: [2, 6]},
 	[FaultKind.AnswersLost]: {ownership: 1, longestMs: 3000},
-	[FaultKind.OrdersLate]: {ownership: 1, longestMs: 4000, amount: [300, 3000]},
+	[FaultKind.OrdersLate]: {ownership: 1, shortestMs: 2000, longestMs: 9000},
+	[FaultKind.OrdersHeldUp]: {ownership: 3, shortestMs: 2000, longestMs: 9000},
+	// `fleetbench kinds`, srv_cut: "partitioned from the core and from control, not from the fronts".
+	[FaultKind.TargetDeaf]: {
+		ownership: 4, shortestMs: 3000, longestMs: 9000, amount: [Deafness.Orders, Deafness.Heartbeats],
+	},
 	[FaultKind.StoreDown]: {store: 1, longestMs: 4000},
-	[FaultKind.StoreSlow]: {store: 1, longestMs: 4000, amount: [50, 400]},
+	[FaultKind.StoreSlow]: {store: 1, longestMs: 4000, amount: storeDelayMs},
 	[FaultKind.StoreLosesAnswers]: {store: 1, longestMs: 3000},
+	[FaultKind.StoreWritesLate]: {store: 1, longestMs: 3000, amount: writeLatenessMs},
+	// `fleetbench kinds`, platform_down, revoke: "keys are taken away at once, and no request shows it".
+	[FaultKind.LeaseRevoked]: {
+		ownership: 1, store: 1, longestMs: 4000, amount: [0, 1],
+	},
 	[FaultKind.StoreCompaction]: {store: 1},
 	[FaultKind.OddEntry]: {planned: 1, longestMs: 5000},
 	[FaultKind.NewConfiguration]: {planned: 1},
 	[FaultKind.OddConfiguration]: {planned: 1},
 };
 
-const shortestMs = 300;
+const defaultShortestMs = 300;
 
 /** Part of the limit above which a delay counts as long. */
 const longDelayShare = 0.7;
 
+/** Share of the steps that concern one target of an episode, in percent, so that faults overlap at it. */
+const focusPercent = 50;
+
 /** Draws of one seed. */
-class Draws {
+export class Draws {
 	private readonly generator;
 
 	constructor(seed: number) {
@@ -169,19 +231,22 @@
 		const startMs = episode * episodeMs;
 		const endMs = Math.min(startMs + episodeMs - calmMs, options.durationMs);
 		const theme = themeCycle[(episode + offset) % themeCycle.length];
-		steps.push(...createEpisode(theme, startMs, endMs, {draws, options}));
+		const focus = draws.integer(0, options.targetCount - 1);
+		steps.push(...createEpisode(theme, [startMs, endMs], focus, {draws, options}));
 	}
 
 	return steps.toSorted((left, right) => left.atMs - right.atMs);
 }
 
-function createEpisode(theme: Theme, startMs: number, endMs: number, {draws, options}: {draws: Draws; options: ScheduleOptions}): Step[] {
+function createEpisode(theme: Theme, [startMs, endMs]: Bounds, focus: number, {draws, options}: {draws: Draws; options: ScheduleOptions}): Step[] {
 	const steps: Step[] = [];
 	const kinds = kindsOf(theme);
-	for (let atMs = startMs + draws.integer(0, 800); atMs < endMs - shortestMs;) {
+	for (let atMs = startMs + draws.integer(0, 800); atMs < endMs - defaultShortestMs;) {
 		const kind = draws.item(kinds);
-		const durationMs = Math.min(endMs - atMs, draws.integer(shortestMs, Math.max(shortestMs, plans[kind].longestMs ?? 0)));
-		steps.push(createStep(kind, {atMs, durationMs}, draws, options));
+		const {shortestMs = defaultShortestMs, longestMs = shortestMs} = plans[kind];
+		const durationMs = Math.min(endMs - atMs, draws.integer(shortestMs, longestMs));
+		const step = createStep(kind, {atMs, durationMs}, draws, options);
+		steps.push(step.target !== undefined && draws.isTrue(focusPercent) ? {...step, target: focus} : step);
 		// Short pauses make faults overlap.
 		atMs += draws.isTrue(60) ? draws.integer(20, 400) : draws.integer(400, 1500);
 	}
@@ -199,17 +264,23 @@
 		...time,
 		kind,
 		daemon: draws.isTrue(isLink ? 70 : 35) ? draws.item([Subject.Leader, isLink ? Subject.All : Subject.Leader]) : draws.integer(0, daemonCount - 1),
-		target: isLink && draws.isTrue(20) ? undefined : draws.integer(0, targetCount - 1),
+		target: (isLink && draws.isTrue(20)) || (isLateOrders(kind) && draws.isTrue(70)) ? undefined : draws.integer(0, targetCount - 1),
 		amount: draws.integer(least, largest),
+		lateOrders: {percent: draws.integer(...lateOrderPercents), delayMs: orderLatenessMs},
 		signals: isStop ? createSignals(draws, 2500) : [],
 		earlySignals: isStop && draws.isTrue(25) ? [{afterMs: draws.integer(0, 900), signal: 'SIGTERM'}, ...createSignals(draws, 1500)] : [],
 	};
 }
 
-function isLinkFault(kind: FaultKind): boolean {
+/** True if the far end of a step without a target is the store. */
+export function isLinkFault(kind: FaultKind): boolean {
 	return [FaultKind.LinkDelay, FaultKind.LinkReset, FaultKind.LinkSilence, FaultKind.LinkCutOut, FaultKind.LinkCutIn].includes(kind);
 }
 
+function isLateOrders(kind: FaultKind): boolean {
+	return [FaultKind.OrdersLate, FaultKind.OrdersHeldUp].includes(kind);
+}
+
 function createSignals(draws: Draws, lastMs: number): TimedSignal[] {
 	const count = draws.isTrue(20) ? 0 : draws.integer(1, 4);
 	return Array.from({length: count}, () => ({afterMs: draws.integer(5, lastMs), signal: draws.item(repeatedSignals)}));
--- a/soak/soak-target.ts
+++ b/soak/soak-target.ts
@@ -7,9 +7,10 @@
 import {sendJson} from '../standins/json-http.js';
 import type {MemoryCoordinationStore} from '../standins/memory-coordination-store.js';
 import {platformPorts} from '../standins/platform-settings.js';
-import {PlatformTargetServer} from '../standins/platform-target-server.js';
+import {healthPath, PlatformTargetServer} from '../standins/platform-target-server.js';
 import {daemonOfTargetEnd, targetEndIp, targetIp} from './addresses.js';
 import type {HoldLedger} from './hold-ledger.js';
+import type {Draws, LateOrders} from './schedule.js';
 import {RunEnd, type RunRecord, type Trace} from './trace.js';
 import {bodyOf, sealOf, ServiceName} from './traffic.js';
 
@@ -19,6 +20,20 @@
 /** Interval at which a release checks whether work on its keys has ended, in milliseconds. */
 const releasePollMs = 10;
 
+/** What a fault does to a target; absent fields do nothing. */
+export type Trouble = {
+	/** Factor of the time that requests take. */
+	slowness?: number;
+	/** Requests and orders are carried out, but their answers are lost. */
+	losesAnswers?: boolean;
+	/** Orders are lost. */
+	isDeaf?: boolean;
+	/** Probes of the target's identity get no answer. */
+	ignoresProbes?: boolean;
+	/** Holds count from the carrying out of orders that are held up, else from the arrival. */
+	lateOrders?: LateOrders & {isHeldUp: boolean; draws: Draws};
+};
+
 /** Place of a target. */
 export type SoakTargetOptions = {
 	network: string;
@@ -30,13 +45,15 @@
 	life: number;
 };
 
+/** When an order is carried out, in milliseconds after its call; above 0, it gets no answer. */
+type Delivery = {latenessMs: number; isHeldUp: boolean};
+
 /** Serves one target at an address for each daemon. */
 export class SoakTarget extends PlatformTargetServer {
-	/** Factor of the time that requests take. */
-	slowness = 1;
-	losesAnswers = false;
-	/** Time after which orders are carried out, in milliseconds. */
-	orderDelayMs = 0;
+	/** Troubles that are in force; several can overlap. */
+	readonly troubles = new Set<Trouble>();
+	/** Time at which the last late order is carried out. */
+	ordersUntil = 0;
 	readonly name: string;
 	private readonly runs = new Set<RunRecord>();
 
@@ -54,6 +71,10 @@
 		this.name = `${place.id}#${place.life}`;
 	}
 
+	private get slowness(): number {
+		return Math.max(1, ...[...this.troubles].map(({slowness = 1}) => slowness));
+	}
+
 	override async listenAt(): Promise<void> {
 		for (let daemon = 0; daemon < this.place.daemonCount; daemon += 1) {
 			// eslint-disable-next-line no-await-in-loop -- one after another.
@@ -71,16 +92,23 @@
 		super.close();
 	}
 
+	protected override async handle(request: IncomingMessage, response: ServerResponse, body: unknown): Promise<void> {
+		if (!this.isIn('ignoresProbes') || request.url !== healthPath) {
+			await super.handle(request, response, body);
+		}
+	}
+
 	protected override grant(response: ServerResponse, grant: KeyGrant): void {
 		const daemon = daemonOf(response);
-		const arrivedAt = performance.now();
-		const latenessMs = this.orderDelayMs;
-		this.deliver(response, () => {
+		const calledAt = performance.now();
+		this.deliver(response, ({latenessMs, isHeldUp}) => {
+			const from = performance.now();
+			const arrivedAt = isHeldUp ? from : calledAt;
 			const before = this.holder.grantCount;
 			super.grant(response, grant, arrivedAt);
 			if (this.holder.grantCount > before) {
 				this.ledger.recordGrant({
-					...grant.range, holder: this.name, target: this.place.index, daemon, fence: grant.fence, latenessMs, arrivedAt, from: performance.now(), expiresAt: arrivedAt + grant.holdDurationMs,
+					...grant.range, holder: this.name, target: this.place.index, daemon, fence: grant.fence, latenessMs, arrivedAt, from, expiresAt: arrivedAt + grant.holdDurationMs,
 				});
 			}
 		});
@@ -135,7 +163,7 @@
 	}
 
 	private answer(response: ServerResponse, run: RunRecord, {isLate, bodyBytes}: {isLate: boolean; bodyBytes: number}): void {
-		if (this.losesAnswers) {
+		if (this.isIn('losesAnswers')) {
 			this.endRun(run, RunEnd.Failed);
 			response.destroy();
 			return;
@@ -160,26 +188,43 @@
 		}
 	}
 
-	/** Carries out an order, now or late, unless this life has ended; without an answer if answers are lost. */
-	private deliver(response: ServerResponse, order: () => void): void {
+	/** Carries out an order, now or late, unless it is lost or this life has ended; without an answer if it is late or answers are lost. */
+	private deliver(response: ServerResponse, order: (delivery: Delivery) => void): void {
+		if (this.isIn('isDeaf')) {
+			return;
+		}
+
+		const delivery = this.drawDelivery();
+		const {latenessMs} = delivery;
 		const carryOut = (): void => {
 			if (this.holder.isStopped) {
 				return;
 			}
 
-			if (this.losesAnswers) {
+			if (this.isIn('losesAnswers') || latenessMs > 0) {
 				response.destroy();
 			}
 
-			order();
+			order(delivery);
 		};
 
-		if (this.orderDelayMs === 0) {
+		if (latenessMs === 0) {
 			carryOut();
 			return;
 		}
 
-		setTimeout(carryOut, this.orderDelayMs);
+		this.ordersUntil = Math.max(this.ordersUntil, performance.now() + latenessMs);
+		setTimeout(carryOut, latenessMs);
+	}
+
+	private isIn(trouble: 'losesAnswers' | 'isDeaf' | 'ignoresProbes'): boolean {
+		return [...this.troubles].some(item => item[trouble]);
+	}
+
+	/** The last of several troubles with late orders applies. */
+	private drawDelivery(): Delivery {
+		const late = [...this.troubles].findLast(({lateOrders}) => lateOrders)?.lateOrders;
+		return late?.draws.isTrue(late.percent) ? {latenessMs: late.draws.integer(...late.delayMs), isHeldUp: late.isHeldUp} : {latenessMs: 0, isHeldUp: false};
 	}
 
 	/** Answers when work on the released keys has ended. */
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -10,13 +10,15 @@
 import {SoakDeployment} from './deployment.js';
 import {createFault} from './faults.js';
 import {RequestChecks, type CheckCounts} from './request-checks.js';
-import {FaultKind, type Step} from './schedule.js';
+import {
+	FaultKind, isLinkFault, Subject, type Step,
+} from './schedule.js';
 import {
 	Rule, Trace, type RequestRecord, type Violation,
 } from './trace.js';
 import {keyCount, RouteName} from './traffic.js';
 
-/** Time after a request's end in which it may still run, in milliseconds; longer than the longest delay of links and orders. */
+/** Time after a request's end in which it may still run, in milliseconds; longer than the longest delay of links. Late orders run no requests. */
 const settleMs = 5000;
 
 const checkIntervalMs = 500;
@@ -280,7 +282,7 @@
 }: Step): string {
 	const describeSignals = (list: Step['signals']): string => list.map(({afterMs, signal}) => `${signal} +${afterMs}`).join(', ');
 	const end = kind === FaultKind.Stop ? `, then ${describeSignals(signals) || 'no signals'}; after the restart ${describeSignals(earlySignals) || 'none'}` : '';
-	return `${atMs} ms ${kind}: daemon ${daemon}, target ${target ?? 'store'}, ${durationMs} ms, amount ${amount}${end}`;
+	return `${atMs} ms ${kind}: daemon ${daemon}, target ${target ?? (isLinkFault(kind) ? 'store' : Subject.All)}, ${durationMs} ms, amount ${amount}${end}`;
 }
 
 /** The violation with the steps near it. */
--- a/soak/traffic.ts
+++ b/soak/traffic.ts
@@ -2,6 +2,7 @@
  * Routes and documents of a soak.
  */
 import {createHash} from 'node:crypto';
+import {healthPath} from '../standins/platform-target-server.js';
 
 /** Names of the routes; each is the first segment of its paths. */
 export enum RouteName {
@@ -70,10 +71,10 @@
 			routeResource(`version-${version}`, RouteName.Status),
 			{
 				resourceType: 'services', metadata: {name: ServiceName.Keyed}, spec: {
-					healthPath: '/health', maxConnections: 300, sharded: true, warmS: 1,
+					healthPath, maxConnections: 300, sharded: true, warmS: 1,
 				},
 			},
-			{resourceType: 'services', metadata: {name: ServiceName.Plain}, spec: {healthPath: '/health', maxConnections: 300}},
+			{resourceType: 'services', metadata: {name: ServiceName.Plain}, spec: {healthPath, maxConnections: 300}},
 			{
 				resourceType: 'limits', metadata: {name: 'limits'}, spec: {
 					maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
@@ -133,7 +134,7 @@
 		{resourceType: 'quotas', metadata: {name: 'odd'}, spec: {}},
 		{resourceType: 'routes', metadata: {name: '__proto__'}, spec},
 		{resourceType: 'routes', metadata: {name: 'odd'}, spec: {...spec, timeoutMs: hugeNumber, priority: Number.MAX_SAFE_INTEGER}},
-		{resourceType: 'services', metadata: {name: '__proto__'}, spec: {healthPath: '/health', maxConnections: Number.MAX_SAFE_INTEGER}},
+		{resourceType: 'services', metadata: {name: '__proto__'}, spec: {healthPath, maxConnections: Number.MAX_SAFE_INTEGER}},
 		{resourceType: 'routes', metadata: {name: 'odd'}, spec: {...spec, trafficSplit: 'all'}},
 		{resourceType: 'routes', metadata: {name: 'odd'}, spec: {...spec, kind: 'unknown', service: 'constructor'}},
 	];
--- a/standins/platform-target-server.ts
+++ b/standins/platform-target-server.ts
@@ -27,6 +27,9 @@
 	onRun(target: string, requestId: string, key: number): void;
 };
 
+/** Path of the targets' health check. */
+export const healthPath = '/health';
+
 type WireOrder = {from: number; target: number; fence: number; holdMs: number};
 
 /** Serves one target on loopback. */
@@ -91,7 +94,7 @@
 				return;
 			}
 
-			case '/health': {
+			case healthPath: {
 				sendJson(response, 200, {}, {[WireHeader.Target]: this.options.id});
 				return;
 			}
