--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -5,6 +5,7 @@
 import {wireKeys} from '../src/platform/wire.js';
 import type {PlatformSettings} from '../src/platform/settings.js';
 import {LinkState} from '../standins/delaying-proxy.js';
+import {HoldStart, LateOrders} from '../standins/late-orders.js';
 import {StoreFault} from '../standins/memory-coordination-store.js';
 import {disturbDaemon, type DaemonSlot} from './daemon-slot.js';
 import {
@@ -12,7 +13,7 @@
 } from './deployment.js';
 import type {Harm} from './link.js';
 import {
-	Deafness, Draws, FaultKind, Subject, type Step,
+	Deafness, FaultKind, Subject, type Step,
 } from './schedule.js';
 import type {Trouble} from './soak-target.js';
 import {Part, type Trace} from './trace.js';
@@ -37,7 +38,11 @@
 type TroubleOf = (step: Step, target: number) => Trouble;
 
 const lateOrdersOf: TroubleOf = ({kind, atMs, lateOrders}, target) => (
-	{lateOrders: {...lateOrders, isHeldUp: kind === FaultKind.OrdersHeldUp, draws: new Draws(atMs + target)}}
+	{
+		lateOrders: new LateOrders({
+			...lateOrders, holdStart: kind === FaultKind.OrdersHeldUp ? HoldStart.Execution : HoldStart.Arrival, areProbesLate: false, seed: atMs + target,
+		}),
+	}
 );
 
 const troubles: ReadonlyMap<FaultKind, TroubleOf> = new Map<FaultKind, TroubleOf>([
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -74,7 +74,8 @@
 
 function printResult(seed: number, {violations, playedByKind, counts, ...result}: SoakResult): void {
 	console.log(`played: ${describeCounts(playedByKind)}`);
-	console.log(`checked: ${counts.requests} requests, ${counts.served} served, ${counts.undisturbed} ran undisturbed, ${counts.aroundStops} of them around stops, ${result.grantCount} grants, ${result.lateGrantCount} of them taken late`);
+	console.log(`checked: ${counts.requests} requests, ${counts.served} served, ${counts.undisturbed} ran undisturbed, ${counts.aroundStops} of them around stops`);
+	console.log(`granted: ${result.grantCount} grants, ${result.lateGrantCount} of them taken late`);
 	console.log(`excused losses: ${describeCounts(result.excuses)}`);
 	console.log([`excused overlaps of holders: ${result.excusedOverlaps.length}`, ...result.excusedOverlaps].join('\n    '));
 	console.log(`all keys served ${Math.round(result.recoveryMs)} ms after the last fault; longest stall of the soak ${Math.round(result.longestStallMs)} ms`);
--- a/soak/regressions.ts
+++ b/soak/regressions.ts
@@ -1,8 +1,9 @@
 /**
  * Schedules that failed, each with its cause. Those of a seed change with the generator; the others are fixed.
  */
+import {exactly, statedLateness} from '../standins/late-orders.js';
 import {
-	createSchedule, Deafness, FaultKind, orderLatenessMs, Subject, type ScheduleOptions, type Step,
+	createSchedule, Deafness, FaultKind, Subject, type ScheduleOptions, type Step,
 } from './schedule.js';
 
 /** A schedule and the deployment on which it failed. */
@@ -26,7 +27,7 @@
 
 function step(kind: FaultKind, changes: Partial<Step>): Step {
 	return {
-		atMs: 0, durationMs: 300, kind, daemon: 0, target: 0, amount: 0, lateOrders: {percent: 100, delayMs: orderLatenessMs}, signals: [], earlySignals: [], ...changes,
+		atMs: 0, durationMs: 300, kind, daemon: 0, target: 0, amount: 0, lateOrders: {share: 1, lateness: statedLateness}, signals: [], earlySignals: [], ...changes,
 	};
 }
 
@@ -53,7 +54,7 @@
 		options: {...small, seed: 104, durationMs: 0},
 		isStrict: true,
 		steps: [
-			step(FaultKind.OrdersHeldUp, {durationMs: 900, lateOrders: {percent: 100, delayMs: [8000, 8000]}}),
+			step(FaultKind.OrdersHeldUp, {durationMs: 900, lateOrders: {share: 1, lateness: exactly(8000)}}),
 			step(FaultKind.TargetDeaf, {atMs: 900, durationMs: 6000, amount: Deafness.Probes}),
 		],
 	},
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -3,6 +3,7 @@
  */
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {Lateness, LateOrdersOptions} from '../standins/late-orders.js';
 
 /** Kinds of faults and of planned work. */
 export enum FaultKind {
@@ -65,14 +66,6 @@
 /** First and last value of what is drawn. */
 export type Bounds = [number, number];
 
-/** Orders that get no answer. */
-export type LateOrders = {
-	/** Share of the orders, in percent. */
-	percent: number;
-	/** Time after which each is carried out, in milliseconds. */
-	delayMs: Bounds;
-};
-
 /** Signal sent to a daemon some time after a step begins. */
 export type TimedSignal = {afterMs: number; signal: NodeJS.Signals};
 
@@ -91,7 +84,7 @@
 	 * `Deafness`, number of the odd document, 1 if the leader whose lease is revoked is cut off from the store as well.
 	 */
 	amount: number;
-	lateOrders: LateOrders;
+	lateOrders: Pick<LateOrdersOptions, 'share' | 'lateness'>;
 	/** Further signals of a stop. */
 	signals: TimedSignal[];
 	/** Signals to the process that replaces a stopped one, counted from its start. */
@@ -125,17 +118,17 @@
 const calmMs = 2500;
 
 const themeCycle = [Theme.Planned, Theme.Ownership, Theme.Mixed, Theme.Ownership, Theme.Planned, Theme.Store];
-/** Lateness of orders in milliseconds; `fleetbench kinds`, applied_late: "gets no answer and is carried out 2 to 12 s later". */
-export const orderLatenessMs: Bounds = [2000, 12_000];
+/** Lateness of orders; `fleetbench kinds`, applied_late: "gets no answer and is carried out 2 to 12 s later". */
+const orderLateness: Lateness = {shortestMs: 2000, longestMs: 12_000};
 
 /** Share of late orders in percent; `fleetbench kinds`, applied_late: "a share x (.5) of the orders", up to 0.7. */
-export const lateOrderPercents: Bounds = [50, 70];
+const lateOrderPercents: Bounds = [50, 70];
 
 /** Lateness of writes in milliseconds; `fleetbench kinds`, platform_lost, late: "done 1 to 6 s later". */
-export const writeLatenessMs: Bounds = [1000, 6000];
+const writeLatenessMs: Bounds = [1000, 6000];
 
 /** Service of a leaving target beyond `drainMs`, in milliseconds; PROTOCOL.md: "a little longer (at times many seconds)". */
-export const lingerMs: Bounds = [0, 6000];
+const lingerMs: Bounds = [0, 6000];
 
 /** Delay of the store in milliseconds; PROTOCOL.md says "may be slow" and names no time, so that the bounds are not from the pages. */
 const storeDelayMs: Bounds = [50, 400];
@@ -202,7 +195,7 @@
 const focusPercent = 50;
 
 /** Draws of one seed. */
-export class Draws {
+class Draws {
 	private readonly generator;
 
 	constructor(seed: number) {
@@ -266,7 +259,7 @@
 		daemon: draws.isTrue(isLink ? 70 : 35) ? draws.item([Subject.Leader, isLink ? Subject.All : Subject.Leader]) : draws.integer(0, daemonCount - 1),
 		target: (isLink && draws.isTrue(20)) || (isLateOrders(kind) && draws.isTrue(70)) ? undefined : draws.integer(0, targetCount - 1),
 		amount: draws.integer(least, largest),
-		lateOrders: {percent: draws.integer(...lateOrderPercents), delayMs: orderLatenessMs},
+		lateOrders: {share: draws.integer(...lateOrderPercents) / 100, lateness: orderLateness},
 		signals: isStop ? createSignals(draws, 2500) : [],
 		earlySignals: isStop && draws.isTrue(25) ? [{afterMs: draws.integer(0, 900), signal: 'SIGTERM'}, ...createSignals(draws, 1500)] : [],
 	};
--- a/soak/soak-target.ts
+++ b/soak/soak-target.ts
@@ -6,11 +6,11 @@
 import {WireHeader} from '../src/platform/wire.js';
 import {sendJson} from '../standins/json-http.js';
 import type {MemoryCoordinationStore} from '../standins/memory-coordination-store.js';
+import {HoldStart, type LateOrders} from '../standins/late-orders.js';
 import {platformPorts} from '../standins/platform-settings.js';
 import {healthPath, PlatformTargetServer} from '../standins/platform-target-server.js';
 import {daemonOfTargetEnd, targetEndIp, targetIp} from './addresses.js';
 import type {HoldLedger} from './hold-ledger.js';
-import type {Draws, LateOrders} from './schedule.js';
 import {RunEnd, type RunRecord, type Trace} from './trace.js';
 import {bodyOf, sealOf, ServiceName} from './traffic.js';
 
@@ -30,8 +30,7 @@
 	isDeaf?: boolean;
 	/** Probes of the target's identity get no answer. */
 	ignoresProbes?: boolean;
-	/** Holds count from the carrying out of orders that are held up, else from the arrival. */
-	lateOrders?: LateOrders & {isHeldUp: boolean; draws: Draws};
+	lateOrders?: LateOrders;
 };
 
 /** Place of a target. */
@@ -45,8 +44,8 @@
 	life: number;
 };
 
-/** When an order is carried out, in milliseconds after its call; above 0, it gets no answer. */
-type Delivery = {latenessMs: number; isHeldUp: boolean};
+/** Time from an order's call until it is carried out, in milliseconds; above 0, it gets no answer. */
+type Delivery = {latenessMs: number; holdStart: HoldStart};
 
 /** Serves one target at an address for each daemon. */
 export class SoakTarget extends PlatformTargetServer {
@@ -101,9 +100,9 @@
 	protected override grant(response: ServerResponse, grant: KeyGrant): void {
 		const daemon = daemonOf(response);
 		const calledAt = performance.now();
-		this.deliver(response, ({latenessMs, isHeldUp}) => {
+		this.deliver(response, ({latenessMs, holdStart}) => {
 			const from = performance.now();
-			const arrivedAt = isHeldUp ? from : calledAt;
+			const arrivedAt = holdStart === HoldStart.Execution ? from : calledAt;
 			const before = this.holder.grantCount;
 			super.grant(response, grant, arrivedAt);
 			if (this.holder.grantCount > before) {
@@ -224,7 +223,7 @@
 	/** The last of several troubles with late orders applies. */
 	private drawDelivery(): Delivery {
 		const late = [...this.troubles].findLast(({lateOrders}) => lateOrders)?.lateOrders;
-		return late?.draws.isTrue(late.percent) ? {latenessMs: late.draws.integer(...late.delayMs), isHeldUp: late.isHeldUp} : {latenessMs: 0, isHeldUp: false};
+		return {latenessMs: late?.draw(false) ?? 0, holdStart: late?.holdStart ?? HoldStart.Arrival};
 	}
 
 	/** Answers when work on the released keys has ended. */
