--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -20,7 +20,7 @@
 import type {Trace, Violation} from './trace.js';
 import {configurationText} from './traffic.js';
 
-export const leaderKey = 'eelgrasswheel/leader';
+const leaderKey = 'eelgrasswheel/leader';
 
 /** Interval of the targets' heartbeats in milliseconds; `heartbeatMs` of the users' protocol, as in the settings. */
 const heartbeatMs = 1000;
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -9,7 +9,7 @@
 import {StoreFault} from '../standins/memory-coordination-store.js';
 import {disturbDaemon, type DaemonSlot} from './daemon-slot.js';
 import {
-	leaderKey, putDraining, putReady, type SoakDeployment, type TargetSlot,
+	putDraining, putReady, type SoakDeployment, type TargetSlot,
 } from './deployment.js';
 import type {Harm} from './link.js';
 import {
@@ -320,16 +320,15 @@
 	}
 }
 
-/** Ends the leader's lease; no request shows it while the link to the store is silent. */
-class LeaseRevokedFault implements Fault {
+class LeasesRevokedFault implements Fault {
 	constructor(private readonly context: FaultContext) {}
 
 	async play(): Promise<boolean> {
 		const {deployment, trace, step: {kind, durationMs, amount}} = this.context;
 		const daemon = deployment.leaderIndex();
-		const isRevoked = deployment.store.revokeLease(leaderKey);
-		if (!isRevoked || amount === 0) {
-			return isRevoked;
+		deployment.store.removeLeasedKeys();
+		if (amount === 0) {
+			return true;
 		}
 
 		const [link] = deployment.linksOf(daemon, undefined);
@@ -389,7 +388,7 @@
 	[FaultKind.StoreSlow]: StoreTroubleFault,
 	[FaultKind.StoreLosesAnswers]: StoreTroubleFault,
 	[FaultKind.StoreWritesLate]: StoreTroubleFault,
-	[FaultKind.LeaseRevoked]: LeaseRevokedFault,
+	[FaultKind.LeasesRevoked]: LeasesRevokedFault,
 	[FaultKind.StoreCompaction]: StoreTroubleFault,
 	[FaultKind.OddEntry]: OddEntryFault,
 	[FaultKind.NewConfiguration]: ConfigurationChange,
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -41,8 +41,8 @@
 	StoreLosesAnswers = 'store loses answers',
 	/** Writes get no answer and are carried out late. */
 	StoreWritesLate = 'store writes late',
-	/** The leader's lease ends before its time. */
-	LeaseRevoked = 'lease revoked',
+	/** The keys of all leases are taken away, while the leases go on. */
+	LeasesRevoked = 'leases revoked',
 	StoreCompaction = 'store compaction',
 	OddEntry = 'odd entry',
 	NewConfiguration = 'new configuration',
@@ -81,7 +81,7 @@
 	target: number | undefined;
 	/**
 	 * Delay of links, writes and the store and further service of leaving targets in milliseconds, factor of slow targets,
-	 * `Deafness`, number of the odd document, 1 if the leader whose lease is revoked is cut off from the store as well.
+	 * `Deafness`, number of the odd document, 1 if the leader is cut off from the store when leases are revoked.
 	 */
 	amount: number;
 	lateOrders: Pick<LateOrdersOptions, 'share' | 'lateness'>;
@@ -177,7 +177,7 @@
 	[FaultKind.StoreLosesAnswers]: {store: 1, longestMs: 3000},
 	[FaultKind.StoreWritesLate]: {store: 1, longestMs: 3000, amount: writeLatenessMs},
 	// `fleetbench kinds`, platform_down, revoke: "keys are taken away at once, and no request shows it".
-	[FaultKind.LeaseRevoked]: {
+	[FaultKind.LeasesRevoked]: {
 		ownership: 1, store: 1, longestMs: 4000, amount: [0, 1],
 	},
 	[FaultKind.StoreCompaction]: {store: 1},
