--- a/tests/soak/schedule.test.ts
+++ b/tests/soak/schedule.test.ts
@@ -3,6 +3,7 @@
 	createSchedule, FaultKind, type ScheduleOptions,
 } from '../../soak/schedule.js';
 
+/** The delay of links is not from the pages. */
 const options: ScheduleOptions = {
 	seed: 1, durationMs: 60_000, daemonCount: 3, targetCount: 6, delayLimitMs: 1500,
 };
