--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -149,6 +149,9 @@
 		const daemon = {
 			name, ip, child, hasEnded: false, output: '',
 		};
+		process.once('exit', () => {
+			child.kill('SIGKILL');
+		});
 		for (const stream of [child.stdout, child.stderr]) {
 			stream.on('data', chunk => {
 				daemon.output += String(chunk);
@@ -230,6 +233,12 @@
  * @param playCount most plays, each with a new deployment; the first that breaks the rule is the last
  */
 export async function runCase(folder, {playCount = 1, settings = {}}, play) {
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.once(signal, () => {
+			process.exit(2);
+		});
+	}
+
 	const record = new CaseRecord(fileURLToPath(new URL('record.txt', folder)));
 	let code = 0;
 	for (let count = 1; count <= playCount && code === 0 && !record.isLate; count += 1) {
