test(review): each case holds its own stand-ins

Cause: the stand-ins stood in review/lib, outside the folders of the cases, and the name of the record could not be seen there.

--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -6,9 +6,9 @@
 import {connect} from 'node:net';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import {hasTrouble, runCase} from '../lib/deployment.mjs';
-import {ports} from '../lib/layout.mjs';
-import {Target, sealOf} from '../lib/target.mjs';
+import {hasTrouble, runCase} from './lib/deployment.mjs';
+import {ports} from './lib/layout.mjs';
+import {Target, sealOf} from './lib/target.mjs';
 
 const service = 'guasti';
 const targetCount = 9;
@@ -117,7 +117,7 @@
 	return {ids, leftAt: hasLeft ? leftAt : undefined};
 }
 
-process.exit(await runCase(new URL('.', import.meta.url), {}, async deployment => {
+process.exit(await runCase(new URL('record.txt', import.meta.url), {}, async deployment => {
 	await deployment.startStore(configuration);
 	/** Runs by request: when the work began, when it would end, and when it ended. */
 	const runs = new Map();
