--- a/src/targets/http-transport.ts
+++ b/src/targets/http-transport.ts
@@ -5,6 +5,7 @@
 import type {
 	Attempt, AttemptResult, RequestTransport, RoutedRequest,
 } from '../model/request.js';
+import {limitedConnector} from '../transport/small-reads.js';
 import {HttpExchange} from './http-exchange.js';
 
 /** Time after which an idle connection to a server is closed, in milliseconds. */
@@ -46,7 +47,7 @@
 			connections,
 			pipelining: 1,
 			keepAliveTimeout: idleTimeoutMs,
-			connectTimeout: connectTimeoutMs,
+			connect: limitedConnector({timeout: connectTimeoutMs}),
 			headersTimeout: 0,
 			bodyTimeout: 0,
 		});
--- a/src/transport/http-connection.ts
+++ b/src/transport/http-connection.ts
@@ -4,6 +4,7 @@
 import {connect, type Socket} from 'node:net';
 import {Client, type buildConnector, type Dispatcher} from 'undici';
 import {parseAddress, type Address} from './address.js';
+import {limitReads} from './small-reads.js';
 
 /** Idle time after which TCP keep-alive probes start, in milliseconds. They detect a peer that vanished without closing. */
 const keepAliveProbeDelayMs = 2000;
@@ -115,6 +116,7 @@
 		const socket = connect({
 			host: ip, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: keepAliveProbeDelayMs,
 		});
+		limitReads(socket);
 		this.socket = socket;
 		this.hasSocketFailed = false;
 		const recordFailure = (): void => {
