--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -29,6 +29,7 @@
 	LeaseEnded = 'lease_ended',
 	MalformedDocument = 'malformed_document',
 	FenceRejected = 'fence_rejected',
+	AnswerTooLarge = 'answer_too_large',
 }
 
 /** Base class of every failure of the router. */
@@ -257,3 +258,12 @@
 export function describeFailure(error: unknown): string {
 	return error instanceof Error ? error.stack ?? error.message : String(error);
 }
+
+/** A body that is larger than any sound answer to the call; it may have no end. */
+export class AnswerTooLargeError extends RouterError {
+	override name = 'AnswerTooLargeError';
+
+	constructor(limitBytes: number) {
+		super(ErrorCode.AnswerTooLarge, `The answer is larger than ${limitBytes} bytes.`, 'Check the process at the address that was called.');
+	}
+}
--- a/src/peers/trpc-peers.ts
+++ b/src/peers/trpc-peers.ts
@@ -11,12 +11,23 @@
 import type {
 	Acknowledgement, DocumentUpdate, KnownVersions, LoadReport, PeerConfirmation, PeerNetwork, ServerProbeResult,
 } from '../model/peer.js';
+import {readJsonAnswer} from '../transport/json-answer.js';
+import {limitedConnector} from '../transport/small-reads.js';
 import type {ControlRouter} from './control-router.js';
 
 type Client = TRPCClient<ControlRouter>;
 
 type FetchInit = Parameters<typeof fetch>[1];
 
+/** Timeout for opening a connection, in milliseconds. */
+const connectTimeoutMs = 1000;
+
+/** Maximum size of the body of an answer, in bytes: of all documents, which have up to a megabyte each, and of the short answers. */
+const maxAnswerBytes = {documents: 67_108_864, short: 1_048_576};
+
+/** Procedures with short answers. */
+const shortProcedures = /\/(?:confirmDocuments|publish|probeServer|announceLeaving)(?:\?|$)/v;
+
 /** Returns the control addresses of the other daemons. */
 export type PeerAddresses = () => Array<{id: string; address: string}>;
 
@@ -32,7 +43,7 @@
 		dispatcher: agent,
 	});
 	const result = {
-		ok: answer.statusCode < 400, status: answer.statusCode, json: async () => answer.body.json(),
+		ok: answer.statusCode < 400, status: answer.statusCode, json: async () => readJsonAnswer(answer.body, shortProcedures.test(url) ? maxAnswerBytes.short : maxAnswerBytes.documents),
 	};
 	return result as unknown as Response;
 }
@@ -50,7 +61,7 @@
 
 /** Calls the other daemons over persistent connections. */
 export class TrpcPeers implements PeerNetwork {
-	private readonly agent = new Agent({connections: 4, keepAliveTimeout: 30_000, connectTimeout: 1000});
+	private readonly agent = new Agent({connections: 4, keepAliveTimeout: 30_000, connect: limitedConnector({timeout: connectTimeoutMs})});
 	private readonly clients = new Map<string, Client>();
 
 	constructor(private readonly addresses: PeerAddresses, private readonly secret: string, private readonly ownId: string) {}
--- a/src/platform/platform-store.ts
+++ b/src/platform/platform-store.ts
@@ -20,6 +20,9 @@
 /** Timeout of a call in milliseconds. When the store is slow, its calls take 4 ms to about 400 ms. */
 const callTimeoutMs = 1200;
 
+/** Maximum size of the body of an answer, in bytes: of one item, which has up to a megabyte, and of a list of items or changes. */
+const maxAnswerBytes = {item: 4_194_304, list: 16_777_216};
+
 /** Margin between the end of a watch's wait in the store and its timeout, in milliseconds. */
 const watchTimeoutMarginMs = 1000;
 
@@ -59,7 +62,9 @@
 
 	async watch(prefix: string, after: number, waitMs: number): Promise<StoreChanges> {
 		const query = new URLSearchParams({prefix, after: String(after), waitMs: String(waitMs)});
-		const answer = await this.waitForChanges({method: 'GET', path: `${wirePaths.storeWatch}?${query.toString()}`, timeoutMs: waitMs + watchTimeoutMarginMs});
+		const answer = await this.waitForChanges({
+			method: 'GET', path: `${wirePaths.storeWatch}?${query.toString()}`, timeoutMs: waitMs + watchTimeoutMarginMs, maxAnswerBytes: maxAnswerBytes.list,
+		});
 		if (answer.status === 410) {
 			throw new HistoryLostError(after);
 		}
@@ -141,7 +146,9 @@
 
 	private async readPage(prefix: string, after: string | undefined): Promise<StorePage> {
 		const query = new URLSearchParams({prefix, ...(after !== undefined && {after})});
-		const answer = await this.call({method: 'GET', path: `${wirePaths.storeRange}?${query.toString()}`, timeoutMs: callTimeoutMs});
+		const answer = await this.call({
+			method: 'GET', path: `${wirePaths.storeRange}?${query.toString()}`, timeoutMs: callTimeoutMs, maxAnswerBytes: maxAnswerBytes.list,
+		});
 		return this.decodeItems(answer, (text, faults) => decodePage(text, after, faults));
 	}
 
@@ -156,8 +163,9 @@
 		return content;
 	}
 
-	private async call(call: JsonCall, onStart?: (abort: (reason: string) => void) => void): Promise<JsonAnswer> {
+	private async call(storeCall: JsonCall, onStart?: (abort: (reason: string) => void) => void): Promise<JsonAnswer> {
 		this.calls += 1;
+		const call = {maxAnswerBytes: maxAnswerBytes.item, ...storeCall};
 		try {
 			const answer = await callJson(this.pool, this.address, call, onStart);
 			if (answer.status === 429 || answer.status >= 500) {
--- a/src/published/etcd-store.ts
+++ b/src/published/etcd-store.ts
@@ -9,6 +9,7 @@
 import type {
 	KeyValueStore, StoreEntry, StoreResult, StoreTransaction, StoreVersion,
 } from '../model/key-value-store.js';
+import {readJsonAnswer} from '../transport/json-answer.js';
 
 const rangeAnswerSchema = z.object({
 	kvs: z.array(z.object({
@@ -27,9 +28,14 @@
 // eslint-disable-next-line @typescript-eslint/naming-convention -- name of the published protocol.
 const leaseAnswerSchema = z.object({ID: z.string()});
 
+/** Maximum size of the body of an answer, in bytes: of one value, which has up to a megabyte, and of all those under a prefix. */
+const maxAnswerBytes = {value: 2_097_152, prefix: 67_108_864};
+
 /** Error codes of connections that failed before anything was sent. */
 const unsentErrorCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
 
+type CallOptions = {deadline: Deadline; maxBytes?: number; isWrite?: boolean};
+
 /**
  * Client of etcd. All reads are linearizable.
  */
@@ -41,18 +47,18 @@
 	constructor(private readonly endpoints: string[]) {}
 
 	async read(key: string, deadline: Deadline): Promise<StoreEntry | undefined> {
-		const answer = rangeAnswerSchema.parse(await this.call('/v3/kv/range', {key: encode(key)}, deadline));
+		const answer = rangeAnswerSchema.parse(await this.call('/v3/kv/range', {key: encode(key)}, {deadline}));
 		return answer.kvs.map(kv => entryOf(kv))[0];
 	}
 
 	async readPrefix(prefix: string, deadline: Deadline): Promise<StoreEntry[]> {
-		const answer = rangeAnswerSchema.parse(await this.call('/v3/kv/range', prefixRange(prefix), deadline));
+		const answer = rangeAnswerSchema.parse(await this.call('/v3/kv/range', prefixRange(prefix), {deadline, maxBytes: maxAnswerBytes.prefix}));
 		return answer.kvs.map(kv => entryOf(kv));
 	}
 
 	async readVersions(prefix: string, deadline: Deadline): Promise<StoreVersion[]> {
 		// eslint-disable-next-line @typescript-eslint/naming-convention -- name of the published protocol.
-		const answer = rangeAnswerSchema.parse(await this.call('/v3/kv/range', {...prefixRange(prefix), keys_only: true}, deadline));
+		const answer = rangeAnswerSchema.parse(await this.call('/v3/kv/range', {...prefixRange(prefix), keys_only: true}, {deadline, maxBytes: maxAnswerBytes.prefix}));
 		return answer.kvs.map(kv => ({key: decode(kv.key), modRevision: kv.mod_revision}));
 	}
 
@@ -66,13 +72,13 @@
 		}));
 		const deletes = (transaction.deletes ?? []).map(key => ({request_delete_range: {key: encode(key)}}));
 		/* eslint-enable @typescript-eslint/naming-convention */
-		const answer = transactionAnswerSchema.parse(await this.call('/v3/kv/txn', {compare, success: [...puts, ...deletes]}, deadline, true));
+		const answer = transactionAnswerSchema.parse(await this.call('/v3/kv/txn', {compare, success: [...puts, ...deletes]}, {deadline, isWrite: true}));
 		return {succeeded: answer.succeeded, revision: answer.header.revision};
 	}
 
 	async grantLease(ttlSeconds: number, deadline: Deadline): Promise<string> {
 		// eslint-disable-next-line @typescript-eslint/naming-convention -- name of the published protocol.
-		const answer = leaseAnswerSchema.parse(await this.call('/v3/lease/grant', {TTL: String(ttlSeconds)}, deadline));
+		const answer = leaseAnswerSchema.parse(await this.call('/v3/lease/grant', {TTL: String(ttlSeconds)}, {deadline}));
 		return answer.ID;
 	}
 
@@ -80,7 +86,7 @@
 		await this.agent.destroy();
 	}
 
-	private async call(path: string, body: unknown, deadline: Deadline, isWrite = false): Promise<unknown> {
+	private async call(path: string, body: unknown, {deadline, maxBytes = maxAnswerBytes.value, isWrite = false}: CallOptions): Promise<unknown> {
 		const endpoint = this.endpoints[this.endpointIndex % this.endpoints.length] ?? '';
 		try {
 			return await deadline.run(async signal => {
@@ -96,7 +102,7 @@
 					throw new StoreUnavailableError(`status ${answer.statusCode}`);
 				}
 
-				return answer.body.json();
+				return readJsonAnswer(answer.body, maxBytes);
 			});
 		} catch (error) {
 			this.endpointIndex += 1;
--- a/src/published/http-vm-list.ts
+++ b/src/published/http-vm-list.ts
@@ -8,6 +8,10 @@
 import {
 	VmRole, VmState, type Vm, type VmList,
 } from '../model/vm-list.js';
+import {readJsonAnswer} from '../transport/json-answer.js';
+
+/** Maximum size of the list, in bytes; a VM takes about 150. */
+const maxListBytes = 1_048_576;
 
 const vmListSchema = z.object({
 	vms: z.array(z.object({
@@ -29,7 +33,7 @@
 				throw new RouterError(ErrorCode.StoreUnavailable, `The VM list answered with status ${answer.statusCode}.`);
 			}
 
-			return vmListSchema.parse(await answer.body.json()).vms;
+			return vmListSchema.parse(await readJsonAnswer(answer.body, maxListBytes)).vms;
 		});
 	}
 
--- a/src/targets/http-exchange.ts
+++ b/src/targets/http-exchange.ts
@@ -10,12 +10,16 @@
 import {
 	AttemptEnd, type Attempt, type AttemptResult, type RoutedRequest,
 } from '../model/request.js';
+import {ProvisionalAnswers} from '../transport/provisional-answers.js';
 
 /** Error codes of connections that the server's VM refused or reset. */
 const refusedErrorCodes = new Set(['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET']);
 
 const secondMs = 1000;
 
+/** Maximum size of the body of a refusal, in bytes. It is read only so that the connection can be reused. */
+const maxRefusalBodyBytes = 16_384;
+
 /** Delay until a retry after a refusal that names none, in milliseconds. */
 const defaultRetryAfterMs = 1000;
 
@@ -40,6 +44,8 @@
 	private controller: Dispatcher.DispatchController | undefined;
 	private status = 0;
 	private refusal: {reason: NotRunReason; retryAfterMs: number} | undefined;
+	private refusalBytes = 0;
+	private readonly provisionalAnswers = new ProvisionalAnswers();
 	private sink: Writable | undefined;
 	private requestBody: PassThrough | undefined;
 	private timer: NodeJS.Timeout | undefined;
@@ -99,7 +105,16 @@
 	}
 
 	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
-		if (this.state !== ExchangeState.Written || status < 200) {
+		if (this.state !== ExchangeState.Written) {
+			return;
+		}
+
+		if (this.provisionalAnswers.isExceededBy(status)) {
+			this.cancel('too many provisional answers');
+			return;
+		}
+
+		if (status < 200) {
 			return;
 		}
 
@@ -123,8 +138,17 @@
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
-		if (this.state === ExchangeState.Answering && this.sink?.write(chunk) === false) {
-			controller.pause();
+		if (this.state === ExchangeState.Answering) {
+			if (this.sink?.write(chunk) === false) {
+				controller.pause();
+			}
+
+			return;
+		}
+
+		this.refusalBytes += chunk.length;
+		if (this.state !== ExchangeState.Ended && this.refusalBytes > maxRefusalBodyBytes) {
+			this.cancel('the body of the refusal is too large');
 		}
 	}
 
--- a/src/targets/http-target-control.ts
+++ b/src/targets/http-target-control.ts
@@ -10,6 +10,8 @@
 import type {
 	GrantOrder, GrantReceipt, ServerHealth, TargetControl,
 } from '../model/target.js';
+import {readJsonAnswer} from '../transport/json-answer.js';
+import {limitedConnector} from '../transport/small-reads.js';
 
 const healthSchema = z.object({
 	leaving: z.boolean().default(false),
@@ -18,12 +20,18 @@
 });
 const receiptSchema = z.object({executing: z.number().int().nonnegative().default(0)});
 
+/** Timeout for opening a connection, in milliseconds. */
+const connectTimeoutMs = 1000;
+
+/** Maximum size of the body of an answer, in bytes. Answers have a few dozen. */
+const maxAnswerBytes = 65_536;
+
 /** Error codes that show that no process is listening at the server's address. */
 const refusedErrorCodes = new Set(['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET']);
 
 /** Sends control calls on separate connections, so that a busy data path does not delay them. */
 export class HttpTargetControl implements TargetControl {
-	private readonly agent = new Agent({connections: 2, connectTimeout: 1000});
+	private readonly agent = new Agent({connections: 2, connect: limitedConnector({timeout: connectTimeoutMs})});
 
 	async probe(server: Server, deadline: Deadline): Promise<ServerHealth> {
 		return healthSchema.parse(await this.call(server, 'GET', contractPaths.health, {deadline}));
@@ -57,7 +65,7 @@
 					throw new TargetUnavailableError(server.id, `status ${answer.statusCode}`);
 				}
 
-				return answer.body.json();
+				return readJsonAnswer(answer.body, maxAnswerBytes);
 			});
 		} catch (error) {
 			if (error instanceof TargetUnavailableError) {
--- a/src/transport/json-call.ts
+++ b/src/transport/json-call.ts
@@ -3,10 +3,12 @@
  */
 import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
+import {ByteBuffer} from '../model/byte-buffer.js';
 import type {ConnectionPool} from './connection-pool.js';
+import {ProvisionalAnswers} from './provisional-answers.js';
 
-/** Maximum size of the body of an answer, in bytes. */
-const maxAnswerBytes = 16_777_216;
+/** Maximum size of the body of an answer, in bytes, for calls that name none. Answers to orders and health checks have a few hundred. */
+const defaultMaxAnswerBytes = 65_536;
 
 /** A call to a server. */
 export type JsonCall = {
@@ -15,6 +17,8 @@
 	body?: unknown;
 	headers?: Record<string, string>;
 	timeoutMs: number;
+	/** Maximum size of the body of the answer, in bytes; a larger one fails the call. */
+	maxAnswerBytes?: number;
 	/** Checked right before the first byte is sent, for a call that is no longer allowed once its connection has opened late. */
 	mayBeSent?(): boolean;
 };
@@ -45,8 +49,9 @@
 export async function callJson(pool: ConnectionPool, address: string, call: JsonCall, onStart?: (abort: (reason: string) => void) => void): Promise<JsonAnswer> {
 	return new Promise<JsonAnswer>((resolve, reject) => {
 		const connection = pool.acquire(address);
-		const chunks: Uint8Array[] = [];
-		let bytes = 0;
+		const {maxAnswerBytes = defaultMaxAnswerBytes} = call;
+		const body = new ByteBuffer();
+		const provisionalAnswers = new ProvisionalAnswers();
 		let status = 0;
 		let headers: JsonAnswer['headers'] = {};
 		let wasSent = false;
@@ -78,17 +83,25 @@
 				wasSent = true;
 			},
 			onResponseStart(_controller, statusCode, answerHeaders) {
+				if (provisionalAnswers.isExceededBy(statusCode)) {
+					fail('too many provisional answers');
+					return;
+				}
+
 				status = statusCode;
 				headers = answerHeaders;
 			},
 			onResponseData(_controller, chunk) {
-				bytes += chunk.length;
-				if (bytes > maxAnswerBytes) {
+				if (isSettled) {
+					return;
+				}
+
+				if (body.byteLength + chunk.length > maxAnswerBytes) {
 					fail('the answer is too large');
 					return;
 				}
 
-				chunks.push(chunk);
+				body.add(chunk);
 			},
 			onResponseEnd() {
 				if (isSettled) {
@@ -106,18 +119,18 @@
 				setImmediate(() => {
 					pool.release(connection);
 				});
-				resolve({status, headers, text: Buffer.concat(chunks).toString('utf8')});
+				resolve({status, headers, text: Buffer.from(body.take()).toString('utf8')});
 			},
 			onResponseError(_controller, error) {
 				fail(error.message);
 			},
 		};
-		const body = call.body === undefined ? undefined : JSON.stringify(call.body);
+		const callBody = call.body === undefined ? undefined : JSON.stringify(call.body);
 		connection.dispatch({
 			path: call.path,
 			method: call.method,
-			headers: {...call.headers, ...(body !== undefined && {'content-type': 'application/json'})},
-			body,
+			headers: {...call.headers, ...(callBody !== undefined && {'content-type': 'application/json'})},
+			body: callBody,
 			idempotent: false,
 		}, handler);
 	});
--- a/src/transport/target-exchange.ts
+++ b/src/transport/target-exchange.ts
@@ -1,15 +1,16 @@
 /**
  * One attempt to run a caller's request on a target.
  */
-import {Buffer} from 'node:buffer';
 import {PassThrough, Readable, type Writable} from 'node:stream';
 import type {Dispatcher} from 'undici';
+import {ByteBuffer} from '../model/byte-buffer.js';
 import {
 	AttemptEnd, type AnswerHead, type Attempt, type AttemptResult, type CallerRequest, type HeaderList,
 } from '../model/forwarding.js';
 import type {TargetStatement} from '../model/target-statement.js';
 import type {ConnectionPool} from './connection-pool.js';
 import type {HttpConnection} from './http-connection.js';
+import {ProvisionalAnswers} from './provisional-answers.js';
 
 /** Answers up to this size are buffered until complete, so that the request can be retried if they fail; in bytes. */
 const maxBufferedAnswerBytes = 262_144;
@@ -50,8 +51,9 @@
 	private isSettled = false;
 	private kind = AnswerKind.Unrelated;
 	private head: AnswerHead | undefined;
-	private readonly chunks: Uint8Array[] = [];
-	private bodyBytes = 0;
+	private readonly body = new ByteBuffer();
+	private refusalBytes = 0;
+	private readonly provisionalAnswers = new ProvisionalAnswers();
 	private sink: Writable | undefined;
 	private requestBody: PassThrough | undefined;
 	private timer: NodeJS.Timeout | undefined;
@@ -131,7 +133,16 @@
 	}
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: AnswerHead['headers']): void {
-		if (this.isSettled || status < 200) {
+		if (this.isSettled) {
+			return;
+		}
+
+		if (this.provisionalAnswers.isExceededBy(status)) {
+			this.fail('too many provisional answers');
+			return;
+		}
+
+		if (status < 200) {
 			return;
 		}
 
@@ -163,19 +174,19 @@
 			return;
 		}
 
-		this.bodyBytes += chunk.length;
 		if (this.isRefusal) {
+			this.refusalBytes += chunk.length;
 			this.enforceRefusalLimit();
 			return;
 		}
 
-		this.chunks.push(chunk);
-		if (this.bodyBytes > maxBufferedAnswerBytes && this.kind === AnswerKind.Answer && this.head) {
+		this.body.add(chunk);
+		if (this.body.byteLength > maxBufferedAnswerBytes && this.kind === AnswerKind.Answer && this.head) {
 			this.sink = this.request.beginStream(this.head);
 			this.sink.on('drain', () => {
 				controller.resume();
 			});
-			this.writeToCaller(controller, Buffer.concat(this.chunks.splice(0)));
+			this.writeToCaller(controller, this.body.take());
 		}
 	}
 
@@ -221,7 +232,7 @@
 			return {end: AttemptEnd.Streamed, answer: this.head};
 		}
 
-		return this.isRefusal ? this.refusal() : {end: AttemptEnd.Answered, answer: this.head, body: Buffer.concat(this.chunks)};
+		return this.isRefusal ? this.refusal() : {end: AttemptEnd.Answered, answer: this.head, body: this.body.take()};
 	}
 
 	private get isRefusal(): boolean {
@@ -236,7 +247,7 @@
 
 	/** Closes the connection if the body of a refusal is too large. The refusal itself still counts. */
 	private enforceRefusalLimit(): void {
-		if (this.bodyBytes > maxRefusalBodyBytes) {
+		if (this.refusalBytes > maxRefusalBodyBytes) {
 			this.fail('the body of the refusal is too large');
 		}
 	}
