--- a/src/platform/key-orders.ts
+++ b/src/platform/key-orders.ts
@@ -8,9 +8,13 @@
 import type {TargetIncarnation} from '../model/fleet.js';
 import type {KeyRange} from '../model/key-ownership.js';
 import {ConnectionPool} from '../transport/connection-pool.js';
-import {callJson, CallFailure, type JsonAnswer} from '../transport/json-call.js';
+import {
+	callJson, CallFailure, type JsonAnswer, type JsonCall,
+} from '../transport/json-call.js';
 import {WireHeader, wirePaths} from './wire.js';
 
+type SentOrder = Pick<KeyOrder, 'timeoutMs' | 'mayBeSent'> & Pick<JsonCall, 'usesNewConnection'>;
+
 /** Sends orders over HTTP, on connections that are separate from those of callers' requests. */
 export class PlatformKeyOrders implements KeyOrders {
 	private readonly pool = new ConnectionPool();
@@ -29,8 +33,12 @@
 		expectSuccess(target, answer);
 	}
 
+	/**
+	 * A faulty target may send an answer twice, and nothing in it tells which order it answers. The second one, taken for the answer to
+	 * a release, would prove that the target has no work left on the keys, so that each release has a connection of its own.
+	 */
 	async release(target: TargetIncarnation, order: KeyOrder): Promise<string | undefined> {
-		const answer = await this.send(target, wirePaths.release, encodeRange(order.range, order.fence), order);
+		const answer = await this.send(target, wirePaths.release, encodeRange(order.range, order.fence), {...order, usesNewConnection: true});
 		expectSuccess(target, answer);
 		const handover = answer.headers[WireHeader.Handover];
 		return typeof handover === 'string' && handover !== '' ? handover : undefined;
@@ -46,9 +54,9 @@
 	}
 
 	/** @throws {TargetReplacedError} if another target answers: it responds with 421 to an order that names its receiver */
-	private async send(target: TargetIncarnation, path: string, body: unknown, {timeoutMs, mayBeSent}: KeyOrder): Promise<JsonAnswer> {
+	private async send(target: TargetIncarnation, path: string, body: unknown, {timeoutMs, mayBeSent, usesNewConnection}: SentOrder): Promise<JsonAnswer> {
 		const answer = await this.call(target, async () => callJson(this.pool, target.address, {
-			method: 'POST', path, body, headers: {[WireHeader.ExpectedTarget]: target.id}, timeoutMs, ...(mayBeSent && {mayBeSent}),
+			method: 'POST', path, body, headers: {[WireHeader.ExpectedTarget]: target.id}, timeoutMs, usesNewConnection: usesNewConnection === true, ...(mayBeSent && {mayBeSent}),
 		}));
 		const id = answeringId(answer);
 		if (id === undefined ? answer.status === 421 : id !== target.id) {
--- a/src/transport/connection-pool.ts
+++ b/src/transport/connection-pool.ts
@@ -47,8 +47,13 @@
 			connection?.destroy();
 		}
 
-		this.opened += 1;
-		return new HttpConnection(address);
+		return this.open(address);
+	}
+
+	/** Returns a new connection, on which no answer to an earlier exchange can arrive late. */
+	acquireNew(address: string): HttpConnection {
+		this.inUseCounts.set(address, this.inUseCount(address) + 1);
+		return this.open(address);
 	}
 
 	/** Returns a connection after a complete exchange. It is closed if the server already has `limit` others, idle or in use. */
@@ -91,6 +96,11 @@
 		}
 	}
 
+	private open(address: string): HttpConnection {
+		this.opened += 1;
+		return new HttpConnection(address);
+	}
+
 	private decrementInUse(address: string): void {
 		const remaining = this.inUseCount(address) - 1;
 		if (remaining > 0) {
--- a/src/transport/json-call.ts
+++ b/src/transport/json-call.ts
@@ -19,6 +19,8 @@
 	timeoutMs: number;
 	/** Maximum size of the body of the answer, in bytes; a larger one fails the call. */
 	maxAnswerBytes?: number;
+	/** True for a call whose answer must not be mistaken for a late extra answer to an earlier one. */
+	usesNewConnection?: boolean;
 	/** Checked right before the first byte is sent, for a call that is no longer allowed once its connection has opened late. */
 	mayBeSent?(): boolean;
 };
@@ -48,7 +50,7 @@
  */
 export async function callJson(pool: ConnectionPool, address: string, call: JsonCall, onStart?: (abort: (reason: string) => void) => void): Promise<JsonAnswer> {
 	return new Promise<JsonAnswer>((resolve, reject) => {
-		const connection = pool.acquire(address);
+		const connection = call.usesNewConnection ? pool.acquireNew(address) : pool.acquire(address);
 		const {maxAnswerBytes = defaultMaxAnswerBytes} = call;
 		const body = new ByteBuffer();
 		const provisionalAnswers = new ProvisionalAnswers();
--- a/tests/platform/order-identity.test.ts
+++ b/tests/platform/order-identity.test.ts
@@ -1,11 +1,12 @@
 import {createServer, type Server} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
 import {
 	FenceRejectedError, OrderUnsentError, TargetReplacedError, TargetUnavailableError,
 } from '../../src/model/errors.js';
 import type {KeyGrant} from '../../src/model/key-orders.js';
 import {PlatformKeyOrders} from '../../src/platform/key-orders.js';
-import {WireHeader} from '../../src/platform/wire.js';
+import {WireHeader, wirePaths} from '../../src/platform/wire.js';
 import {MemoryCoordinationStore} from '../../standins/memory-coordination-store.js';
 import {PlatformTargetServer} from '../../standins/platform-target-server.js';
 
@@ -163,3 +164,37 @@
 		}
 	});
 }
+
+/** Time that a target works on the keys of a release before it answers, in milliseconds. */
+const workMs = 100;
+
+// OWNER: the second copy of a renewal's answer counted as the answer to the release behind it, and the keys went to another target too early.
+test('should not take an extra answer to a grant for the answer to the release behind it', async t => {
+	let hasEnded = false;
+	const server = createServer((request, response) => {
+		request.resume();
+		if (request.url === wirePaths.grant) {
+			response.end('{}');
+			return;
+		}
+
+		request.socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'.repeat(Number(request.socket.bytesWritten > 0)));
+		setTimeout(() => {
+			hasEnded = true;
+			response.setHeader(WireHeader.Handover, 'token');
+			response.end('{}');
+		}, workMs);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(port + 1, `${network}.1.9`, resolve);
+	});
+	const orders = new PlatformKeyOrders();
+	const target = {id: expectedId, bornAt: 1, address: `${network}.1.9:${port + 1}`};
+	await orders.grant(target, grant);
+	// The connection is idle.
+	await delay(workMs);
+	t.is(await orders.release(target, grant), 'token');
+	t.true(hasEnded);
+	orders.close();
+	server.close();
+});
