--- a/tests/http/relay.test.ts
+++ b/tests/http/relay.test.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {AddressInfo, Server} from 'node:net';
-import {Readable, Writable} from 'node:stream';
+import {PassThrough, Readable, Writable} from 'node:stream';
 import {setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
 import {ServiceBroker, type Context} from 'moleculer';
@@ -223,6 +223,55 @@
 	t.true(cancelledAfterMs < 500, `${cancelledAfterMs} ms`);
 });
 
+/** Streams an answer that its reader does not take. */
+function answerWithoutEnd({beginStream}: CallerRequest): void {
+	Readable.from(Array.from({length: 1000}, () => Buffer.alloc(largeBytes))).pipe(beginStream({status: 200, headers: seal}));
+}
+
+const leavings: Array<{title: string; body?: () => Readable; begin?: (request: CallerRequest) => void; end: AttemptEnd}> = [
+	{title: 'during an upload that the peer has received and not read', body: () => Readable.from([Buffer.alloc(largeBytes)]), end: AttemptEnd.Ambiguous},
+	{
+		title: 'in the middle of an upload that the peer does not read', end: AttemptEnd.Ambiguous, body() {
+			const body = new PassThrough();
+			body.write(Buffer.alloc(largeBytes));
+			return body;
+		},
+	},
+	{title: 'while it does not read a streamed answer', begin: answerWithoutEnd, end: AttemptEnd.Streamed},
+];
+
+for (const {title, body, begin, end: expectedEnd} of leavings) {
+	// GONE: a peer that does not read its connection did not notice that the daemon before it had given up the request.
+	test(`should cancel the request at the peer when the caller leaves ${title}`, async t => {
+		const cancellation = new Cancellation();
+		let leftAt = 0;
+		let cancelledAt = Infinity;
+		await withPeer(async request => new Promise(resolve => {
+			request.cancellation.subscribe(() => {
+				cancelledAt = performance.now();
+				resolve({kind: OutcomeKind.Abandoned});
+			});
+			begin?.(request);
+			setTimeout(() => {
+				leftAt = performance.now();
+				cancellation.cancel();
+			}, 100);
+		}), async ({relay}) => {
+			const {end} = await relay(identifiedRequest({
+				method: body ? 'POST' : 'GET', body: body?.(), cancellation, beginStream: () => new Writable({
+					write() {
+						// Never calls back, so that the stream stays full.
+					},
+				}),
+			}));
+			t.is(end, expectedEnd);
+			await delay(500);
+		});
+		// Half a second is the bound for work that nobody waits for.
+		t.true(cancelledAt - leftAt < 500, `${cancelledAt - leftAt} ms`);
+	});
+}
+
 test('should report a request as not sent if the peer does not listen', async t => {
 	await withPeer(async () => ({kind: OutcomeKind.Unknown}), async ({relay, broker}) => {
 		await broker.call('gateway.closeListener');
