--- a/src/model/byte-buffer.ts
+++ b/src/model/byte-buffer.ts
@@ -10,6 +10,9 @@
 	private block: Uint8Array = new Uint8Array(0);
 	private length = 0;
 
+	/** @param usualLimit number of bytes beyond which no memory is allocated in advance */
+	constructor(private readonly usualLimit = Infinity) {}
+
 	get byteLength(): number {
 		return this.length;
 	}
@@ -24,7 +27,7 @@
 
 		const length = this.length + chunk.length;
 		if (length > this.block.length) {
-			const block = Buffer.allocUnsafeSlow(Math.max(length, 2 * this.length));
+			const block = Buffer.allocUnsafeSlow(Math.max(length, Math.min(2 * this.length, this.usualLimit)));
 			block.set(this.block.subarray(0, this.length));
 			this.block = block;
 		}
--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -243,9 +243,14 @@
 		};
 		await this.connections.detectEarlyDisconnect(request.socket);
 		openRequest.stage = RequestStage.Forwarding;
-		const outcome = await this.broker.call<Outcome, CallerRequest>('dispatcher.forward', caller);
+		let outcome: Outcome;
+		try {
+			outcome = await this.broker.call<Outcome, CallerRequest>('dispatcher.forward', caller);
+		} finally {
+			discardBody(caller.body);
+		}
+
 		const failure = caller.body instanceof Readable ? caller.body.errored : undefined;
-		discardBody(caller.body);
 		if (failure instanceof BadRequestError) {
 			// The rest of the body is discarded.
 			this.connections.closeAfter(response);
--- a/src/services/request-body.ts
+++ b/src/services/request-body.ts
@@ -72,8 +72,8 @@
  * the caller's connection is noticed only once all bytes before it have been read.
  */
 class CallerBody extends Readable {
-	private readonly waiting = new ByteBuffer();
 	private readonly capacity = readAheadMemory.reserve();
+	private readonly waiting = new ByteBuffer(this.capacity);
 	private receivedBytes = 0;
 	/** True while the reader takes more. */
 	private isWanted = false;
--- a/src/transport/json-answer.ts
+++ b/src/transport/json-answer.ts
@@ -12,7 +12,7 @@
  * @throws {AnswerTooLargeError} as soon as the body exceeds the limit; its connection is closed
  */
 export async function readJsonAnswer(body: Readable, maxBytes: number): Promise<unknown> {
-	const received = new ByteBuffer();
+	const received = new ByteBuffer(maxBytes);
 	return new Promise((resolve, reject) => {
 		body.on('data', (chunk: Uint8Array) => {
 			if (received.byteLength + chunk.length > maxBytes) {
--- a/src/transport/json-call.ts
+++ b/src/transport/json-call.ts
@@ -52,7 +52,7 @@
 	return new Promise<JsonAnswer>((resolve, reject) => {
 		const connection = call.usesNewConnection ? pool.acquireNew(address) : pool.acquire(address);
 		const {maxAnswerBytes = defaultMaxAnswerBytes} = call;
-		const body = new ByteBuffer();
+		const body = new ByteBuffer(maxAnswerBytes);
 		const provisionalAnswers = new ProvisionalAnswers();
 		let status = 0;
 		let headers: JsonAnswer['headers'] = {};
--- a/src/transport/target-exchange.ts
+++ b/src/transport/target-exchange.ts
@@ -51,7 +51,7 @@
 	private isSettled = false;
 	private kind = AnswerKind.Unrelated;
 	private head: AnswerHead | undefined;
-	private readonly body = new ByteBuffer();
+	private readonly body = new ByteBuffer(maxBufferedAnswerBytes);
 	private refusalBytes = 0;
 	private readonly provisionalAnswers = new ProvisionalAnswers();
 	private sink: Writable | undefined;
--- a/tests/byte-buffer.test.ts
+++ b/tests/byte-buffer.test.ts
@@ -4,9 +4,9 @@
 import {ByteBuffer} from '../src/model/byte-buffer.js';
 
 test('should return the bytes of all chunks in order and leave the chunks unchanged', t => {
-	fc.assert(fc.property(fc.array(fc.uint8Array({maxLength: 40})), chunks => {
+	fc.assert(fc.property(fc.array(fc.uint8Array({maxLength: 40})), fc.integer({min: 0, max: 400}), (chunks, usualLimit) => {
 		const copies = chunks.map(chunk => Uint8Array.from(chunk));
-		const buffer = new ByteBuffer();
+		const buffer = new ByteBuffer(usualLimit);
 		for (const chunk of chunks) {
 			buffer.add(chunk);
 		}
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -93,6 +93,9 @@
 				if (body instanceof Readable && path.startsWith('/early')) {
 					// The server answers before it has read the whole body.
 					body.pipe(new PassThrough());
+					if (path.endsWith('/broken')) {
+						throw new TypeError('unexpected');
+					}
 				} else if (body instanceof Readable) {
 					// Like the transport, adds no listener for errors of the body.
 					body.pipe(new PassThrough()).resume();
@@ -550,10 +553,17 @@
 	});
 });
 
-test('should read the next request on a connection whose caller still sends a body that was answered early', async t => {
-	await withGateway(t, async ({port}) => {
-		const body = 'x'.repeat(answerBytes.largest);
-		const received = await exchange(port, `POST /early HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\n\r\n${body}${get('/2')}`, /\/2$/v);
-		t.is(received.match(/HTTP\/1\.1 200/gv)?.length, 2);
-	}, {areLimitsConfirmed: true, limits: {...limits, maxBodyBytes: answerBytes.largest}});
-});
+const unreadBodies: Array<{title: string; path: string; status: number}> = [
+	{title: 'that was answered early', path: '/early', status: 200},
+	{title: 'whose request failed unexpectedly', path: '/early/broken', status: 502},
+];
+
+for (const {title, path, status} of unreadBodies) {
+	test(`should read the next request on a connection whose caller still sends a body ${title}`, async t => {
+		await withGateway(t, async ({port}) => {
+			const body = 'x'.repeat(answerBytes.largest);
+			const received = await exchange(port, `POST ${path} HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\n\r\n${body}${get('/2')}`, /\/2$/v);
+			t.deepEqual(received.match(/HTTP\/1\.1 \d+/gv), [`HTTP/1.1 ${status}`, 'HTTP/1.1 200']);
+		}, {areLimitsConfirmed: true, limits: {...limits, maxBodyBytes: answerBytes.largest}});
+	});
+}
