--- a/src/peers/trpc-peers.ts
+++ b/src/peers/trpc-peers.ts
@@ -12,6 +12,7 @@
 	Acknowledgement, DocumentUpdate, KnownVersions, LoadReport, PeerConfirmation, PeerNetwork, ServerProbeResult,
 } from '../model/peer.js';
 import {readJsonAnswer} from '../transport/json-answer.js';
+import {limitProvisionalAnswers} from '../transport/provisional-answers.js';
 import {limitedConnector} from '../transport/small-reads.js';
 import type {ControlRouter} from './control-router.js';
 
@@ -41,6 +42,7 @@
 		body: init?.body as string | undefined,
 		signal: init?.signal,
 		dispatcher: agent,
+		onInfo: limitProvisionalAnswers(),
 	});
 	const result = {
 		ok: answer.statusCode < 400, status: answer.statusCode, json: async () => readJsonAnswer(answer.body, shortProcedures.test(url) ? maxAnswerBytes.short : maxAnswerBytes.documents),
--- a/src/published/etcd-store.ts
+++ b/src/published/etcd-store.ts
@@ -10,6 +10,7 @@
 	KeyValueStore, StoreEntry, StoreResult, StoreTransaction, StoreVersion,
 } from '../model/key-value-store.js';
 import {readJsonAnswer} from '../transport/json-answer.js';
+import {limitProvisionalAnswers} from '../transport/provisional-answers.js';
 
 const rangeAnswerSchema = z.object({
 	kvs: z.array(z.object({
@@ -95,6 +96,7 @@
 					headers: {'content-type': 'application/json'},
 					body: JSON.stringify(body),
 					dispatcher: this.agent,
+					onInfo: limitProvisionalAnswers(),
 					signal,
 				});
 				if (answer.statusCode !== 200) {
--- a/src/published/http-vm-list.ts
+++ b/src/published/http-vm-list.ts
@@ -9,6 +9,7 @@
 	VmRole, VmState, type Vm, type VmList,
 } from '../model/vm-list.js';
 import {readJsonAnswer} from '../transport/json-answer.js';
+import {limitProvisionalAnswers} from '../transport/provisional-answers.js';
 
 /** Maximum size of the list, in bytes; a VM takes about 150. */
 const maxListBytes = 1_048_576;
@@ -27,7 +28,7 @@
 
 	async read(deadline: Deadline): Promise<Vm[]> {
 		return deadline.run(async signal => {
-			const answer = await request(this.url, {dispatcher: this.agent, signal});
+			const answer = await request(this.url, {dispatcher: this.agent, signal, onInfo: limitProvisionalAnswers()});
 			if (answer.statusCode !== 200) {
 				await answer.body.dump();
 				throw new RouterError(ErrorCode.StoreUnavailable, `The VM list answered with status ${answer.statusCode}.`);
--- a/src/targets/http-target-control.ts
+++ b/src/targets/http-target-control.ts
@@ -11,6 +11,7 @@
 	GrantOrder, GrantReceipt, ServerHealth, TargetControl,
 } from '../model/target.js';
 import {readJsonAnswer} from '../transport/json-answer.js';
+import {limitProvisionalAnswers} from '../transport/provisional-answers.js';
 import {limitedConnector} from '../transport/small-reads.js';
 
 const healthSchema = z.object({
@@ -58,6 +59,7 @@
 					headers: {'content-type': 'application/json'},
 					body: body === undefined ? undefined : JSON.stringify(body),
 					dispatcher: this.agent,
+					onInfo: limitProvisionalAnswers(),
 					signal,
 				});
 				if (answer.statusCode !== 200) {
--- a/src/transport/provisional-answers.ts
+++ b/src/transport/provisional-answers.ts
@@ -15,3 +15,14 @@
 		return this.count > maxProvisionalAnswers;
 	}
 }
+
+/** Listener of undici's `request` that ends it after too many provisional answers. */
+export function limitProvisionalAnswers(): (answer: {statusCode: number}) => void {
+	const answers = new ProvisionalAnswers();
+	return ({statusCode}) => {
+		if (answers.isExceededBy(statusCode)) {
+			// Undici aborts a request whose listener throws.
+			throw new Error('too many provisional answers');
+		}
+	};
+}
