--- a/src/model/route-configuration.ts
+++ b/src/model/route-configuration.ts
@@ -38,6 +38,8 @@
 	isKeyed: boolean;
 	/** Time for which requests for keys are slow at a new owner without a handover, in milliseconds. */
 	keyWarmUpMs: number;
+	/** Requests a second that a target takes while it warms up; undefined if they are not bounded. */
+	warmUpPerS?: number | undefined;
 };
 
 /** Limits on what a caller may send. */
--- a/src/model/slots.ts
+++ b/src/model/slots.ts
@@ -18,6 +18,8 @@
 	service: string;
 	/** The only target that may run the request, for keyed services. */
 	target?: string | undefined;
+	/** Number of the group that was chosen, for other services; a daemon may coordinate several groups of a service. */
+	group?: number | undefined;
 	/** Targets that earlier attempts of the request used. */
 	excluded: string[];
 	/** Availability zone of the asking daemon. */
@@ -51,7 +53,7 @@
 	responseMs: number;
 	/** Delay after which a denied request is likely to be granted, in milliseconds; 0 otherwise. */
 	retryAfterMs: number;
-	/** Requests in flight or waiting for each slot of the group. */
+	/** Requests in flight on average over about two seconds, and waiting at present, for each slot of the group. */
 	load: number;
 };
 
