--- a/src/decisions/admission/slot-coordinator.ts
+++ b/src/decisions/admission/slot-coordinator.ts
@@ -161,7 +161,7 @@
 
 		this.places.set(key, {waiting, pool});
 		pool.queue.add(waiting, now, this.paceOf(targets, now));
-		const answers = this.serve(pool, now);
+		const answers = this.serve(pool, targets, now);
 		if (this.places.has(key)) {
 			this.queued += 1;
 			answers.push(this.queuedAnswer({waiting, pool}, now));
@@ -182,13 +182,13 @@
 
 		this.ended.set(key, {endedAt: now, denial: undefined});
 		const grant = this.grants.get(key);
+		this.grants.delete(key);
 		const id = grant?.target ?? release.target;
 		const meter = id === undefined ? undefined : this.meters.get(id);
 		if (!meter) {
 			return [];
 		}
 
-		this.grants.delete(key);
 		if (grant && meter.grants.has(grant)) {
 			this.logTrust(meter, now, () => meter.end(grant, release, now));
 		} else if (release.load) {
@@ -213,9 +213,6 @@
 			this.logTrust(meter, now, () => meter.checkSilence(now));
 		}
 
-		const silent = [...this.grants.values()].filter(({daemon}) => this.isSilent(daemon, now));
-		const expired = [...this.grants.values()].filter(({daemon, expiresAt}) => now >= expiresAt && !this.isSilent(daemon, now));
-		const answers = this.drop([...silent, ...expired], {silent: silent.length, expired: expired.length}, now);
 		for (const [key, {waiting, pool}] of this.places) {
 			const isRepeated = waiting.daemon === this.options.daemon || now - waiting.repeatedAt <= repetitionMs;
 			if (!isRepeated || this.isSilent(waiting.daemon, now)) {
@@ -224,13 +221,16 @@
 			}
 		}
 
+		const silent = [...this.grants.values()].filter(({daemon}) => this.isSilent(daemon, now));
+		const expired = [...this.grants.values()].filter(({daemon, expiresAt}) => now >= expiresAt && !this.isSilent(daemon, now));
+		const answers = this.drop([...silent, ...expired], {silent: silent.length, expired: expired.length}, now);
 		for (const [key, pool] of this.pools) {
 			const targets = this.targetsOf(pool, now);
 			if (targets.length === 0) {
 				answers.push(...pool.queue.clear().map(waiting => this.deny(waiting, retryDelayMs(unknownRetryMs, this.options.random()), 0, now)));
 			} else {
 				pool.queue.advance(now, this.paceOf(targets, now));
-				answers.push(...this.serve(pool, now));
+				answers.push(...this.serve(pool, targets, now));
 			}
 
 			if (pool.queue.length === 0) {
@@ -290,10 +290,8 @@
 	}
 
 	/** Grants free slots to the requests of a pool, and denies those that are too late. */
-	private serve(pool: Pool, now: number): SlotAnswer[] {
+	private serve({queue}: Pool, targets: readonly Target[], now: number): SlotAnswer[] {
 		const answers: SlotAnswer[] = [];
-		const {queue} = pool;
-		const targets = this.targetsOf(pool, now);
 		if (queue.length === 0 || targets.length === 0) {
 			return answers;
 		}
@@ -321,8 +319,8 @@
 	/** Serves the pools that a freed slot of the target matters for. */
 	private serveTarget({id, service}: Target, now: number): SlotAnswer[] {
 		return [...this.pools.values()]
-			.filter(pool => pool.service === service && (pool.target === undefined || pool.target === id))
-			.flatMap(pool => this.serve(pool, now));
+			.filter(pool => pool.queue.length > 0 && pool.service === service && (pool.target === undefined || pool.target === id))
+			.flatMap(pool => this.serve(pool, this.targetsOf(pool, now), now));
 	}
 
 	private tryGrant(waiting: WaitingRequest, targets: readonly Target[], now: number): Grant | undefined {
--- a/src/decisions/admission/target-meter.ts
+++ b/src/decisions/admission/target-meter.ts
@@ -50,6 +50,9 @@
 /** Time for which reports of peers count as the least that is in flight, in milliseconds; a former coordinator's grants end in it. */
 const takeoverMs = 1000;
 
+/** Age of the youngest reports of peers, in milliseconds; they do not count grants younger than that. */
+const reportAgeMs = 90;
+
 /** Time without a request after which this daemon may not have been the coordinator, in milliseconds. */
 const unusedMs = 2000;
 
@@ -127,7 +130,7 @@
 	}
 
 	get slots(): number {
-		return this.reportedSlots ?? this.target.slots;
+		return Math.min(this.target.slots, this.reportedSlots ?? Infinity);
 	}
 
 	get isSuspect(): boolean {
@@ -166,7 +169,7 @@
 	inFlight(peerInFlight: number, now: number): number {
 		const foreign = now - this.foreignAt < foreignValidityMs ? this.foreign : 0;
 		const known = this.grants.size + foreign;
-		return now - this.startedAt < takeoverMs ? Math.max(known, peerInFlight) : known;
+		return now - this.startedAt < takeoverMs ? Math.max(known, peerInFlight + this.countYoung(reportAgeMs, now)) : known;
 	}
 
 	/** True if a request may be granted a slot; a suspect target gets one only as a trial, or if there is no other target. */
@@ -240,16 +243,17 @@
 			case SlotEnd.Answered: {
 				const usualMs = (durationMs ?? now - grant.grantedAt) / grant.position / ((grant.slowdown + this.slowdown(now)) / 2);
 				const isWell = (durationMs ?? now - grant.grantedAt) <= wellFactor * grant.expectedMs || (load?.slowness ?? Infinity) < wellSlowness;
-				return this.recordAnswer(grant, usualMs, isWell, now);
+				const change = this.recordAnswer(grant, usualMs, isWell, now);
+				return (load?.slowness ?? 0) >= suspectFactor * usualSlowness ? this.suspect(true, now + firstTrialMs, now) : change;
 			}
 
 			case SlotEnd.Failed: {
-				return this.suspect(now, now);
+				return this.suspect(true, now, now);
 			}
 
 			case SlotEnd.Silent: {
 				// A lost request says nothing about a target that has answered later ones.
-				return grant.grantedAt < this.wellGrantedAt ? undefined : this.suspect(undefined, now);
+				return grant.grantedAt < this.wellGrantedAt ? undefined : this.suspect(false, now + firstTrialMs, now);
 			}
 
 			case SlotEnd.Refused: {
@@ -276,7 +280,7 @@
 
 		for (const {grantedAt, expectedMs} of this.grants) {
 			if (grantedAt >= this.wellGrantedAt) {
-				return now - grantedAt > suspectFactor * Math.max(expectedMs, this.responseMs(0, now)) ? this.suspect(undefined, now) : undefined;
+				return now - grantedAt > suspectFactor * Math.max(expectedMs, this.responseMs(0, now)) ? this.suspect(false, now + firstTrialMs, now) : undefined;
 			}
 		}
 
@@ -321,14 +325,14 @@
 		return undefined;
 	}
 
-	/** Suspects the target, if it is not suspect yet, with the time at which it last answered if that was just now. */
-	private suspect(answeredAt: number | undefined, now: number): TrustChange | undefined {
+	/** Suspects the target, unless it is suspect already. */
+	private suspect(hasAnswered: boolean, trialAt: number, now: number): TrustChange | undefined {
 		if (this.isSuspect) {
 			return undefined;
 		}
 
-		this.hasAnswered = answeredAt !== undefined;
-		this.trialAt = answeredAt ?? now + this.trialDelayMs;
+		this.hasAnswered = hasAnswered;
+		this.trialAt = trialAt;
 		this.suspectSince = now;
 		return TrustChange.Suspected;
 	}
@@ -336,12 +340,7 @@
 	/** The report may count the answered request or not, and miss those on their way; what is certainly foreign is what exceeds all. */
 	private recordLoad({running, waiting, slots, slowness}: TargetLoadReport, inFlight: number, now: number): void {
 		this.reportedSlots = slots > 0 ? slots : undefined;
-		let onTheirWay = 0;
-		for (const {grantedAt} of this.grants) {
-			onTheirWay += now - grantedAt < transitMs ? 1 : 0;
-		}
-
-		this.foreign = Math.max(0, running + waiting - (inFlight - onTheirWay));
+		this.foreign = Math.max(0, running + waiting - (inFlight - this.countYoung(transitMs, now)));
 		this.foreignAt = now;
 		if (slowness !== undefined) {
 			this.slowness = slowness;
@@ -349,6 +348,15 @@
 		}
 	}
 
+	private countYoung(ageMs: number, now: number): number {
+		let count = 0;
+		for (const {grantedAt} of this.grants) {
+			count += now - grantedAt < ageMs ? 1 : 0;
+		}
+
+		return count;
+	}
+
 	private slowdown(now: number): number {
 		const share = Math.max(0, 1 - ((now - this.slownessAt) / slownessValidityMs));
 		return (1 + ((this.slowness - usualSlowness) / usualSlowness * share)) * (this.condition.isCold ? coldFactor : 1);
