--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -66,6 +66,8 @@
 	/** Entries with an earlier start than the listed incarnation, by id, since that one last wrote its entry. */
 	private readonly overtaken = new Map<string, {bornAt: number; count: number}>();
 	private readonly warmedUpAt = new Map<string, number>();
+	/** When targets have warmed up by their own answers, with the incarnation. */
+	private readonly reportedWarmUps = new Map<string, {bornAt: number; until: number}>();
 	private readonly assignmentListeners = new Set<() => void>();
 	/** Until then, targets whose entries are removed from the store stay in use. */
 	private graceUntil = 0;
@@ -158,6 +160,7 @@
 		this.targets.delete(id);
 		this.overtaken.delete(id);
 		this.warmedUpAt.delete(id);
+		this.reportedWarmUps.delete(id);
 		this.removed.set(id, {target, removedAt: now, usableUntil: now < this.graceUntil ? this.graceUntil : 0});
 		this.readyByService.clear();
 	}
@@ -202,7 +205,30 @@
 
 	/** Time until a target has warmed up, in milliseconds. */
 	warmUpLeft(id: string, now = performance.now()): number {
-		return Math.max(0, (this.warmedUpAt.get(id) ?? 0) - now);
+		const reported = this.reportedWarmUps.get(id);
+		const isCurrent = reported !== undefined && reported.bornAt === this.targets.get(id)?.bornAt;
+		return Math.max(0, (this.warmedUpAt.get(id) ?? 0) - now, isCurrent ? reported.until - now : 0);
+	}
+
+	/**
+	 * Applies the warm-up time that a target told in an answer; returns true if the target was not known to be cold. An answer never
+	 * shortens the time, because answers overtake each other and entries of the store.
+	 */
+	extendWarmUp(id: string, warmUpLeftMs: number, now = performance.now()): boolean {
+		const bornAt = this.targets.get(id)?.bornAt;
+		const knownMs = this.warmUpLeft(id, now);
+		if (bornAt === undefined || warmUpLeftMs <= knownMs) {
+			return false;
+		}
+
+		this.reportedWarmUps.set(id, {bornAt, until: now + warmUpLeftMs});
+		return knownMs === 0;
+	}
+
+	/** Number of ready targets of services with a bound on cold targets that are cold. */
+	coldTargetCount(now = performance.now()): number {
+		const services = [...this.configuration?.services.values() ?? []].filter(({warmUpPerS}) => warmUpPerS !== undefined);
+		return services.flatMap(({name}) => this.readyTargets(name, now)).filter(({id}) => this.warmUpLeft(id, now) > 0).length;
 	}
 
 	/**
--- a/src/decisions/limits/target-statements.ts
+++ b/src/decisions/limits/target-statements.ts
@@ -51,6 +51,7 @@
 	/** Latest time at which a request was sent whose answer named no limit. */
 	clearedAt: number;
 	isUnreadableLogged: boolean;
+	isUnreadableReportLogged: boolean;
 	isLeaving: boolean;
 	/** Until then, the target wants no requests from this daemon. */
 	pausedUntil: number;
@@ -91,6 +92,11 @@
 			this.log.record(LogEvent.TargetPaused, {target: target.id, pauseMs: Math.round(statement.pauseMs)});
 		}
 
+		if (statement.unreadableReport !== undefined && !record.isUnreadableReportLogged) {
+			record.isUnreadableReportLogged = true;
+			this.log.record(LogEvent.TargetReportUnreadable, {target: target.id, text: statement.unreadableReport});
+		}
+
 		const isLeavingNews = statement.isLeaving && this.recordLeaving(target, record, StatementSource.Answer);
 		if (isLeavingNews || (before === undefined && limitPerS !== undefined)) {
 			this.listener.onNews();
@@ -239,7 +245,15 @@
 		}
 
 		const record: StatementRecord = {
-			bornAt, limitPerS: undefined, namedAt: -Infinity, lowestNamedAt: -Infinity, clearedAt: -Infinity, isUnreadableLogged: false, isLeaving: false, pausedUntil: -Infinity,
+			bornAt,
+			limitPerS: undefined,
+			namedAt: -Infinity,
+			lowestNamedAt: -Infinity,
+			clearedAt: -Infinity,
+			isUnreadableLogged: false,
+			isUnreadableReportLogged: false,
+			isLeaving: false,
+			pausedUntil: -Infinity,
 		};
 		this.records.set(id, record);
 		return record;
--- a/src/model/route-configuration.ts
+++ b/src/model/route-configuration.ts
@@ -38,6 +38,10 @@
 	isKeyed: boolean;
 	/** Time for which requests for keys are slow at a new owner without a handover, in milliseconds. */
 	keyWarmUpMs: number;
+	/** Requests a second that a cold target tolerates from all daemons together; missing if there is no such bound. */
+	warmUpPerS?: number | undefined;
+	/** Time for which a target is cold after its start, in milliseconds; missing if not stated. */
+	warmUpMs?: number | undefined;
 };
 
 /** Limits on what a caller may send. */
--- a/src/model/target-statement.ts
+++ b/src/model/target-statement.ts
@@ -2,6 +2,8 @@
  * What targets say about themselves in their answers.
  */
 
+import type {TargetLoadReport} from './slots.js';
+
 /** Highest limit that is kept, in requests a second; higher than any target can take. */
 export const highestLimitPerS = 100_000;
 
@@ -17,4 +19,10 @@
 	pauseMs: number | undefined;
 	/** True if the target ran the request; such an answer without a limit shows that there is none. */
 	hasRun: boolean;
+	/** Missing if the answer tells no readable load. */
+	load?: TargetLoadReport;
+	/** Time until the target has warmed up, in milliseconds; missing if the answer tells none. */
+	warmUpLeftMs?: number;
+	/** Header with a load or warm-up time that cannot be read, shortened for the log. */
+	unreadableReport?: string;
 };
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -5,6 +5,7 @@
 import {
 	initialLimits, type CallerLimits, type Route, type RouteConfiguration, type ServiceRule, type ServiceShare,
 } from '../model/route-configuration.js';
+import {highestLimitPerS} from '../model/target-statement.js';
 import {
 	DocumentReader, faultLimit, isName, longestTimeMs, type DocumentBounds,
 } from './document-reader.js';
@@ -34,6 +35,12 @@
  */
 const latestBirth = 4_102_444_800_000;
 
+/** Lowest and highest rate of a cold target that is used, in requests a second; a rate of 0 would keep it cold without any use. */
+const warmUpRateBounds = {minimum: 0.1, maximum: highestLimitPerS};
+
+/** Rate of a cold target of a service whose configuration states one that cannot be read, in requests a second. */
+const unreadableWarmUpPerS = 1;
+
 /** Longest host or path, in characters; larger ones do not fit into the headers of a request. */
 const longestPath = 8192;
 
@@ -219,6 +226,8 @@
 		maxConnections: reader.integer('maxConnections', {minimum: 1, maximum: maxConnections, fallback: earlier?.maxConnections ?? 1}),
 		isKeyed: reader.boolean('sharded', earlier?.isKeyed ?? false),
 		keyWarmUpMs: reader.has('warmS') ? reader.number('warmS', {maximum: longestTimeMs / secondMs, fallback: (earlier?.keyWarmUpMs ?? 0) / secondMs}) * secondMs : 0,
+		...(reader.has('warmupPerS') && {warmUpPerS: reader.number('warmupPerS', {...warmUpRateBounds, fallback: earlier?.warmUpPerS ?? unreadableWarmUpPerS})}),
+		...(reader.has('warmupS') && {warmUpMs: reader.number('warmupS', {maximum: maxWarmUpMs / secondMs, fallback: (earlier?.warmUpMs ?? 0) / secondMs}) * secondMs}),
 	};
 }
 
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -14,6 +14,9 @@
 /** Longest lease in milliseconds that the store grants: ten minutes. */
 const longestLeaseMs = 600_000;
 
+/** Highest value of an optional number; far above any rate or factor of a target. */
+const highestOptionalNumber = 1_000_000;
+
 const secondMs = 1000;
 
 /** Settings of one daemon. */
@@ -51,6 +54,10 @@
 	holdLimitMs: number;
 	/** Time for which orders of a daemon may still arrive after it resumes from a suspension, in milliseconds. */
 	thawSlackMs: number;
+	/** Factor on the rate of a cold target up to which all daemons together may exceed it; missing on platforms without this bound. */
+	warmUpOverrun?: number | undefined;
+	/** Requests in addition that a cold target may get within any second; missing on platforms without this bound. */
+	warmUpSlack?: number | undefined;
 };
 
 /**
@@ -85,11 +92,19 @@
 		retryReserve: reader.number('retryReserve'),
 		holdLimitMs: reader.integer('holdLimitMs', {minimum: 1000, maximum: longestTimeMs}),
 		thawSlackMs: reader.integer('thawSlackMs', {maximum: longestTimeMs}),
+		warmUpOverrun: readOptionalNumber(reader, 'warmUpOverrun'),
+		warmUpSlack: readOptionalNumber(reader, 'warmUpSlack'),
 	};
 	reader.throwOnFaults();
 	return settings;
 }
 
+/** Reads a list of at most one number, because the template renders nothing for a value that the platform does not have. */
+function readOptionalNumber(reader: DocumentReader, name: string): number | undefined {
+	const [value] = reader.has(name) ? reader.list(name) : [];
+	return value === undefined || value === null ? undefined : reader.listItem(0, {[name]: value}).number(name, {maximum: highestOptionalNumber});
+}
+
 function readPorts(reader: DocumentReader): [number, number] {
 	const ports = reader.list('peerPorts');
 	const range = reader.listItem(0, {first: ports[0], last: ports[1]});
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -23,6 +23,10 @@
 	Limit = 'server-limit',
 	/** The target will stop soon. */
 	Leaving = 'server-leaving',
+	/** Running requests, waiting requests and slots of the target, and optionally how slow it is at present. */
+	Load = 'server-load',
+	/** Time until the target has warmed up, in milliseconds. */
+	WarmUpLeft = 'warmup-left-ms',
 }
 
 /** Paths of HTTP calls. */
--- a/tests/platform/documents.test.ts
+++ b/tests/platform/documents.test.ts
@@ -243,6 +243,40 @@
 	t.deepEqual(settings.peerPorts, [7000, 7010]);
 });
 
+for (const {title, rendered, expected} of [
+	{title: 'a value', rendered: '1.5', expected: 1.5},
+	{title: 'nothing', rendered: '', expected: undefined},
+	{title: 'null', rendered: 'null', expected: undefined},
+]) {
+	test(`should accept settings whose optional bounds are rendered as ${title}`, async t => {
+		const template = await readFile('deploy/settings.template.json', 'utf8');
+		const addresses = new Map([['internalPorts', '[7000, 7010]'], ['listen.front', '"10.0.0.1:1"'], ['listen.readyAddress', '"10.0.0.1:2"'], ['platform.address', '"10.0.0.2:3"']]);
+		const names = new Set(['nodeName', 'zone', 'ip']);
+		const text = template.replaceAll(/\{\{([\w.]+)\|json\}\}/gv, (_, name: string) => name.startsWith('bounds.warmup') ? rendered : addresses.get(name) ?? (names.has(name) ? '"name"' : '5000'));
+		const settings = parseSettings(text);
+		t.is(settings.warmUpOverrun, expected);
+		t.is(settings.warmUpSlack, expected);
+	});
+}
+
+test('should report an optional bound that is no number', t => {
+	const error = t.throws(() => parseSettings('{"warmUpSlack": ["many"]}'), {instanceOf: MalformedDocumentError});
+	t.true(error?.faults.includes('settings[0].warmUpSlack: expected a number from 0 to 1000000, found "many"'));
+});
+
+for (const {title, specification, expected} of [
+	{title: 'no bound', specification: {}, expected: {}},
+	{title: 'a bound', specification: {warmupPerS: 5.4, warmupS: 3}, expected: {warmUpPerS: 5.4, warmUpMs: 3000}},
+	{title: 'the lowest bound if it is malformed', specification: {warmupPerS: 'all'}, expected: {warmUpPerS: 1}},
+]) {
+	test(`should decode a service with ${title} on cold targets`, t => {
+		const text = JSON.stringify({version: 1, resources: [{resourceType: 'services', metadata: {name: 'one'}, spec: {healthPath: '/', maxConnections: 9, ...specification}}]});
+		t.deepEqual(decodeConfiguration(text).services.get('one'), {
+			name: 'one', healthPath: '/', maxConnections: 9, isKeyed: false, keyWarmUpMs: 0, ...expected,
+		});
+	});
+}
+
 test('should parse the headers of a caller and forward only end-to-end headers', t => {
 	const headers = readCallerHeaders([
 		'Host', 'h', 'Attempt-Id', 'a-1', 'Time-Budget-Ms', '800', 'Shard-Key', '77', 'Connection', 'keep-alive, X-Hop', 'X-Hop', '1', 'Target-Instance', 'forged', 'Content-Length', '3', 'X-Own', 'v',
--- a/tests/platform/target-statements.test.ts
+++ b/tests/platform/target-statements.test.ts
@@ -23,6 +23,42 @@
 	{title: 'a huge number as the highest limit', headers: {'server-limit': '999999999999'}, expected: {limitPerS: 100_000}},
 	{title: 'leaving', headers: {'server-leaving': '1'}, expected: {isLeaving: true}},
 	{title: 'not leaving', headers: {'server-leaving': '0'}, expected: {isLeaving: false}},
+	{
+		title: 'a load', headers: {'server-load': '3,1,3'}, expected: {
+			load: {
+				running: 3, waiting: 1, slots: 3, slowness: undefined,
+			},
+		},
+	},
+	{
+		title: 'a load with slowness', headers: {'server-load': ' 0, 0,3 ,300'}, expected: {
+			load: {
+				running: 0, waiting: 0, slots: 3, slowness: 300,
+			},
+		},
+	},
+	{
+		title: 'huge numbers of a load as the highest', headers: {'server-load': '999999999,1,3,999999'}, expected: {
+			load: {
+				running: 100_000, waiting: 1, slots: 3, slowness: 10_000,
+			},
+		},
+	},
+	...['', '1,2', '1,2,3,4,5', '1,2,0', '1,-2,3', '1,2,3,0', '1,2,3,', '1.5,2,3', '1,2,3,fast', 'NaN,0,3'].map(text => ({
+		title: `the load '${text}' as unreadable`, headers: {'server-load': text}, expected: {unreadableReport: `server-load: ${text}`},
+	})),
+	{title: 'two loads as unreadable', headers: {'server-load': ['1,2,3', '1,0,3']}, expected: {unreadableReport: 'server-load: 1,2,3,1,0,3'}},
+	{title: 'a warm-up time', headers: {'warmup-left-ms': '2500'}, expected: {warmUpLeftMs: 2500}},
+	{title: 'a huge warm-up time as a day', headers: {'warmup-left-ms': '99999999999'}, expected: {warmUpLeftMs: 86_400_000}},
+	{
+		title: 'a load beside an unreadable warm-up time',
+		headers: {'server-load': '1,0,3', 'warmup-left-ms': 'soon'},
+		expected: {
+			load: {
+				running: 1, waiting: 0, slots: 3, slowness: undefined,
+			}, unreadableReport: 'warmup-left-ms: soon',
+		},
+	},
 	{
 		title: 'seconds of a pause', status: 503, headers: {'retry-after': '2'}, expected: {pauseMs: 2000},
 	},
