--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -3,6 +3,10 @@
  */
 import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
 import type {ServiceBroker} from 'moleculer';
+import {CoordinationPolicy} from '../decisions/admission/coordination-policy.js';
+import {SlotExchange, type SlotGranter} from '../decisions/admission/slot-exchange.js';
+import {decodeSlotMessage, isSlotMessage, type SlotMessage} from '../decisions/admission/slot-message.js';
+import {SlotRequests, type SlotGroups} from '../decisions/admission/slot-requests.js';
 import {ConfigurationFreshness} from '../decisions/fleet/configuration-freshness.js';
 import {FleetSync} from '../decisions/fleet/fleet-sync.js';
 import {FleetView} from '../decisions/fleet/fleet-view.js';
@@ -64,6 +68,14 @@
 
 const secondMs = 1000;
 
+/** No daemon coordinates targets yet, so that each chooses its targets on its own. */
+const uncoordinated: {groups: SlotGroups; granter: SlotGranter} = {
+	groups: {groupsOf: () => []},
+	granter: {
+		request: () => [], release: () => [], confirm: () => [], advance: () => [],
+	},
+};
+
 /** Maximum bandwidth of the messages that one core can process on behalf of other daemons, in Mbit/s. */
 const linkMbpsPerCore = 60;
 
@@ -78,12 +90,13 @@
 	private readonly sync: FleetSync;
 	private readonly exchange: PeerExchange;
 	private readonly membership: Membership;
-	private readonly peers: DatagramPeers<PeerMessage>;
+	private readonly peers: DatagramPeers<PeerMessage | SlotMessage>;
 	private readonly leader: KeyLeader;
 	private readonly metrics: PlatformMetrics;
 	private readonly kernel: ServiceBroker;
 	private readonly statements: TargetStatements;
 	private readonly permits: Permits;
+	private readonly slots: SlotRequests;
 	private readonly openRequests = new OpenRequests();
 	private servedCount = 0;
 	private receivedRelayCount = 0;
@@ -120,8 +133,16 @@
 		this.permits = this.createPermits();
 		const exchange = this.createExchange(loads);
 		this.exchange = exchange;
-		this.peers = new DatagramPeers(decodePeerMessage, message => {
-			exchange.receive(message);
+		const slotExchange = this.createSlotExchange();
+		this.slots = new SlotRequests({
+			availabilityZone, groups: uncoordinated.groups, link: slotExchange, log, random: Math.random,
+		});
+		this.peers = new DatagramPeers(decodeMessage, message => {
+			if ('slotsOf' in message) {
+				slotExchange.receive(message);
+			} else {
+				exchange.receive(message);
+			}
 		}, detail => {
 			log.record(LogEvent.PeerMessageRejected, {detail});
 		});
@@ -136,6 +157,7 @@
 		const forwarder = new Forwarder({
 			availabilityZone,
 			relay: this.relay,
+			coordination: {policy: new CoordinationPolicy(), requests: this.slots},
 			view: this.view,
 			loads,
 			statements: this.statements,
@@ -311,6 +333,30 @@
 		});
 	}
 
+	private createSlotExchange(): SlotExchange {
+		const {settings: {daemon, availabilityZone}, view, log} = this;
+		return new SlotExchange({
+			daemon,
+			availabilityZone,
+			granter: uncoordinated.granter,
+			findMember: name => view.findSender(name),
+			send: (message, members) => {
+				this.peers.send(message, members);
+			},
+			defer(callback) {
+				setImmediate(callback);
+			},
+			onAnswer: (coordinator, answer, now) => {
+				this.slots.receiveAnswer(coordinator, answer, now);
+			},
+			onWarmUp(target, warmUpLeftMs, now) {
+				if (view.extendWarmUp(target, warmUpLeftMs, now)) {
+					log.record(LogEvent.TargetCold, {target, warmUpLeftMs});
+				}
+			},
+		});
+	}
+
 	private createRelay(loads: TargetLoads): RequestRelay {
 		const {view, log, settings, transport, relayTransport} = this;
 		const access = new TargetAccess({
@@ -398,6 +444,10 @@
 			deniedPermits: () => this.permits.denialCount,
 			pausedTargets: () => this.statements.pausedCount(),
 			leavingTargets: () => this.statements.leavingCount,
+			slots: () => this.slots.counts,
+			meanSlotWaitMs: () => this.slots.meanWaitMs,
+			silentAttempts: () => forwarder.silentAttemptCount,
+			coldTargets: () => this.view.coldTargetCount(),
 			isCutOff: () => this.relay.isCutOff,
 			relayedRequests: () => this.relay.relayedCount,
 			receivedRelays: () => this.receivedRelayCount,
@@ -429,6 +479,15 @@
 	}
 }
 
+/**
+ * Validates a received message.
+ *
+ * @throws {MalformedDocumentError}
+ */
+function decodeMessage(content: unknown): PeerMessage | SlotMessage {
+	return isSlotMessage(content) ? decodeSlotMessage(content) : decodePeerMessage(content);
+}
+
 /** Capacity of a VM for other daemons' messages, in cores; limited by its processor or its link. */
 function spareCapacity({cores, linkMbps}: PlatformSettings): number {
 	return Math.min(cores, linkMbps / linkMbpsPerCore);
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -1,6 +1,7 @@
 /**
  * Forwards a caller's request to a target that may run it, and decides the outcome if there is none.
  */
+import {Readable} from 'node:stream';
 import {Cancellation} from '../../model/cancellation.js';
 import {LogEvent, type EventLog} from '../../model/events.js';
 import {isSameIncarnation, type Target} from '../../model/fleet.js';
@@ -9,6 +10,11 @@
 } from '../../model/forwarding.js';
 import {findRange} from '../../model/key-ownership.js';
 import type {Route, ServiceRule} from '../../model/route-configuration.js';
+import {SlotEnd} from '../../model/slots.js';
+import type {TargetStatement} from '../../model/target-statement.js';
+import {attemptPatienceMs} from '../admission/attempt-patience.js';
+import type {CoordinationPolicy} from '../admission/coordination-policy.js';
+import {SlotOutcomeKind, type SlotRequests, type SlotResult} from '../admission/slot-requests.js';
 import type {FleetView} from '../fleet/fleet-view.js';
 import type {Permits} from '../limits/permits.js';
 import type {TargetStatements} from '../limits/target-statements.js';
@@ -67,6 +73,12 @@
 /** Connections that each daemon may always open to a target. */
 const minConnections = 4;
 
+/** Coordinated admission of requests. */
+export type Coordination = {
+	policy: CoordinationPolicy;
+	requests: SlotRequests;
+};
+
 /** Dependencies and settings of the forwarder. */
 export type ForwarderOptions = {
 	availabilityZone: string;
@@ -81,6 +93,8 @@
 	retryReserve: number;
 	/** Missing if the daemon has no peers that forward requests for it. */
 	relay?: RequestRelay;
+	/** Missing if no service is coordinated. */
+	coordination?: Coordination;
 	random(): number;
 	/** Records the key of a request for the load balancing of keyed services. */
 	recordKey(service: string, key: number): void;
@@ -91,6 +105,7 @@
 	private readonly budgets = new Map<string, RetryBudget>();
 	private inFlight = 0;
 	private limitedAttempts = 0;
+	private silentAttempts = 0;
 	private readonly durations = new RouteDurations();
 	private readonly admission = new StopAdmission();
 
@@ -106,6 +121,11 @@
 		return this.limitedAttempts;
 	}
 
+	/** Number of attempts since the start that were given up because their targets stayed silent. */
+	get silentAttemptCount(): number {
+		return this.silentAttempts;
+	}
+
 	/** From now on, refuses requests that are not expected to end by this time. */
 	endAt(time: number): void {
 		this.admission.begin(time);
@@ -114,6 +134,7 @@
 	/** Called periodically. */
 	tick(): void {
 		this.options.relay?.tick();
+		this.options.coordination?.requests.tick();
 	}
 
 	/** Never rejects because of a failing target. */
@@ -217,10 +238,13 @@
 			this.recordRequest(request, service);
 		}
 
+		const policy = this.options.coordination?.policy;
+		policy?.recordRequest(service.name, route);
 		return {
 			request,
 			route,
 			service,
+			isCoordinated: policy?.isCoordinated(service) === true,
 			deadlineAt: request.receivedAt + Math.min(request.budgetMs ?? route.timeoutMs, route.timeoutMs),
 			triedTargets: new Set(),
 			deniedTargets: new Map(),
@@ -229,6 +253,7 @@
 			unsentAttempts: 0,
 			misdirectedAttempts: 0,
 			way: RequestWay.Direct,
+			grant: undefined,
 			relay: undefined,
 			triedPeers: new Set(),
 			mayHaveRun: false,
@@ -331,8 +356,9 @@
 				return refusal;
 			}
 
+			const found = this.findTarget(context);
 			// eslint-disable-next-line no-await-in-loop -- one target is considered after another.
-			const chosen = context.service.isKeyed ? await this.findOwner(context) : this.chooseUnkeyedTarget(context);
+			const chosen = found instanceof Promise ? await found : found;
 			if (!chosen) {
 				return undefined;
 			}
@@ -344,6 +370,10 @@
 			// A target without a limit is sent to in the same turn, so that its load counts for the next choice.
 			// eslint-disable-next-line no-await-in-loop -- see above.
 			const admission = this.options.statements.limitOf(chosen) === undefined || await this.admit(context, chosen);
+			if (admission !== true) {
+				this.releaseSlot(context, {end: SlotEnd.Unused});
+			}
+
 			if (typeof admission === 'object') {
 				return admission;
 			}
@@ -359,10 +389,88 @@
 		}
 	}
 
+	/** Chooses in the same turn for services that are neither keyed nor coordinated, so that the load counts for the next choice. */
+	private findTarget(context: ForwardingContext): Target | Outcome | Promise<Target | Outcome | undefined> {
+		const {service, isCoordinated} = context;
+		if (isCoordinated) {
+			return this.findCoordinatedTarget(context);
+		}
+
+		return service.isKeyed ? this.findOwner(context) : this.chooseUnkeyedTarget(context);
+	}
+
+	private async findCoordinatedTarget(context: ForwardingContext): Promise<Target | Outcome | undefined> {
+		if (!context.service.isKeyed) {
+			return this.acquireTarget(context);
+		}
+
+		const owner = await this.findOwner(context);
+		return owner && !('kind' in owner) ? this.acquireTarget(context, owner) : owner;
+	}
+
+	/** Waits for a slot, at the owner of the key or at any target. Without an answer of a coordinator, the target is chosen as without coordination. */
+	private async acquireTarget(context: ForwardingContext, owner?: Target): Promise<Target | Outcome | undefined> {
+		const {service, route: {priority, targetLatencyMs}, request: {receivedAt, cancellation}, deadlineAt} = context;
+		const outcome = await this.options.coordination?.requests.acquire({
+			service: service.name,
+			target: owner?.id,
+			// A key has only one owner, which is asked again.
+			excluded: owner ? [] : [...context.triedTargets, ...context.deniedTargets.keys()],
+			priority,
+			targetLatencyMs,
+			dueAt: receivedAt + targetLatencyMs,
+			deadlineAt,
+		}, cancellation);
+		if (outcome?.kind === SlotOutcomeKind.Denied) {
+			return this.giveUp(context, OutcomeReason.Overloaded, outcome.retryAfterMs);
+		}
+
+		if (outcome?.kind === SlotOutcomeKind.Granted) {
+			context.grant = outcome.grant;
+			return this.takeGrantedTarget(context, outcome.grant.target);
+		}
+
+		return owner ? this.refuseColdOwner(context, owner) ?? this.refuseLateAnswer(context, owner) ?? owner : this.chooseUnkeyedTarget(context);
+	}
+
+	/** The target may have left, or the key may have moved, while the request waited for its slot. */
+	private takeGrantedTarget(context: ForwardingContext, id: string): Target | undefined {
+		const {view, statements} = this.options;
+		const {service, request: {cancellation}} = context;
+		const target = view.findTarget(id);
+		const isUsable = target?.service === service.name && view.isReady(target) && statements.pauseLeftMs(target) === 0
+			&& (!service.isKeyed || (view.mayUseOwners && this.isOwner(context, target)));
+		if (isUsable && !cancellation.isCancelled && remainingMs(context) >= minUsefulBudgetMs) {
+			return target;
+		}
+
+		this.releaseSlot(context, {end: SlotEnd.Unused});
+		if (!service.isKeyed && !isUsable) {
+			// The coordinator knows less of the target than this daemon and would grant the same slot again.
+			context.triedTargets.add(id);
+		}
+
+		return undefined;
+	}
+
+	private releaseSlot(context: ForwardingContext, result: SlotResult): void {
+		if (context.grant) {
+			this.options.coordination?.requests.release(context.grant.number, result);
+			context.grant = undefined;
+		}
+	}
+
+	/** A cold target gets no request without a slot, because no daemon knows what the others send to it. */
+	private refuseColdOwner(context: ForwardingContext, {id}: Target): Outcome | undefined {
+		const isBound = context.service.warmUpPerS !== undefined && this.options.view.warmUpLeft(id) > 0;
+		return isBound ? this.giveUp(context, OutcomeReason.Overloaded, retryDelaysMs.noTarget) : undefined;
+	}
+
 	private chooseUnkeyedTarget(context: ForwardingContext): Target | Outcome {
 		const {view, loads, permits, statements, availabilityZone, random} = this.options;
 		const now = performance.now();
-		const targets = view.readyTargets(context.service.name, now);
+		const ready = view.readyTargets(context.service.name, now);
+		const targets = context.service.warmUpPerS === undefined ? ready : ready.filter(({id}) => view.warmUpLeft(id, now) === 0);
 		for (const target of targets) {
 			const deniedMs = Math.max(permits.deniedMs(target, context.route.priority, now), statements.pauseLeftMs(target, now));
 			if (deniedMs > 0) {
@@ -458,12 +566,14 @@
 			return this.giveUp(context, OutcomeReason.TargetPaused, pauseMs);
 		}
 
-		const estimate = this.options.loads.estimate(target, {warmUpLeftMs: view.warmUpLeft(target.id), connectionLimit: this.connectionLimit(service)});
-		if (!context.mayHaveRun && cannotServe(estimate, context)) {
-			return this.giveUp(context, OutcomeReason.Overloaded, backlogRetryDelayMs(estimate));
-		}
+		return context.isCoordinated ? target : this.refuseLateAnswer(context, target) ?? target;
+	}
 
-		return target;
+	/** Refuses a request that the owner of its key would answer too late or refuse; undefined if it may be sent. */
+	private refuseLateAnswer(context: ForwardingContext, owner: Target): Outcome | undefined {
+		const {view, loads} = this.options;
+		const estimate = loads.estimate(owner, {warmUpLeftMs: view.warmUpLeft(owner.id), connectionLimit: this.connectionLimit(context.service)});
+		return !context.mayHaveRun && cannotServe(estimate, context) ? this.giveUp(context, OutcomeReason.Overloaded, backlogRetryDelayMs(estimate)) : undefined;
 	}
 
 	private async waitForOwner(context: ForwardingContext, reason: OutcomeReason, retryAfterMs: number): Promise<Outcome | undefined> {
@@ -477,34 +587,76 @@
 		const sentAt = performance.now();
 		const key = loads.startAttempt(target);
 		this.limitedAttempts += statements.limitOf(target) === undefined ? 0 : 1;
-		const timeoutMs = remainingMs(context);
+		const budgetMs = remainingMs(context);
+		const timeoutMs = this.patienceMs(context, target, budgetMs) ?? budgetMs;
+		let answerStartedAt: number | undefined;
+		let told: TargetStatement | undefined;
 		const usesOpenConnection = context.way === RequestWay.OpenConnection;
 		const recordEnd = this.options.relay?.startAttempt(target);
 		const result = await this.untilCallerLeaves(context, async cancellation => transport.send(context.request, {
 			target,
-			budgetMs: timeoutMs,
+			budgetMs,
 			timeoutMs,
 			cancellation,
 			connectionLimit: this.connectionLimit(context.service),
 			usesOpenConnection,
 			mayBeSent: () => !context.service.isKeyed || view.mayUseOwners,
-			onStatement(statement) {
+			onStatement: statement => {
 				statements.record(target, statement, sentAt);
+				answerStartedAt = performance.now();
+				told = statement;
+				this.recordWarmUp(context, target, statement);
 			},
 		}));
 		const isNotSent = result.end === AttemptEnd.NotSent;
 		const wasHeldBack = isNotSent && (usesOpenConnection || (context.service.isKeyed && !view.mayUseOwners));
-		if (wasHeldBack || context.request.cancellation.isCancelled) {
+		const isUnknown = wasHeldBack || context.request.cancellation.isCancelled;
+		this.releaseSlot(context, {
+			end: isUnknown ? SlotEnd.Unused : slotEndOf(result),
+			// A slow caller delays the end of a streamed answer.
+			durationMs: Math.round((result.end === AttemptEnd.Streamed ? answerStartedAt ?? performance.now() : performance.now()) - sentAt),
+			load: told?.load,
+			warmUpLeftMs: told?.warmUpLeftMs,
+		});
+		if (isUnknown) {
 			recordEnd?.(undefined);
 			loads.recordAbandoned(target, key);
 			return result;
 		}
 
+		if (result.isTimeout === true && timeoutMs < budgetMs) {
+			this.silentAttempts += 1;
+			this.options.log.record(LogEvent.AttemptSilent, {...requestLogFields(context), target: target.id, patienceMs: Math.round(timeoutMs)});
+			// The silence may show that this daemon is cut off, which is checked while the attempt still counts.
+			this.options.relay?.tick();
+		}
+
 		recordEnd?.(result);
 		this.recordLoad(context, target, key, result);
 		return result;
 	}
 
+	/** Time after which a silent attempt is given up, in milliseconds; undefined if it may use all the time that is left. */
+	private patienceMs(context: ForwardingContext, target: Target, leftMs: number): number | undefined {
+		const {route, service, request, grant, deliveredAttempts} = context;
+		if (!context.isCoordinated) {
+			return undefined;
+		}
+
+		return attemptPatienceMs({
+			responseMs: grant?.responseMs ?? this.options.loads.estimate(target).responseMs,
+			leftMs,
+			mayRepeat: route.isIdempotent && deliveredAttempts + 1 < route.maxAttempts && !(request.body instanceof Readable) && this.budgetOf(service.name).allowsRetry,
+		});
+	}
+
+	/** Only services with a bound on cold targets are told apart by the warm-up time in answers. */
+	private recordWarmUp({service}: ForwardingContext, {id}: Target, {warmUpLeftMs = 0}: TargetStatement): void {
+		if (service.warmUpPerS !== undefined && this.options.view.extendWarmUp(id, warmUpLeftMs)) {
+			this.options.log.record(LogEvent.TargetCold, {target: id, warmUpLeftMs});
+		}
+	}
+
 	/** Runs an attempt with a cancellation for when the caller leaves. */
 	private async untilCallerLeaves<Result>(context: ForwardingContext, run: (cancellation: Cancellation) => Promise<Result>): Promise<Result> {
 		const cancellation = new Cancellation();
@@ -688,6 +840,29 @@
 	return Math.max(0, Math.min(context.route.targetLatencyMs - elapsedMs, remainingMs(context)) - responseMs);
 }
 
+/** What the result of an attempt says about the use of its slot. */
+function slotEndOf(result: AttemptResult): SlotEnd {
+	switch (result.end) {
+		case AttemptEnd.Answered:
+		case AttemptEnd.Streamed: {
+			return isServerFailure(result) ? SlotEnd.Failed : SlotEnd.Answered;
+		}
+
+		case AttemptEnd.Refused: {
+			return SlotEnd.Refused;
+		}
+
+		case AttemptEnd.Misdirected: {
+			return SlotEnd.Unused;
+		}
+
+		case AttemptEnd.Ambiguous:
+		case AttemptEnd.NotSent: {
+			return SlotEnd.Silent;
+		}
+	}
+}
+
 /** By the time the caller retries, half of the backlog has been processed. */
 function backlogRetryDelayMs({responseMs}: LoadEstimate): number {
 	return Math.max(retryDelaysMs.moving, responseMs / 2);
--- a/src/decisions/forwarding/forwarding-context.ts
+++ b/src/decisions/forwarding/forwarding-context.ts
@@ -5,6 +5,7 @@
 import type {LogFields} from '../../model/events.js';
 import type {AttemptResult, CallerRequest} from '../../model/forwarding.js';
 import type {Route, ServiceRule} from '../../model/route-configuration.js';
+import type {SlotGrant} from '../admission/slot-requests.js';
 import type {LoadEstimate} from './target-loads.js';
 
 /** Ways of a request. */
@@ -23,6 +24,8 @@
 	request: CallerRequest;
 	route: Route;
 	service: ServiceRule;
+	/** True if attempts ask a coordinator for a slot; decided once, so that all attempts of the request follow the same rules. */
+	isCoordinated: boolean;
 	/** Monotonic time at which the time budget of the caller or the timeout of the route ends, in milliseconds. */
 	deadlineAt: number;
 	triedTargets: Set<string>;
@@ -36,6 +39,8 @@
 	misdirectedAttempts: number;
 	/** Way of the current attempt. */
 	way: RequestWay;
+	/** The slot that the current attempt holds. */
+	grant: SlotGrant | undefined;
 	/** The peer that the request was last relayed to. */
 	relay: string | undefined;
 	/** Peers that could not forward the request. */
--- a/src/decisions/retry-budget.ts
+++ b/src/decisions/retry-budget.ts
@@ -26,6 +26,11 @@
 		this.tokens = Math.min(this.reserve, this.tokens + this.ratio);
 	}
 
+	/** True if a retry can be taken at present. */
+	get allowsRetry(): boolean {
+		return this.tokens >= retryCost;
+	}
+
 	/** Takes the cost of one retry; false if the budget is used up. */
 	withdraw(): boolean {
 		if (this.tokens < retryCost) {
--- a/src/model/slots.ts
+++ b/src/model/slots.ts
@@ -78,4 +78,6 @@
 	/** Time between sending and the answer, in milliseconds. */
 	durationMs?: number | undefined;
 	load?: TargetLoadReport | undefined;
+	/** Time until the target has warmed up as it told, in milliseconds. */
+	warmUpLeftMs?: number | undefined;
 };
--- a/src/services/platform-metrics-service.ts
+++ b/src/services/platform-metrics-service.ts
@@ -44,6 +44,14 @@
 	pausedTargets(): number;
 	/** Targets that said that they are leaving. */
 	leavingTargets(): number;
+	/** Requests for slots of coordinated services since the start. */
+	slots(): {granted: number; queued: number; denied: number; uncoordinated: number};
+	/** Average time that a request recently waited for its slot, in milliseconds. */
+	meanSlotWaitMs(): number;
+	/** Attempts since the start that were given up because their targets stayed silent. */
+	silentAttempts(): number;
+	/** Targets with a bound on their warm-up that are cold. */
+	coldTargets(): number;
 	/** True while this daemon reaches no target and relays its requests. */
 	isCutOff(): boolean;
 	/** Requests since the start that were relayed to peers. */
@@ -80,6 +88,13 @@
 		this.addGauge('denied_permits', 'Attempts since the start that were not sent to a target on account of its limit.', () => sources.deniedPermits());
 		this.addGauge('paused_targets', 'Targets that want no requests from this daemon at present.', () => sources.pausedTargets());
 		this.addGauge('leaving_targets', 'Targets that said in an answer that they are leaving.', () => sources.leavingTargets());
+		this.addGauge('granted_slots', 'Requests since the start that a coordinator granted a slot.', () => sources.slots().granted);
+		this.addGauge('queued_slot_requests', 'Requests since the start that waited at a coordinator for a slot.', () => sources.slots().queued);
+		this.addGauge('denied_slots', 'Requests since the start that a coordinator denied a slot.', () => sources.slots().denied);
+		this.addGauge('uncoordinated_requests', 'Requests since the start whose target this daemon chose on its own because no coordinator answered.', () => sources.slots().uncoordinated);
+		this.addGauge('slot_wait_mean_seconds', 'Average time that a request recently waited for its slot.', () => sources.meanSlotWaitMs() / secondMs);
+		this.addGauge('silent_attempts', 'Attempts since the start that were given up because their targets stayed silent.', () => sources.silentAttempts());
+		this.addGauge('cold_targets', 'Targets with a bound on their warm-up that are cold.', () => sources.coldTargets());
 		this.addGauge('cut_off', '1 while this daemon reaches no target and relays its requests through peers.', () => Number(sources.isCutOff()));
 		this.addGauge('relayed_requests', 'Requests since the start that were relayed to peers.', () => sources.relayedRequests());
 		this.addGauge('received_relays', 'Requests since the start that peers relayed to this daemon.', () => sources.receivedRelays());
