--- a/tests/decisions/unchanged-choices.test.ts
+++ b/tests/decisions/unchanged-choices.test.ts
@@ -3,6 +3,8 @@
 import test from 'ava';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {CoordinationPolicy} from '../../src/decisions/admission/coordination-policy.js';
+import {SlotRequests} from '../../src/decisions/admission/slot-requests.js';
 import {FleetView} from '../../src/decisions/fleet/fleet-view.js';
 import {Forwarder, type ForwarderOptions} from '../../src/decisions/forwarding/forwarder.js';
 import {TargetLoads} from '../../src/decisions/forwarding/target-loads.js';
@@ -108,7 +110,26 @@
 	return createHash('sha256').update(lines.join('\n')).digest('hex').slice(0, 16);
 }
 
-/** Guards against changes of decisions for services that are not coordinated; the digest was recorded before coordination existed. */
-test.serial('should choose the same targets with the same random numbers as before coordination', async t => {
-	t.is(await digestOfRun({}), '5258c9222ab7e623');
+const unusedRequests = new SlotRequests({
+	availabilityZone: 'zone-1',
+	groups: {
+		groupsOf() {
+			throw new Error('expected no request for a slot');
+		},
+	},
+	link: {
+		request: () => undefined, release: () => undefined, confirm: () => undefined, tick: () => undefined,
+	},
+	log: {record: () => undefined},
+	random: () => 0.5,
 });
+
+/** Guards against changes of decisions for services that are not coordinated; the digest was recorded before coordination existed. */
+for (const {title, additions} of [
+	{title: 'without coordination', additions: {}},
+	{title: 'with coordination of other services', additions: {coordination: {policy: new CoordinationPolicy(), requests: unusedRequests}}},
+]) {
+	test.serial(`should choose the same targets with the same random numbers as before, ${title}`, async t => {
+		t.is(await digestOfRun(additions), '5258c9222ab7e623');
+	});
+}
