--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -4,6 +4,7 @@
 import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
 import type {ServiceBroker} from 'moleculer';
 import {ConfigurationFreshness} from '../decisions/fleet/configuration-freshness.js';
+import {EvacuationLog} from '../decisions/fleet/evacuation-log.js';
 import {FleetSync} from '../decisions/fleet/fleet-sync.js';
 import {FleetView} from '../decisions/fleet/fleet-view.js';
 import {LeaderWord} from '../decisions/fleet/leader-word.js';
@@ -28,7 +29,7 @@
 } from '../model/forwarding.js';
 import type {CallerLimits} from '../model/route-configuration.js';
 import {DatagramPeers} from '../peers/datagram-peers.js';
-import {decodeConfiguration, decodeTarget} from '../platform/documents.js';
+import {decodeConfiguration, decodeEvacuation, decodeTarget} from '../platform/documents.js';
 import {PlatformKeyOrders} from '../platform/key-orders.js';
 import {PlatformStore} from '../platform/platform-store.js';
 import {
@@ -151,7 +152,17 @@
 		});
 		this.metrics = this.createMetrics(forwarder);
 		this.kernel = createPlatformKernel(daemon, {
-			view: this.view, sync: this.sync, membership: this.membership, exchange, forwarder, loads, statements: this.statements, leader: this.leader, leaderWord, log,
+			view: this.view,
+			sync: this.sync,
+			membership: this.membership,
+			exchange,
+			evacuationLog: new EvacuationLog({view: this.view, loads, log}),
+			forwarder,
+			loads,
+			statements: this.statements,
+			leader: this.leader,
+			leaderWord,
+			log,
 		}, this.createEdgeServices());
 	}
 
@@ -249,7 +260,12 @@
 
 	private createSync(): FleetSync {
 		return new FleetSync(this.store, this.view, {
-			configurationKey: wireKeys.configuration, targetsPrefix: wireKeys.targets, decodeConfiguration, decodeTarget,
+			configurationKey: wireKeys.configuration,
+			targetsPrefix: wireKeys.targets,
+			evacuationsPrefix: wireKeys.evacuations,
+			decodeConfiguration,
+			decodeTarget,
+			decodeEvacuation,
 		}, {
 			log: this.log,
 			relay: {
@@ -398,6 +414,8 @@
 			deniedPermits: () => this.permits.denialCount,
 			pausedTargets: () => this.statements.pausedCount(),
 			leavingTargets: () => this.statements.leavingCount,
+			evacuatedZones: () => this.view.evacuatedZones.size,
+			evacuatedRanges: () => this.view.evacuatedRangeCount,
 			isCutOff: () => this.relay.isCutOff,
 			relayedRequests: () => this.relay.relayedCount,
 			receivedRelays: () => this.receivedRelayCount,
--- a/src/decisions/fleet/evidence-requester.ts
+++ b/src/decisions/fleet/evidence-requester.ts
@@ -75,7 +75,10 @@
 		}
 	}
 
-	/** Applies a change. An omitted value is read by its key, because a watch would bring all values since the known revision. */
+	/**
+	 * Applies a change. An omitted value is read by its key, because a watch would bring all values since the known revision. A value
+	 * that says nothing is not read, so that its change takes effect although the store is unreachable.
+	 */
 	applyChange(change: StoreChange): void {
 		const {writer, configurationKey} = this.options;
 		if (!change.isOmitted) {
@@ -83,6 +86,11 @@
 			return;
 		}
 
+		if (writer.isValueless(change.key)) {
+			writer.apply({...change, value: ''});
+			return;
+		}
+
 		writer.recordOmitted(change);
 		void (change.key === configurationKey ? this.readConfiguration() : this.read(change.key));
 	}
--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -67,6 +67,7 @@
 	private readonly overtaken = new Map<string, {bornAt: number; count: number}>();
 	private readonly warmedUpAt = new Map<string, number>();
 	private readonly assignmentListeners = new Set<() => void>();
+	private readonly evacuated = new Set<string>();
 	/** Until then, targets whose entries are removed from the store stay in use. */
 	private graceUntil = 0;
 
@@ -80,11 +81,21 @@
 		return this.routes?.configuration;
 	}
 
+	/** Availability zones whose targets get no requests. */
+	get evacuatedZones(): ReadonlySet<string> {
+		return this.evacuated;
+	}
+
 	/** Number of ranges, of all services, whose former owners have not proved that they no longer hold them. */
 	get unreleasedRangeCount(): number {
 		return [...this.assignments.values()].reduce((sum, {assignment}) => sum + assignment.unreleased.length, 0);
 	}
 
+	/** Number of ranges, of all services, that targets in evacuated zones own or may hold. */
+	get evacuatedRangeCount(): number {
+		return [...this.evacuated].reduce((sum, zone) => sum + this.rangesIn(zone), 0);
+	}
+
 	/** True if the active configuration has services whose keys have owners. */
 	get hasKeyedServices(): boolean {
 		return [...this.configuration?.services.values() ?? []].some(({isKeyed}) => isKeyed);
@@ -100,6 +111,33 @@
 		return await this.freshness.waitForEvidence(cancellation) && this.configuration?.hasUnknownLimits === false;
 	}
 
+	beginEvacuation(availabilityZone: string): void {
+		this.evacuated.add(availabilityZone);
+		this.applyEvacuations();
+	}
+
+	endEvacuation(availabilityZone: string): void {
+		if (this.evacuated.delete(availabilityZone)) {
+			this.applyEvacuations();
+		}
+	}
+
+	/** True if a service has targets that could run requests, and all of them are in evacuated zones. */
+	isEvacuated(service: string, now = performance.now()): boolean {
+		return this.evacuated.size > 0 && this.readyTargets(service, now).length === 0
+			&& [...this.readyTargetsOfAllZones(service), ...this.expiredTargets(service, now)].length > 0;
+	}
+
+	/** Number of ranges, of all services, that a target in the zone owns, or may hold because it has yet to release them. */
+	rangesIn(availabilityZone: string): number {
+		let count = 0;
+		for (const {assignment: {ranges}} of this.assignments.values()) {
+			count += ranges.filter(({owner, previous}) => [owner, ...previous].some(({id}) => this.findTarget(id)?.availabilityZone === availabilityZone)).length;
+		}
+
+		return count;
+	}
+
 	removeMember(daemon: string, now = performance.now()): void {
 		const member = this.members.get(daemon);
 		if (member) {
@@ -183,9 +221,7 @@
 			return ready;
 		}
 
-		const expired = [...this.removed.values()]
-			.filter(({target, usableUntil}) => now < usableUntil && target.service === service && target.state === TargetState.Ready)
-			.map(({target}) => target);
+		const expired = this.expiredTargets(service, now).filter(target => !this.isInEvacuatedZone(target));
 		return expired.length === 0 ? ready : [...ready, ...expired];
 	}
 
@@ -193,11 +229,12 @@
 	isReady(target: {id: string; bornAt: number; address: string}, now = performance.now()): boolean {
 		const listed = this.targets.get(target.id);
 		if (listed) {
-			return listed.state === TargetState.Ready && isSameIncarnation(listed, target);
+			return listed.state === TargetState.Ready && isSameIncarnation(listed, target) && !this.isInEvacuatedZone(listed);
 		}
 
 		const removed = this.removed.get(target.id);
-		return removed !== undefined && now < removed.usableUntil && removed.target.state === TargetState.Ready && isSameIncarnation(removed.target, target);
+		return removed !== undefined && now < removed.usableUntil && removed.target.state === TargetState.Ready
+			&& isSameIncarnation(removed.target, target) && !this.isInEvacuatedZone(removed.target);
 	}
 
 	/** Time until a target has warmed up, in milliseconds. */
@@ -244,7 +281,7 @@
 		return this.assignmentHistory.get(service)?.at(-1);
 	}
 
-	/** Waits for a change of any assignment or the cancellation of the request; false if neither came in time. */
+	/** Waits for a change of any assignment, of an evacuation, or the cancellation of the request; false if none came in time. */
 	async waitForAssignmentChange(cancellation: Cancellation, waitMs: number): Promise<boolean> {
 		return new Promise<boolean>(resolve => {
 			const settle = (isChanged: boolean): void => {
@@ -305,11 +342,32 @@
 			return known;
 		}
 
-		const ready = [...this.targets.values()].filter(target => target.service === service && target.state === TargetState.Ready);
+		const ready = this.readyTargetsOfAllZones(service).filter(target => !this.isInEvacuatedZone(target));
 		this.readyByService.set(service, ready);
 		return ready;
 	}
 
+	private readyTargetsOfAllZones(service: string): Target[] {
+		return [...this.targets.values()].filter(target => target.service === service && target.state === TargetState.Ready);
+	}
+
+	/** Ready targets whose entries expired lately and that stay in use. */
+	private expiredTargets(service: string, now: number): Target[] {
+		return [...this.removed.values()]
+			.filter(({target, usableUntil}) => now < usableUntil && target.service === service && target.state === TargetState.Ready)
+			.map(({target}) => target);
+	}
+
+	private isInEvacuatedZone({availabilityZone}: Target): boolean {
+		return this.evacuated.has(availabilityZone);
+	}
+
+	/** Requests that wait for an owner look again, because owners in these zones have become usable or unusable. */
+	private applyEvacuations(): void {
+		this.readyByService.clear();
+		this.notifyAssignments();
+	}
+
 	private notifyAssignments(): void {
 		for (const listener of this.assignmentListeners) {
 			listener();
--- a/src/decisions/fleet/view-writer.ts
+++ b/src/decisions/fleet/view-writer.ts
@@ -13,10 +13,14 @@
 export type PlatformDocuments = {
 	configurationKey: string;
 	targetsPrefix: string;
+	/** Prefix of keys that evacuate an availability zone while they exist. */
+	evacuationsPrefix: string;
 	/** Throws `MalformedDocumentError` if no part of the document can be used. */
 	decodeConfiguration(text: string, earlier: RouteConfiguration | undefined): RouteConfiguration;
 	/** Throws `MalformedDocumentError`. */
 	decodeTarget(key: string, text: string): Target;
+	/** Returns the availability zone of an evacuation's key. Throws `MalformedDocumentError` if it has none. */
+	decodeEvacuation(key: string): string;
 };
 
 /** Decodes changes, and tracks keys whose newest value is unknown because it was malformed or omitted. */
@@ -47,6 +51,11 @@
 		return [...this.malformed.keys()].some(key => key.startsWith(storeKeys.assignments));
 	}
 
+	/** True if the existence of a key says everything, so that its value need not be read. */
+	isValueless(key: string): boolean {
+		return key.startsWith(this.documents.evacuationsPrefix);
+	}
+
 	/** Records that a key has a newer value, which was omitted from an update. */
 	recordOmitted({key, revision}: StoreChange): void {
 		this.omitted.set(key, revision);
@@ -57,6 +66,7 @@
 		const listed = new Set(items.map(({key}) => key));
 		const known = [
 			...Array.from(this.view.listedTargets(), ({id}) => `${this.documents.targetsPrefix}${id}`),
+			...Array.from(this.view.evacuatedZones, zone => `${this.documents.evacuationsPrefix}${zone}`),
 			...Array.from(this.view.members.keys(), daemon => `${storeKeys.members}${daemon}`),
 			...(this.view.leader ? [storeKeys.leader] : []),
 		];
@@ -85,6 +95,8 @@
 	private applyDecoded({key, value, revision}: StoreChange): void {
 		if (key.startsWith(this.documents.targetsPrefix)) {
 			this.applyTarget(key, value);
+		} else if (key.startsWith(this.documents.evacuationsPrefix)) {
+			this.applyEvacuation(key, value !== undefined);
 		} else if (key === this.documents.configurationKey && value !== undefined) {
 			this.applyConfiguration(value, revision);
 		} else if (key.startsWith(storeKeys.assignments) && value !== undefined) {
@@ -113,6 +125,14 @@
 		}
 	}
 
+	private applyEvacuation(key: string, isBegun: boolean): void {
+		if (isBegun) {
+			this.view.beginEvacuation(this.documents.decodeEvacuation(key));
+		} else {
+			this.view.endEvacuation(key.slice(this.documents.evacuationsPrefix.length));
+		}
+	}
+
 	private removeTarget(id: string): void {
 		this.view.removeTarget(id);
 		this.log.record(LogEvent.TargetRemoved, {target: id});
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -51,6 +51,8 @@
 	ownersUnconfirmed: 100,
 	overloaded: 200,
 	noTarget: 300,
+	/** An operator ends the evacuation, so that a sooner retry rarely succeeds. */
+	zoneEvacuated: 1000,
 	starting: 300,
 	/** Other daemons serve the request. */
 	stopping: 50,
@@ -254,7 +256,11 @@
 				return this.giveUp(context, OutcomeReason.Timeout, 0);
 			}
 
-			const {relay} = this.options;
+			const {relay, view} = this.options;
+			if (view.isEvacuated(context.service.name)) {
+				return this.giveUp(context, OutcomeReason.ZoneEvacuated, retryDelaysMs.zoneEvacuated);
+			}
+
 			context.way = relay?.chooseWay(context) ?? RequestWay.Direct;
 			if (context.way === RequestWay.Refusal) {
 				return this.giveUp(context, OutcomeReason.TargetsUnreachable, retryDelaysMs.unreachable);
@@ -325,6 +331,11 @@
 	/** Makes one attempt; returns the final outcome, or undefined if another attempt may follow. */
 	private async attemptOnce(context: ForwardingContext): Promise<Outcome | undefined> {
 		for (;;) {
+			if (this.options.view.isEvacuated(context.service.name)) {
+				// A wait for an owner or a permit may have ended because of it.
+				return undefined;
+			}
+
 			// eslint-disable-next-line no-await-in-loop -- see below.
 			const refusal = context.service.isKeyed && await this.confirmOwners(context);
 			if (refusal) {
@@ -473,7 +484,7 @@
 	}
 
 	private async send(context: ForwardingContext, target: Target): Promise<AttemptResult> {
-		const {loads, transport, statements, view} = this.options;
+		const {loads, transport, statements} = this.options;
 		const sentAt = performance.now();
 		const key = loads.startAttempt(target);
 		this.limitedAttempts += statements.limitOf(target) === undefined ? 0 : 1;
@@ -487,13 +498,13 @@
 			cancellation,
 			connectionLimit: this.connectionLimit(context.service),
 			usesOpenConnection,
-			mayBeSent: () => !context.service.isKeyed || view.mayUseOwners,
+			mayBeSent: () => this.mayBeSent(context, target),
 			onStatement(statement) {
 				statements.record(target, statement, sentAt);
 			},
 		}));
 		const isNotSent = result.end === AttemptEnd.NotSent;
-		const wasHeldBack = isNotSent && (usesOpenConnection || (context.service.isKeyed && !view.mayUseOwners));
+		const wasHeldBack = isNotSent && (usesOpenConnection || !this.mayBeSent(context, target));
 		if (wasHeldBack || context.request.cancellation.isCancelled) {
 			recordEnd?.(undefined);
 			loads.recordAbandoned(target, key);
@@ -505,6 +516,12 @@
 		return result;
 	}
 
+	/** False if the known owners may be outdated, or the target's zone was evacuated while the request waited for a connection. */
+	private mayBeSent({service}: ForwardingContext, target: Target): boolean {
+		const {view} = this.options;
+		return (!service.isKeyed || view.mayUseOwners) && (view.evacuatedZones.size === 0 || view.isReady(target));
+	}
+
 	/** Runs an attempt with a cancellation for when the caller leaves. */
 	private async untilCallerLeaves<Result>(context: ForwardingContext, run: (cancellation: Cancellation) => Promise<Result>): Promise<Result> {
 		const cancellation = new Cancellation();
--- a/src/decisions/forwarding/target-access.ts
+++ b/src/decisions/forwarding/target-access.ts
@@ -5,7 +5,7 @@
  * confirmed by probes. Connections that hang are suspected because requests on them get no answer.
  */
 import {LogEvent, type EventLog} from '../../model/events.js';
-import {TargetState, type Target} from '../../model/fleet.js';
+import type {Target} from '../../model/fleet.js';
 import {AttemptEnd, type AttemptResult, type ConnectionProbe} from '../../model/forwarding.js';
 import type {FleetView} from '../fleet/fleet-view.js';
 
@@ -243,11 +243,11 @@
 		this.failures.clear();
 	}
 
-	/** Targets in random order, those whose connections failed lately last. */
+	/** Targets that may get requests, in random order, those whose connections failed lately last. */
 	private probeCandidates(): Target[] {
 		const {view, random} = this.options;
 		return [...view.listedTargets()]
-			.filter(({state}) => state === TargetState.Ready)
+			.filter(target => view.isReady(target))
 			.map(target => ({target, rank: random() + (this.failures.has(target.id) ? 1 : 0)}))
 			.toSorted((left, right) => left.rank - right.rank)
 			.map(({target}) => target);
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -161,6 +161,8 @@
 	/** A part of the configuration that may define the request's route or its service cannot be read. */
 	RouteUnreadable = 'route_unreadable',
 	NoTarget = 'no_target',
+	/** All targets that could run the request are in evacuated availability zones. */
+	ZoneEvacuated = 'zone_evacuated',
 	NoOwner = 'no_owner',
 	KeyMoving = 'key_moving',
 	OwnerLost = 'owner_lost',
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -1,6 +1,7 @@
 /**
  * Decodes the documents that the operator and the targets write to the platform's store.
  */
+import {MalformedDocumentError} from '../model/errors.js';
 import {TargetState, type Target} from '../model/fleet.js';
 import {
 	initialLimits, type CallerLimits, type Route, type RouteConfiguration, type ServiceRule, type ServiceShare,
@@ -165,6 +166,21 @@
 	return target;
 }
 
+/**
+ * Returns the availability zone that a key evacuates. The value is not read, because an evacuation with an unreadable value is the
+ * safe reading.
+ *
+ * @throws {MalformedDocumentError} if the key ends with no name of a zone
+ */
+export function decodeEvacuation(key: string): string {
+	const availabilityZone = key.slice(wireKeys.evacuations.length);
+	if (!isName(availabilityZone)) {
+		throw new MalformedDocumentError(key, ['expected a key that ends with the name of an availability zone']);
+	}
+
+	return availabilityZone;
+}
+
 /**
  * Decodes a route. If its host, prefix or services are malformed, its requests are refused, because the services of the
  * earlier version may no longer be allowed to run them. Other malformed fields get the earlier value or a safe default.
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -43,4 +43,5 @@
 export const wireKeys = {
 	configuration: 'op/config',
 	targets: 'servers/',
+	evacuations: 'op/evacuate/',
 } as const;
--- a/src/services/platform-kernel.ts
+++ b/src/services/platform-kernel.ts
@@ -2,6 +2,7 @@
  * The micro-kernel on the users' platform: a broker for services that call each other by name inside one process.
  */
 import {ServiceBroker, type Context, type ServiceSchema} from 'moleculer';
+import type {EvacuationLog} from '../decisions/fleet/evacuation-log.js';
 import type {FleetSync} from '../decisions/fleet/fleet-sync.js';
 import type {LeaderWord} from '../decisions/fleet/leader-word.js';
 import type {FleetView} from '../decisions/fleet/fleet-view.js';
@@ -30,6 +31,7 @@
 	sync: FleetSync;
 	membership: Membership;
 	exchange: PeerExchange;
+	evacuationLog: EvacuationLog;
 	forwarder: Forwarder;
 	loads: TargetLoads;
 	statements: TargetStatements;
@@ -66,7 +68,7 @@
 
 /** Service "fleet": the view of the store, the membership of this daemon and the exchange between daemons. */
 function createFleetService({
-	view, sync, membership, exchange, loads, statements, log,
+	view, sync, membership, exchange, evacuationLog, loads, statements, log,
 }: PlatformComponents): ServiceSchema {
 	const timers = new TimerSet(log);
 	return {
@@ -80,6 +82,8 @@
 				exchange.tick();
 			}, () => {
 				sync.tick();
+			}, () => {
+				evacuationLog.tick();
 			});
 			timers.repeat(pruneMs, () => {
 				view.prune();
--- a/src/services/platform-metrics-service.ts
+++ b/src/services/platform-metrics-service.ts
@@ -44,6 +44,10 @@
 	pausedTargets(): number;
 	/** Targets that said that they are leaving. */
 	leavingTargets(): number;
+	/** Availability zones that are evacuated. */
+	evacuatedZones(): number;
+	/** Key ranges that targets in these zones own or may hold. */
+	evacuatedRanges(): number;
 	/** True while this daemon reaches no target and relays its requests. */
 	isCutOff(): boolean;
 	/** Requests since the start that were relayed to peers. */
@@ -80,6 +84,8 @@
 		this.addGauge('denied_permits', 'Attempts since the start that were not sent to a target on account of its limit.', () => sources.deniedPermits());
 		this.addGauge('paused_targets', 'Targets that want no requests from this daemon at present.', () => sources.pausedTargets());
 		this.addGauge('leaving_targets', 'Targets that said in an answer that they are leaving.', () => sources.leavingTargets());
+		this.addGauge('evacuated_zones', 'Availability zones that are evacuated.', () => sources.evacuatedZones());
+		this.addGauge('evacuated_ranges', 'Key ranges that targets in evacuated zones own or may hold.', () => sources.evacuatedRanges());
 		this.addGauge('cut_off', '1 while this daemon reaches no target and relays its requests through peers.', () => Number(sources.isCutOff()));
 		this.addGauge('relayed_requests', 'Requests since the start that were relayed to peers.', () => sources.relayedRequests());
 		this.addGauge('received_relays', 'Requests since the start that peers relayed to this daemon.', () => sources.receivedRelays());
--- a/standins/keyed-fleet.ts
+++ b/standins/keyed-fleet.ts
@@ -11,6 +11,7 @@
 import {TargetState, type Member, type Target} from '../src/model/fleet.js';
 import {findRange} from '../src/model/key-ownership.js';
 import type {RouteConfiguration} from '../src/model/route-configuration.js';
+import {decodeEvacuation} from '../src/platform/documents.js';
 import {HoldMeter, unheldKeys} from './hold-meter.js';
 import {KeyHolder, KeyHolderOrders} from './key-holder.js';
 import {createLonePermits} from './lone-permits.js';
@@ -22,7 +23,7 @@
 /** Interval between ticks of the daemons and between checks of ownership, in milliseconds. */
 const stepMs = 10;
 
-const configuration: RouteConfiguration = {
+const usualConfiguration: RouteConfiguration = {
 	version: 1,
 	routes: [],
 	services: new Map([[keyedService, {
@@ -61,7 +62,9 @@
 		this.sync = new FleetSync(this.client, this.view, {
 			configurationKey: 'configuration',
 			targetsPrefix: 'targets/',
-			decodeConfiguration: () => configuration,
+			evacuationsPrefix: 'op/evacuate/',
+			decodeEvacuation,
+			decodeConfiguration: () => fleet.configuration,
 			decodeTarget: (_key, text) => JSON.parse(text) as Target,
 		}, {log});
 		this.statements = createLonePermits(log).statements;
@@ -110,6 +113,8 @@
 	readonly store = new MemoryCoordinationStore();
 	readonly holders = new Map<string, KeyHolder>();
 	readonly daemons: FleetDaemon[] = [];
+	/** Read by daemons that start, and whenever its entry is written. */
+	configuration = usualConfiguration;
 	readonly events: Array<{event: LogEvent; daemon: string; at: number} & LogFields> = [];
 	private readonly meter = new HoldMeter();
 	private incarnationCount = 0;
@@ -168,9 +173,9 @@
 		return holder;
 	}
 
-	putEntry({incarnation}: Pick<KeyHolder, 'incarnation'>, state: TargetState): void {
+	putEntry({incarnation}: Pick<KeyHolder, 'incarnation'>, state: TargetState, changes: Partial<Target> = {}): void {
 		const target: Target = {
-			...incarnation, service: keyedService, availabilityZone: 'zone', softwareVersion: 'v1', slots: 3, state, warmUpLeftMs: 0,
+			...incarnation, service: keyedService, availabilityZone: 'zone', softwareVersion: 'v1', slots: 3, state, warmUpLeftMs: 0, ...changes,
 		};
 		this.store.put(`targets/${incarnation.id}`, JSON.stringify(target));
 	}
--- a/standins/relayed-fleet.ts
+++ b/standins/relayed-fleet.ts
@@ -23,7 +23,7 @@
 import {
 	AttemptEnd, isDaemonSpecific, OutcomeKind, type Attempt, type AttemptResult, type CallerRequest, type Outcome, type RelayAttempt, type RelayResult,
 } from '../src/model/forwarding.js';
-import {decodeConfiguration} from '../src/platform/documents.js';
+import {decodeConfiguration, decodeEvacuation} from '../src/platform/documents.js';
 import {CutConnections, type CutMode} from './cut-connections.js';
 import {MemoryCoordinationStore, type MemoryStoreClient} from './memory-coordination-store.js';
 import {createPlatformSettings} from './platform-settings.js';
@@ -107,8 +107,13 @@
 		this.sync = new FleetSync(this.client, this.view, {
 			configurationKey: 'configuration',
 			targetsPrefix: 'targets/',
+			evacuationsPrefix: 'op/evacuate/',
 			decodeConfiguration,
-			decodeTarget: (key, text) => ({...target(key.slice('targets/'.length)), softwareVersion: text}),
+			decodeEvacuation,
+			decodeTarget(key, text) {
+				const known = target(key.slice('targets/'.length));
+				return {...known, softwareVersion: text, availabilityZone: fleet.targetZones.get(known.id) ?? known.availabilityZone};
+			},
 		}, {
 			log: silentLog,
 			relay: {
@@ -291,6 +296,8 @@
 	probeCount = 0;
 	/** Addresses of targets that no daemon can connect to. */
 	readonly unreachableAddresses = new Set<string>();
+	/** Availability zones of targets that are not in the usual one, by id. */
+	readonly targetZones = new Map<string, string>();
 	readonly sent = new Map<string, Traffic>();
 	private readonly daemonsByName = new Map<string, RelayedDaemon>();
 	private readonly blockedReceivers = new Set<string>();
--- a/standins/scripted-store.ts
+++ b/standins/scripted-store.ts
@@ -5,7 +5,7 @@
 import type {
 	CoordinationStore, StoreChanges, StoredItem, StoreLease, StoreListing,
 } from '../src/model/coordination-store.js';
-import {decodeConfiguration, decodeTarget} from '../src/platform/documents.js';
+import {decodeConfiguration, decodeEvacuation, decodeTarget} from '../src/platform/documents.js';
 
 /** A clock that stands still until the test advances it. */
 export type PausedClock = ReturnType<typeof FakeTimers.install>;
@@ -32,7 +32,7 @@
 
 /** Keys and decoders of the documents. */
 export const documents = {
-	configurationKey: 'configuration', targetsPrefix: 'servers/', decodeConfiguration, decodeTarget,
+	configurationKey: 'configuration', targetsPrefix: 'servers/', evacuationsPrefix: 'op/evacuate/', decodeConfiguration, decodeTarget, decodeEvacuation,
 };
 
 /** A store that lists a fixed listing and answers watches and reads when the test resolves them; other calls do nothing. */
--- a/tests/decisions/fleet-view.test.ts
+++ b/tests/decisions/fleet-view.test.ts
@@ -6,7 +6,7 @@
 import {LogEvent} from '../../src/model/events.js';
 import {TargetState, type Target} from '../../src/model/fleet.js';
 import type {Route, RouteConfiguration} from '../../src/model/route-configuration.js';
-import {decodeTarget} from '../../src/platform/documents.js';
+import {decodeEvacuation, decodeTarget} from '../../src/platform/documents.js';
 import {MemoryCoordinationStore, StoreFault} from '../../standins/memory-coordination-store.js';
 
 function route(name: string, prefix: string, shares = [{service: 'one', weight: 1}]): Route {
@@ -75,8 +75,10 @@
 	const sync = new FleetSync(store.createClient(), view, {
 		configurationKey: 'op/config',
 		targetsPrefix: 'servers/',
+		evacuationsPrefix: 'op/evacuate/',
 		decodeConfiguration: text => configurationOf(Number(text)),
 		decodeTarget,
+		decodeEvacuation,
 	}, {
 		log: {
 			record(event) {
--- a/tests/decisions/removed-entries.test.ts
+++ b/tests/decisions/removed-entries.test.ts
@@ -7,6 +7,7 @@
 import type {EventLog} from '../../src/model/events.js';
 import type {Member} from '../../src/model/fleet.js';
 import type {RouteConfiguration} from '../../src/model/route-configuration.js';
+import {decodeEvacuation} from '../../src/platform/documents.js';
 import {KeyedFleet} from '../../standins/keyed-fleet.js';
 import {MemoryCoordinationStore, StoreFault} from '../../standins/memory-coordination-store.js';
 
@@ -96,9 +97,14 @@
 		const client = store.createClient();
 		const view = new FleetView();
 		const sync = new FleetSync(client, view, {
-			configurationKey: 'configuration', targetsPrefix: 'targets/', decodeConfiguration: () => ({version: 1, routes: [], services: new Map()}) as unknown as RouteConfiguration, decodeTarget() {
+			configurationKey: 'configuration',
+			targetsPrefix: 'targets/',
+			evacuationsPrefix: 'op/evacuate/',
+			decodeConfiguration: () => ({version: 1, routes: [], services: new Map()}) as unknown as RouteConfiguration,
+			decodeTarget() {
 				throw new Error('there are no targets');
 			},
+			decodeEvacuation,
 		}, {log: silentLog});
 		const membership = new Membership(member, {
 			store: client, view, log: silentLog, onAnswer: () => undefined,
