--- a/src/decisions/ownership/assignment-manager.ts
+++ b/src/decisions/ownership/assignment-manager.ts
@@ -21,6 +21,7 @@
 import type {HoldPolicy} from './hold-policy.js';
 import {balanceKeys, type OwnerCandidate} from './key-balance.js';
 import {KeyRequestRates} from './key-request-rates.js';
+import {spreadKeys} from './key-spread.js';
 import type {Leadership} from './leadership.js';
 import {RangeOrders} from './range-orders.js';
 import {RangeState} from './range-state.js';
@@ -239,13 +240,22 @@
 
 		const draft = new AssignmentDraft(this.assignment);
 		draft.removeUnreleased(this.assignment.unreleased.filter(range => this.rangeOrders.isReleased(range, now)));
+		const leaving: OwnedRange[] = [];
 		for (const [index, range] of [...draft.ranges].entries()) {
 			const state = this.rangeStates[index];
-			if (state) {
+			if (this.isEvacuating && !isOwnedByAny(range, candidates)) {
+				leaving.push(range);
+			} else if (state) {
 				this.planRange(draft, range, {state, candidates, now});
 			}
 		}
 
+		if (leaving.length > 0) {
+			for (const {range, to} of spreadKeys(leaving, {ranges: draft.ranges, counts: this.requestRates.sortedCounts(now), candidates})) {
+				draft.movePart(range, to);
+			}
+		}
+
 		if (now >= this.nextBalanceAt && candidates.length > 0) {
 			this.nextBalanceAt = now + balanceIntervalMs;
 			for (const {range, to} of balanceKeys(draft.ranges, this.requestRates.sortedCounts(now), candidates)) {
@@ -275,8 +285,7 @@
 	}
 
 	private planRange(draft: AssignmentDraft, range: OwnedRange, {state, candidates, now}: {state: RangeState; candidates: readonly OwnerCandidate[]; now: number}): void {
-		const isOwnerEligible = candidates.some(({incarnation}) => isSameIncarnation(incarnation, range.owner));
-		if (!isOwnerEligible) {
+		if (!isOwnedByAny(range, candidates)) {
 			const owner = leastAssigned(draft.ranges, candidates);
 			if (owner) {
 				draft.replaceOwner(range, owner);
@@ -293,16 +302,25 @@
 		draft.setBlocked(range, state.isWaitingForExpiry);
 	}
 
+	/** True while a zone is evacuated: the keys of its targets would overload a single other one, so that leaving keys are divided. */
+	private get isEvacuating(): boolean {
+		return this.options.view.evacuatedZones.size > 0;
+	}
+
 	/** Targets that are eligible to own keys. */
 	private candidates(now: number): OwnerCandidate[] {
 		const {view, responsiveness, loads, statements} = this.options;
 		return view.readyTargets(this.rule.name, now)
 			.filter(target => !responsiveness.hasEnded(target) && !this.isBeingEvicted(target)
 				&& (!responsiveness.isUnreachable(target) || this.rangeOrders.isServing(target, now)))
-			.map(target => ({
-				incarnation: incarnationOf(target),
-				capacity: Math.min(target.slots * secondMs / loads.estimatedServiceMs(target), statements.limitOf(target) ?? Infinity),
-			}));
+			.map(target => {
+				const coldLimit = view.warmUpLeft(target.id, now) > 0 ? this.rule.warmUpPerS : undefined;
+				return {
+					incarnation: incarnationOf(target),
+					capacity: Math.min(target.slots * secondMs / loads.estimatedServiceMs(target), statements.limitOf(target) ?? Infinity, coldLimit ?? Infinity),
+					...(coldLimit !== undefined && {hasHardLimit: true}),
+				};
+			});
 	}
 
 	/** True if a target without keys has yet to answer a release, which would take new keys away, too. */
@@ -331,6 +349,10 @@
 	return {id, bornAt, address};
 }
 
+function isOwnedByAny({owner}: OwnedRange, candidates: readonly OwnerCandidate[]): boolean {
+	return candidates.some(({incarnation}) => isSameIncarnation(incarnation, owner));
+}
+
 /** The candidate that owns the fewest keys relative to its capacity. */
 function leastAssigned(ranges: readonly OwnedRange[], candidates: readonly OwnerCandidate[]): TargetIncarnation | undefined {
 	let best: OwnerCandidate | undefined;
--- a/src/decisions/ownership/key-balance.ts
+++ b/src/decisions/ownership/key-balance.ts
@@ -10,6 +10,8 @@
 	incarnation: TargetIncarnation;
 	/** Requests per second that the target can process. */
 	capacity: number;
+	/** True if the target breaks under more than its capacity, so that it gets no keys beyond it. */
+	hasHardLimit?: boolean;
 };
 
 /** A range that changes owner. */
@@ -86,12 +88,12 @@
 	/** Returns false if nothing is left to do. */
 	private relieveNext(): boolean {
 		const mostLoaded = maxBy(this.levels.filter(level => !this.unrelievable.has(level)), level => this.relativeLoad(level));
-		const leastLoaded = maxBy(this.levels, level => -this.relativeLoad(level));
+		const leastLoaded = maxBy(this.levels.filter(level => hasRoom(level)), level => -this.relativeLoad(level));
 		if (!mostLoaded || !leastLoaded || mostLoaded === leastLoaded) {
 			return false;
 		}
 
-		const desiredLoad = this.loadToMove(mostLoaded, leastLoaded);
+		const desiredLoad = Math.min(this.loadToMove(mostLoaded, leastLoaded), roomOf(leastLoaded) / maxPieceLoadFactor);
 		if (desiredLoad === 0) {
 			return false;
 		}
@@ -128,8 +130,9 @@
 			return;
 		}
 
-		if (fastest.candidate.capacity > level.candidate.capacity * minSpeedup) {
-			this.propose(level, fastest, pieceOfHottestKey(range));
+		const piece = pieceOfHottestKey(range);
+		if (fastest.candidate.capacity > level.candidate.capacity * minSpeedup && piece.load <= roomOf(fastest)) {
+			this.propose(level, fastest, piece);
 		}
 	}
 
@@ -147,6 +150,15 @@
 	}
 }
 
+/** Load that a target may still get, as a decayed request count. */
+function roomOf({candidate: {capacity, hasHardLimit}, load}: TargetLevel): number {
+	return hasHardLimit ? (capacity * meanLifetimeS) - load : Infinity;
+}
+
+function hasRoom(level: TargetLevel): boolean {
+	return roomOf(level) >= minPieceLoad * maxPieceLoadFactor;
+}
+
 function measureLevels(ranges: readonly OwnedRange[], counts: readonly KeyCount[], candidates: readonly OwnerCandidate[]): TargetLevel[] {
 	const levels = new Map(candidates.map(candidate => [candidate.incarnation.id, {candidate, load: 0, movableRanges: [] as CountedRange[]}]));
 	let index = 0;
--- a/src/model/route-configuration.ts
+++ b/src/model/route-configuration.ts
@@ -38,6 +38,8 @@
 	isKeyed: boolean;
 	/** Time for which requests for keys are slow at a new owner without a handover, in milliseconds. */
 	keyWarmUpMs: number;
+	/** Requests per second that a target tolerates from all daemons together while it warms up; without it, nothing is bounded. */
+	warmUpPerS?: number | undefined;
 };
 
 /** Limits on what a caller may send. */
