--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -4,10 +4,13 @@
 import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
 import type {ServiceBroker} from 'moleculer';
 import {CoordinationPolicy} from '../decisions/admission/coordination-policy.js';
-import {SlotExchange, type SlotGranter} from '../decisions/admission/slot-exchange.js';
+import {SlotCoordinator} from '../decisions/admission/slot-coordinator.js';
+import {SlotExchange} from '../decisions/admission/slot-exchange.js';
 import {decodeSlotMessage, isSlotMessage, type SlotMessage} from '../decisions/admission/slot-message.js';
-import {SlotRequests, type SlotGroups} from '../decisions/admission/slot-requests.js';
+import {SlotRequests} from '../decisions/admission/slot-requests.js';
+import {TargetGroups} from '../decisions/admission/target-groups.js';
 import {ConfigurationFreshness} from '../decisions/fleet/configuration-freshness.js';
+import {EvacuationLog} from '../decisions/fleet/evacuation-log.js';
 import {FleetSync} from '../decisions/fleet/fleet-sync.js';
 import {FleetView} from '../decisions/fleet/fleet-view.js';
 import {LeaderWord} from '../decisions/fleet/leader-word.js';
@@ -32,7 +35,7 @@
 } from '../model/forwarding.js';
 import type {CallerLimits} from '../model/route-configuration.js';
 import {DatagramPeers} from '../peers/datagram-peers.js';
-import {decodeConfiguration, decodeTarget} from '../platform/documents.js';
+import {decodeConfiguration, decodeEvacuation, decodeTarget} from '../platform/documents.js';
 import {PlatformKeyOrders} from '../platform/key-orders.js';
 import {PlatformStore} from '../platform/platform-store.js';
 import {
@@ -68,14 +71,6 @@
 
 const secondMs = 1000;
 
-/** No daemon coordinates targets yet, so that each chooses its targets on its own. */
-const uncoordinated: {groups: SlotGroups; granter: SlotGranter} = {
-	groups: {groupsOf: () => []},
-	granter: {
-		request: () => [], release: () => [], confirm: () => [], advance: () => [],
-	},
-};
-
 /** Maximum bandwidth of the messages that one core can process on behalf of other daemons, in Mbit/s. */
 const linkMbpsPerCore = 60;
 
@@ -133,9 +128,9 @@
 		this.permits = this.createPermits();
 		const exchange = this.createExchange(loads);
 		this.exchange = exchange;
-		const slotExchange = this.createSlotExchange();
+		const slotExchange = this.createSlotExchange(loads);
 		this.slots = new SlotRequests({
-			availabilityZone, groups: uncoordinated.groups, link: slotExchange, log, random: Math.random,
+			availabilityZone, groups: new TargetGroups(this.view), link: slotExchange, log, random: Math.random,
 		});
 		this.peers = new DatagramPeers(decodeMessage, message => {
 			if ('slotsOf' in message) {
@@ -173,7 +168,17 @@
 		});
 		this.metrics = this.createMetrics(forwarder);
 		this.kernel = createPlatformKernel(daemon, {
-			view: this.view, sync: this.sync, membership: this.membership, exchange, forwarder, loads, statements: this.statements, leader: this.leader, leaderWord, log,
+			view: this.view,
+			sync: this.sync,
+			membership: this.membership,
+			exchange,
+			evacuationLog: new EvacuationLog({view: this.view, loads, log}),
+			forwarder,
+			loads,
+			statements: this.statements,
+			leader: this.leader,
+			leaderWord,
+			log,
 		}, this.createEdgeServices());
 	}
 
@@ -271,7 +276,12 @@
 
 	private createSync(): FleetSync {
 		return new FleetSync(this.store, this.view, {
-			configurationKey: wireKeys.configuration, targetsPrefix: wireKeys.targets, decodeConfiguration, decodeTarget,
+			configurationKey: wireKeys.configuration,
+			targetsPrefix: wireKeys.targets,
+			evacuationsPrefix: wireKeys.evacuations,
+			decodeConfiguration,
+			decodeTarget,
+			decodeEvacuation,
 		}, {
 			log: this.log,
 			relay: {
@@ -333,12 +343,14 @@
 		});
 	}
 
-	private createSlotExchange(): SlotExchange {
+	private createSlotExchange(loads: TargetLoads): SlotExchange {
 		const {settings: {daemon, availabilityZone}, view, log} = this;
 		return new SlotExchange({
 			daemon,
 			availabilityZone,
-			granter: uncoordinated.granter,
+			granter: new SlotCoordinator({
+				daemon, view, loads, log, random: Math.random,
+			}),
 			findMember: name => view.findSender(name),
 			send: (message, members) => {
 				this.peers.send(message, members);
@@ -448,6 +460,8 @@
 			meanSlotWaitMs: () => this.slots.meanWaitMs,
 			silentAttempts: () => forwarder.silentAttemptCount,
 			coldTargets: () => this.view.coldTargetCount(),
+			evacuatedZones: () => this.view.evacuatedZones.size,
+			evacuatedRanges: () => this.view.evacuatedRangeCount,
 			isCutOff: () => this.relay.isCutOff,
 			relayedRequests: () => this.relay.relayedCount,
 			receivedRelays: () => this.receivedRelayCount,
--- a/src/decisions/admission/slot-message.ts
+++ b/src/decisions/admission/slot-message.ts
@@ -27,9 +27,9 @@
 const count = z.number().check(z.minimum(0), z.maximum(highestCount));
 const optionalName = z.nullable(documentName);
 
-/** Number, service, target, excluded targets, priority, target latency, time until it has passed, and time until the deadline. */
+/** Number, service, target, group, excluded targets, priority, target latency, time until it has passed, and time until the deadline. */
 const requestSchema = z.tuple([
-	counter, documentName, optionalName, z.array(documentName).check(z.maxLength(excludedLimit)), counter, duration, z.int().check(z.minimum(-longestMs), z.maximum(longestMs)), duration,
+	counter, documentName, optionalName, z.nullable(counter), z.array(documentName).check(z.maxLength(excludedLimit)), counter, duration, z.int().check(z.minimum(-longestMs), z.maximum(longestMs)), duration,
 ]);
 
 /** Number, decision, target, estimated response time, delay until a retry, and load of the group. */
@@ -76,6 +76,7 @@
 		request.number,
 		request.service,
 		request.target ?? null,
+		request.group ?? null,
 		request.excluded.slice(-excludedLimit),
 		request.priority,
 		toDuration(request.targetLatencyMs),
@@ -84,9 +85,9 @@
 	];
 }
 
-export function unpackRequest([number, service, target, excluded, priority, targetLatencyMs, dueMs, leftMs]: RequestPart, availabilityZone: string): SlotRequest {
+export function unpackRequest([number, service, target, group, excluded, priority, targetLatencyMs, dueMs, leftMs]: RequestPart, availabilityZone: string): SlotRequest {
 	return {
-		number, service, target: target ?? undefined, excluded, availabilityZone, priority, targetLatencyMs, dueMs, leftMs,
+		number, service, target: target ?? undefined, group: group ?? undefined, excluded, availabilityZone, priority, targetLatencyMs, dueMs, leftMs,
 	};
 }
 
--- a/src/decisions/admission/slot-requests.ts
+++ b/src/decisions/admission/slot-requests.ts
@@ -3,7 +3,6 @@
  */
 import type {Cancellation} from '../../model/cancellation.js';
 import {LogEvent, type EventLog} from '../../model/events.js';
-import type {Member} from '../../model/fleet.js';
 import {
 	SlotDecision, SlotEnd, type SlotAnswer, type SlotRelease,
 } from '../../model/slots.js';
@@ -41,8 +40,8 @@
 	/** Unique among the groups of the service. */
 	number: number;
 	targets: ReadonlyArray<{id: string}>;
-	/** The first and the second coordinator. */
-	coordinators: readonly Member[];
+	/** Names of the first and the second coordinator. */
+	coordinators: readonly string[];
 };
 
 /** Tells which daemons coordinate the targets of a service. */
@@ -190,7 +189,7 @@
 				demand,
 				group,
 				position,
-				coordinator: coordinator.daemon,
+				coordinator,
 				startedAt: now,
 				askedAt: now,
 				isRepeated: false,
@@ -297,7 +296,7 @@
 		}
 
 		pending.position = position;
-		pending.coordinator = next.daemon;
+		pending.coordinator = next;
 		this.ask(pending, now);
 	}
 
@@ -307,13 +306,14 @@
 		this.send(pending, now);
 	}
 
-	private send({number, coordinator, demand}: PendingRequest, now: number): void {
+	private send({number, coordinator, demand, group}: PendingRequest, now: number): void {
 		const {service, target, excluded, priority, targetLatencyMs, dueAt, deadlineAt} = demand;
 		this.contacts.set(coordinator, emptyListCount);
 		this.options.link.request(coordinator, {
 			number,
 			service,
 			target,
+			group: target === undefined ? group.number : undefined,
 			excluded: [...excluded],
 			availabilityZone: this.options.availabilityZone,
 			priority,
@@ -387,7 +387,7 @@
 
 	/** Position of the first coordinator from a position on that is not skipped. */
 	private usablePosition({coordinators}: SlotGroup, from: number, now: number): number | undefined {
-		const position = coordinators.findIndex(({daemon}, index) => index >= from && now >= (this.skippedUntil.get(daemon) ?? 0));
+		const position = coordinators.findIndex((daemon, index) => index >= from && now >= (this.skippedUntil.get(daemon) ?? 0));
 		return position === -1 ? undefined : position;
 	}
 
--- a/src/services/platform-metrics-service.ts
+++ b/src/services/platform-metrics-service.ts
@@ -52,6 +52,10 @@
 	silentAttempts(): number;
 	/** Targets with a bound on their warm-up that are cold. */
 	coldTargets(): number;
+	/** Availability zones that are evacuated. */
+	evacuatedZones(): number;
+	/** Key ranges that targets in these zones own or may hold. */
+	evacuatedRanges(): number;
 	/** True while this daemon reaches no target and relays its requests. */
 	isCutOff(): boolean;
 	/** Requests since the start that were relayed to peers. */
@@ -95,6 +99,8 @@
 		this.addGauge('slot_wait_mean_seconds', 'Average time that a request recently waited for its slot.', () => sources.meanSlotWaitMs() / secondMs);
 		this.addGauge('silent_attempts', 'Attempts since the start that were given up because their targets stayed silent.', () => sources.silentAttempts());
 		this.addGauge('cold_targets', 'Targets with a bound on their warm-up that are cold.', () => sources.coldTargets());
+		this.addGauge('evacuated_zones', 'Availability zones that are evacuated.', () => sources.evacuatedZones());
+		this.addGauge('evacuated_ranges', 'Key ranges that targets in evacuated zones own or may hold.', () => sources.evacuatedRanges());
 		this.addGauge('cut_off', '1 while this daemon reaches no target and relays its requests through peers.', () => Number(sources.isCutOff()));
 		this.addGauge('relayed_requests', 'Requests since the start that were relayed to peers.', () => sources.relayedRequests());
 		this.addGauge('received_relays', 'Requests since the start that peers relayed to this daemon.', () => sources.receivedRelays());
--- a/tests/decisions/coordinated-forwarding.test.ts
+++ b/tests/decisions/coordinated-forwarding.test.ts
@@ -107,9 +107,7 @@
 		availabilityZone: 'zone',
 		groups: {
 			groupsOf: service => [{
-				number: 0, targets: view.readyTargets(service), coordinators: [{
-					daemon: 'coordinator', availabilityZone: 'zone', ip: '10.0.0.1', port: 1, room: 1,
-				}],
+				number: 0, targets: view.readyTargets(service), coordinators: ['coordinator'],
 			}],
 		},
 		link: {
--- a/tests/decisions/slot-requests.test.ts
+++ b/tests/decisions/slot-requests.test.ts
@@ -5,17 +5,10 @@
 	SlotOutcomeKind, SlotRequests, type SlotDemand, type SlotOutcome,
 } from '../../src/decisions/admission/slot-requests.js';
 import {Cancellation} from '../../src/model/cancellation.js';
-import type {Member} from '../../src/model/fleet.js';
 import {SlotDecision, SlotEnd, type SlotAnswer} from '../../src/model/slots.js';
 
 const {Granted: granted, Queued: queued, Denied: denied} = SlotDecision;
 
-function member(daemon: string): Member {
-	return {
-		daemon, availabilityZone: 'zone', ip: '10.0.0.1', port: 1, room: 1,
-	};
-}
-
 /** What a coordinator answers to its first, second and further messages; nothing if undefined. */
 type Script = ReadonlyArray<SlotDecision | undefined>;
 
@@ -29,8 +22,8 @@
 
 	constructor(private readonly scripts: Record<string, Script>, groupCount = 1) {
 		const groups = [
-			{number: 0, targets: [{id: 'target-0'}, {id: 'target-1'}], coordinators: [member('first'), member('second')]},
-			{number: 1, targets: [{id: 'target-2'}, {id: 'target-3'}], coordinators: [member('third')]},
+			{number: 0, targets: [{id: 'target-0'}, {id: 'target-1'}], coordinators: ['first', 'second']},
+			{number: 1, targets: [{id: 'target-2'}, {id: 'target-3'}], coordinators: ['third']},
 		].slice(0, groupCount);
 		let draws = 0;
 		this.requests = new SlotRequests({
