--- a/tests/decisions/evacuated-owners.test.ts
+++ b/tests/decisions/evacuated-owners.test.ts
@@ -91,6 +91,13 @@
 		t.is(owners.size, 35);
 		const rangesBefore = fleet.daemons[0].view.assignments.get(keyedService)?.assignment.ranges.length ?? 0;
 		fleet.resetGaps();
+		// Watches pause after any change, and targets answer a release once the requests for its keys have ended.
+		fleet.putMemberEntry('daemon-9');
+		for (const {link} of [...fleet.holders.values()].slice(0, 35)) {
+			link.toDaemonMs = 200;
+		}
+
+		await run(20);
 		fleet.store.put(evacuationKey, '{}');
 		const movedMs = await measureMove(scene, 5000);
 		const after = [...loads(800).values()];
