--- a/tests/decisions/evacuation.test.ts
+++ b/tests/decisions/evacuation.test.ts
@@ -126,7 +126,8 @@
 					await load(leadMs);
 				}
 
-				fleet.store.put(`${documents.evacuationsPrefix}two`, 'unreadable');
+				// The value is unreadable and too large for a message between daemons.
+				fleet.store.put(`${documents.evacuationsPrefix}two`, '?'.repeat(50_000));
 				const beganAt = performance.now();
 				if (leadMs < 0) {
 					await load(-leadMs);
