--- a/src/decisions/admission/slot-message.ts
+++ b/src/decisions/admission/slot-message.ts
@@ -29,7 +29,15 @@
 
 /** Number, service, target, group, excluded targets, priority, target latency, time until it has passed, and time until the deadline. */
 const requestSchema = z.tuple([
-	counter, documentName, optionalName, z.nullable(counter), z.array(documentName).check(z.maxLength(excludedLimit)), counter, duration, z.int().check(z.minimum(-longestMs), z.maximum(longestMs)), duration,
+	counter,
+	documentName,
+	optionalName,
+	z.nullable(counter),
+	z.array(documentName).check(z.maxLength(excludedLimit)),
+	counter,
+	duration,
+	z.int().check(z.minimum(-longestMs), z.maximum(longestMs)),
+	duration,
 ]);
 
 /** Number, decision, target, estimated response time, delay until a retry, and load of the group. */
--- a/src/decisions/admission/target-groups.ts
+++ b/src/decisions/admission/target-groups.ts
@@ -6,7 +6,7 @@
  */
 import type {Member, Target} from '../../model/fleet.js';
 import type {FleetView} from '../fleet/fleet-view.js';
-import {hash} from '../shard-hash.js';
+import {weightOf, weightRange} from '../rendezvous.js';
 
 /** Targets of a group: enough to find a free slot at a utilization of 0.45, few enough for one VM to coordinate. */
 const groupSize = 12;
@@ -17,9 +17,6 @@
 /** Smallest spare capacity that counts, in cores; members without any still have to differ by their hash. */
 const minRoom = 0.01;
 
-/** Number of different values of a hash. */
-const hashRange = 2 ** 32;
-
 /** Targets with common coordinators. */
 export type TargetGroup = {
 	number: number;
@@ -107,7 +104,7 @@
 	/** The two members with the highest weighted random weight. The square of the spare capacity gives large VMs most of the work. */
 	private highestTwo(name: string): string[] {
 		return [...this.rooms]
-			.map(([daemon, room]) => ({daemon, weight: (Math.max(minRoom, room) ** 2) / -Math.log((hash.h32(`${daemon} ${name}`) + 0.5) / hashRange)}))
+			.map(([daemon, room]) => ({daemon, weight: (Math.max(minRoom, room) ** 2) / -Math.log((weightOf(`${daemon} ${name}`) + 0.5) / weightRange)}))
 			.toSorted((left, right) => right.weight - left.weight || (left.daemon < right.daemon ? -1 : 1))
 			.slice(0, 2)
 			.map(({daemon}) => daemon);
@@ -118,7 +115,7 @@
 	let best = 0;
 	let highest = -1;
 	for (let number = 0; number < count; number += 1) {
-		const weight = hash.h32(`${number} ${target}`);
+		const weight = weightOf(`${number} ${target}`);
 		if (weight > highest) {
 			best = number;
 			highest = weight;
--- a/src/decisions/limits/permit-issuers.ts
+++ b/src/decisions/limits/permit-issuers.ts
@@ -4,9 +4,9 @@
  * Every daemon selects on its own from the members that it knows. The sum stays below one and a half times the limit even if both
  * issue at once, and a daemon that becomes an issuer waits until its peers know the members as well.
  */
-import {createHash} from 'node:crypto';
 import type {Member} from '../../model/fleet.js';
 import type {FleetView} from '../fleet/fleet-view.js';
+import {weightOf} from '../rendezvous.js';
 
 /** Shares of the limit that the first and the second issuer issue. */
 const issuedShares = [0.95, 0.4] as const;
@@ -85,7 +85,3 @@
 
 	return [first, second].filter(candidate => candidate !== undefined).map(({name}) => name);
 }
-
-function weightOf(text: string): number {
-	return createHash('sha1').update(text).digest().readUInt32BE(0);
-}
