--- a/tests/decisions/slot-exchange.test.ts
+++ b/tests/decisions/slot-exchange.test.ts
@@ -7,7 +7,7 @@
 } from '../../src/model/slots.js';
 
 const request: SlotRequest = {
-	number: 1_800_000_000_001, service: 'orders', target: undefined, excluded: ['orders-3'], availabilityZone: 'zone-a', priority: 1, targetLatencyMs: 608, dueMs: -12, leftMs: 901,
+	number: 1_800_000_000_001, service: 'orders', target: undefined, group: 1, excluded: ['orders-3'], availabilityZone: 'zone-a', priority: 1, targetLatencyMs: 608, dueMs: -12, leftMs: 901,
 };
 
 const release: SlotRelease = {
