--- a/src/decisions/admission/slot-coordinator.ts
+++ b/src/decisions/admission/slot-coordinator.ts
@@ -22,9 +22,6 @@
 /** Factor on the estimate of a target without a free slot; the request could not move if another slot became free. */
 const queuedFactor = 1.4;
 
-/** Factor on the estimate of a target that is likely to answer after the target latency while another would not. */
-const lateFactor = 2;
-
 /** Targets within this factor of the best are equally good. */
 const similarFactor = 1.1;
 
@@ -151,20 +148,20 @@
 		}
 
 		const pool = this.poolOf(request, now);
-		const targets = this.targetsOf(pool, now);
+		const candidates = this.candidatesOf(pool, now);
 		const waiting = {
 			daemon, request, queuedAt: now, dueAt: now + request.dueMs, deadlineAt: now + request.leftMs, repeatedAt: now,
 		};
-		if (targets.length === 0) {
+		if (candidates.length === 0) {
 			return [this.deny(waiting, retryDelayMs(unknownRetryMs, this.options.random()), 0, now)];
 		}
 
 		this.places.set(key, {waiting, pool});
-		pool.queue.add(waiting, now, this.paceOf(targets, now));
-		const answers = this.serve(pool, targets, now);
+		pool.queue.add(waiting, now, this.paceOf(candidates, now));
+		const answers = this.serve(pool, candidates, now);
 		if (this.places.has(key)) {
 			this.queued += 1;
-			answers.push(this.queuedAnswer({waiting, pool}, now));
+			answers.push(this.queuedAnswer({waiting, pool}, candidates, now));
 		}
 
 		return answers;
@@ -225,12 +222,11 @@
 		const expired = [...this.grants.values()].filter(({daemon, expiresAt}) => now >= expiresAt && !this.isSilent(daemon, now));
 		const answers = this.drop([...silent, ...expired], {silent: silent.length, expired: expired.length}, now);
 		for (const [key, pool] of this.pools) {
-			const targets = this.targetsOf(pool, now);
-			if (targets.length === 0) {
+			const candidates = this.candidatesOf(pool, now);
+			if (candidates.length === 0) {
 				answers.push(...pool.queue.clear().map(waiting => this.deny(waiting, retryDelayMs(unknownRetryMs, this.options.random()), 0, now)));
 			} else {
-				pool.queue.advance(now, this.paceOf(targets, now));
-				answers.push(...this.serve(pool, targets, now));
+				answers.push(...this.serve(pool, candidates, now));
 			}
 
 			if (pool.queue.length === 0) {
@@ -251,7 +247,7 @@
 		const place = this.places.get(key);
 		if (place) {
 			place.waiting.repeatedAt = now;
-			return [this.queuedAnswer(place, now)];
+			return [this.queuedAnswer(place, this.candidatesOf(place.pool, now), now)];
 		}
 
 		const ended = this.ended.get(key);
@@ -273,7 +269,11 @@
 		return pool;
 	}
 
-	/** The ready targets that may run the requests of the pool. */
+	/** The ready targets that may run the requests of the pool, with what is known of them. */
+	private candidatesOf(pool: Pool, now: number): Candidate[] {
+		return this.targetsOf(pool, now).map(target => ({target, meter: this.meterOf(target, now)}));
+	}
+
 	private targetsOf({service, target, group}: Pool, now: number): readonly Target[] {
 		if (target !== undefined) {
 			return this.groups.groupOf(service, target, now)?.targets.filter(({id}) => id === target) ?? [];
@@ -290,27 +290,28 @@
 	}
 
 	/** Grants free slots to the requests of a pool, and denies those that are too late. */
-	private serve({queue}: Pool, targets: readonly Target[], now: number): SlotAnswer[] {
+	private serve({queue}: Pool, candidates: readonly Candidate[], now: number): SlotAnswer[] {
 		const answers: SlotAnswer[] = [];
-		if (queue.length === 0 || targets.length === 0) {
+		if (queue.length === 0 || candidates.length === 0) {
 			return answers;
 		}
 
-		const pace = this.paceOf(targets, now);
+		const pace = this.paceOf(candidates, now);
 		let isTaken = true;
-		while (isTaken && queue.length > 0) {
+		while (isTaken && queue.length > 0 && candidates.some(({meter}) => meter.isAvailable(this.inFlight(meter, now), true, now))) {
 			isTaken = queue.take(now, pace, waiting => {
-				const grant = this.tryGrant(waiting, targets, now);
+				const grant = this.tryGrant(waiting, candidates, now);
 				if (grant) {
-					answers.push(this.grantedAnswer(grant, this.loadOf(targets, queue.length - 1, now)));
+					answers.push(this.grantedAnswer(grant, this.loadOf(candidates, queue.length - 1, now)));
 				}
 
 				return grant !== undefined;
 			});
 		}
 
+		queue.advance(now, pace);
 		for (const waiting of queue.removeHopeless(now, pace)) {
-			answers.push(this.deny(waiting, queue.retryAfterMs(pace, this.options.random()), this.loadOf(targets, queue.length, now), now));
+			answers.push(this.deny(waiting, queue.retryAfterMs(pace, this.options.random()), this.loadOf(candidates, queue.length, now), now));
 		}
 
 		return answers;
@@ -320,11 +321,11 @@
 	private serveTarget({id, service}: Target, now: number): SlotAnswer[] {
 		return [...this.pools.values()]
 			.filter(pool => pool.queue.length > 0 && pool.service === service && (pool.target === undefined || pool.target === id))
-			.flatMap(pool => this.serve(pool, this.targetsOf(pool, now), now));
+			.flatMap(pool => this.serve(pool, this.candidatesOf(pool, now), now));
 	}
 
-	private tryGrant(waiting: WaitingRequest, targets: readonly Target[], now: number): Grant | undefined {
-		const meter = this.chooseMeter(waiting, targets, now);
+	private tryGrant(waiting: WaitingRequest, candidates: readonly Candidate[], now: number): Grant | undefined {
+		const meter = this.chooseMeter(waiting, candidates, now);
 		if (!meter) {
 			return undefined;
 		}
@@ -345,8 +346,7 @@
 	}
 
 	/** One of the targets that are best for the request, at random; undefined if all that it may use are taken. */
-	private chooseMeter({request, dueAt}: WaitingRequest, targets: readonly Target[], now: number): TargetMeter | undefined {
-		const all = targets.map(target => ({target, meter: this.meterOf(target, now)}));
+	private chooseMeter({request}: WaitingRequest, all: readonly Candidate[], now: number): TargetMeter | undefined {
 		const usable = all.filter(({target}) => !request.excluded.includes(target.id));
 		const eligible = usable.length > 0 ? usable : all;
 		const isOnlyChoice = eligible.every(({meter}) => meter.isSuspect);
@@ -361,10 +361,10 @@
 			return trial.meter;
 		}
 
-		return this.chooseCheapest(available.filter(({meter}) => isOnlyChoice || !meter.isSuspect), all, {request, dueAt}, now);
+		return this.chooseCheapest(available.filter(({meter}) => isOnlyChoice || !meter.isSuspect), all, request.availabilityZone, now);
 	}
 
-	private chooseCheapest(available: readonly Candidate[], all: readonly Candidate[], {request, dueAt}: Pick<WaitingRequest, 'request' | 'dueAt'>, now: number): TargetMeter | undefined {
+	private chooseCheapest(available: readonly Candidate[], all: readonly Candidate[], availabilityZone: string, now: number): TargetMeter | undefined {
 		const meanUtilization = mean(all.map(({meter}) => meter.utilization(now)));
 		const power = evenPower * Math.min(1, Math.max(0, (meanUtilization - latencyUtilization) / (evenUtilization - latencyUtilization)));
 		const costs = available.map(({target, meter}) => {
@@ -372,17 +372,16 @@
 			const responseMs = meter.responseMs(inFlight, now);
 			const evenness = Math.max(minUtilization, meter.utilization(now)) / Math.max(minUtilization, meanUtilization);
 			return responseMs * (evenness ** power)
-				* (target.availabilityZone === request.availabilityZone ? 1 : remoteFactor)
-				* (inFlight >= meter.slots ? queuedFactor : 1)
-				* (now + responseMs > dueAt ? lateFactor : 1);
+				* (target.availabilityZone === availabilityZone ? 1 : remoteFactor)
+				* (inFlight >= meter.slots ? queuedFactor : 1);
 		});
 		const limit = Math.min(...costs) * similarFactor;
 		const similar = available.filter((_, index) => costs[index] <= limit);
 		return similar[Math.floor(this.options.random() * similar.length)]?.meter;
 	}
 
-	private paceOf(targets: readonly Target[], now: number): Pace {
-		const meters = targets.map(target => this.meterOf(target, now));
+	private paceOf(candidates: readonly Candidate[], now: number): Pace {
+		const meters = candidates.map(({meter}) => meter);
 		const trusted = meters.filter(({isSuspect}) => !isSuspect);
 		const counted = trusted.length > 0 ? trusted : meters;
 		return {
@@ -415,11 +414,10 @@
 	}
 
 	/** Averaged, because the figure decides for half a second at the asking daemon; the present one makes daemons choose the same group. */
-	private loadOf(targets: readonly Target[], waitingCount: number, now: number): number {
+	private loadOf(candidates: readonly Candidate[], waitingCount: number, now: number): number {
 		let slots = 0;
 		let used = 0;
-		for (const target of targets) {
-			const meter = this.meterOf(target, now);
+		for (const {meter} of candidates) {
 			slots += meter.slots;
 			used += meter.slots * meter.utilization(now);
 		}
@@ -433,16 +431,15 @@
 		};
 	}
 
-	private queuedAnswer({waiting, pool}: WaitingPlace, now: number): SlotAnswer {
-		const targets = this.targetsOf(pool, now);
-		const pace = this.paceOf(targets, now);
+	private queuedAnswer({waiting, pool}: WaitingPlace, candidates: readonly Candidate[], now: number): SlotAnswer {
+		const pace = this.paceOf(candidates, now);
 		return {
 			daemon: waiting.daemon,
 			number: waiting.request.number,
 			decision: SlotDecision.Queued,
 			responseMs: pool.queue.waitMs(waiting, pace) + pace.responseMs,
 			retryAfterMs: 0,
-			load: this.loadOf(targets, pool.queue.length, now),
+			load: this.loadOf(candidates, pool.queue.length, now),
 		};
 	}
 
--- a/src/decisions/admission/slot-queue.ts
+++ b/src/decisions/admission/slot-queue.ts
@@ -6,14 +6,17 @@
 /** Share of the target latency by which each step of priority brings a turn forward. */
 const priorityShare = 0.2;
 
-/** Factor on the mean response time within which a request counts as answered in time; half of all work takes longer than the mean. */
-const inTimeMargin = 1.3;
+/** Factor on the mean response time that has to be left for an answer in time; half of all work takes longer than the mean. */
+const inTimeMargin = 2;
+
+/** Largest share of the target latency that this margin takes, so that a request is not late on arrival at a slow service. */
+const largestMarginShare = 0.75;
 
 /**
  * One turn in this many goes to the request that has been overtaken longest, if one has waited for its target latency. With all turns,
  * a lasting overload would be worked off in order of arrival, and every answer would be late.
  */
-const overtakenTurn = 4;
+const overtakenTurn = 8;
 
 /** Requests tried for a free target before it stays free; those ahead exclude it. */
 const triedRequests = 8;
@@ -133,11 +136,31 @@
 		return hopeless;
 	}
 
-	/** Moves the requests that will be late behind the others. */
+	/**
+	 * Moves requests behind the others until the rest can be in time, the lowest priority first. Otherwise all requests would be served
+	 * when it is just too late for them in an overload, as usual for an order by urgency.
+	 */
 	advance(now: number, pace: Pace): void {
-		const late = this.inTime.filter(waiting => !isInTime(waiting, now, pace));
+		const kept: WaitingRequest[] = [];
+		const late: WaitingRequest[] = [];
+		for (const waiting of this.inTime) {
+			kept.push(waiting);
+			if (isInTime(waiting, now + (kept.length / pace.perMs), pace)) {
+				continue;
+			}
+
+			let lowest = kept.length - 1;
+			for (const [index, {request: {priority}}] of kept.entries()) {
+				if (priority > kept[lowest].request.priority) {
+					lowest = index;
+				}
+			}
+
+			late.push(...kept.splice(lowest, 1));
+		}
+
 		if (late.length > 0) {
-			this.inTime = this.inTime.filter(waiting => isInTime(waiting, now, pace));
+			this.inTime = kept;
 			this.late = [...this.late, ...late].toSorted(compareLate);
 		}
 	}
@@ -195,8 +218,8 @@
 	return Math.min(maxRetryMs, Math.max(minRetryMs, backlogMs)) * (minSpread + (spreadRange * random));
 }
 
-function isInTime({dueAt}: WaitingRequest, now: number, {responseMs}: Pace): boolean {
-	return now + (responseMs * inTimeMargin) <= dueAt;
+function isInTime({dueAt, request: {targetLatencyMs}}: WaitingRequest, now: number, {responseMs}: Pace): boolean {
+	return now + Math.max(responseMs, Math.min(responseMs * inTimeMargin, targetLatencyMs * largestMarginShare)) <= dueAt;
 }
 
 function compareLate(left: WaitingRequest, right: WaitingRequest): number {
