--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -616,7 +616,7 @@
 			// A slow caller delays the end of a streamed answer.
 			durationMs: Math.round((result.end === AttemptEnd.Streamed ? answerStartedAt ?? performance.now() : performance.now()) - sentAt),
 			load: told?.load,
-			warmUpLeftMs: told?.warmUpLeftMs,
+			warmUpLeftMs: context.service.warmUpPerS === undefined ? undefined : told?.warmUpLeftMs,
 		});
 		if (isUnknown) {
 			recordEnd?.(undefined);
--- a/src/peers/datagram-peers.ts
+++ b/src/peers/datagram-peers.ts
@@ -20,6 +20,7 @@
 /** Sends and receives JSON messages. */
 export class DatagramPeers<Message> {
 	private readonly socket: Socket = createSocket('udp4');
+	private isClosed = false;
 
 	constructor(
 		private readonly decode: PeerDecoder<Message>,
@@ -44,8 +45,12 @@
 		});
 	}
 
-	/** Sends a message to several daemons. */
+	/** Sends a message to several daemons; after the close, which requests in flight may outlast, nothing is sent. */
 	send(message: Message, members: Iterable<Member>): void {
+		if (this.isClosed) {
+			return;
+		}
+
 		const content = Buffer.from(JSON.stringify(message));
 		if (content.length > maxMessageBytes) {
 			this.onFailure(`a message of ${content.length} bytes is too large`);
@@ -62,6 +67,7 @@
 	}
 
 	close(): void {
+		this.isClosed = true;
 		this.socket.close();
 	}
 
