--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -72,6 +72,8 @@
 /** Parses the text of a settings file. Unknown fields are ignored. */
 export function parseSettings(text: string): PlatformSettings {
 	const reader = DocumentReader.parse('settings', text, settingsBounds);
+	const warmUpOverrun = readOptionalNumber(reader, 'warmUpOverrun');
+	const warmUpSlack = readOptionalNumber(reader, 'warmUpSlack');
 	const settings: PlatformSettings = {
 		daemon: reader.text('daemon'),
 		availabilityZone: reader.text('availabilityZone'),
@@ -92,8 +94,8 @@
 		retryReserve: reader.number('retryReserve'),
 		holdLimitMs: reader.integer('holdLimitMs', {minimum: 1000, maximum: longestTimeMs}),
 		thawSlackMs: reader.integer('thawSlackMs', {maximum: longestTimeMs}),
-		warmUpOverrun: readOptionalNumber(reader, 'warmUpOverrun'),
-		warmUpSlack: readOptionalNumber(reader, 'warmUpSlack'),
+		...(warmUpOverrun !== undefined && {warmUpOverrun}),
+		...(warmUpSlack !== undefined && {warmUpSlack}),
 	};
 	reader.throwOnFaults();
 	return settings;
