--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -53,6 +53,12 @@
  */
 const exitReserveShare = 0.15;
 
+/**
+ * Share of the grace period after which requests without an answer get one; after the begin of the last sixth, and early enough for
+ * callers to receive the answers before the process ends.
+ */
+const finalAnswersShare = 0.84;
+
 /** Interval at which a shutdown checks for requests in flight, in milliseconds. */
 const drainPollMs = 20;
 
@@ -183,15 +189,23 @@
 	}
 
 	private async shutDownOnce(): Promise<void> {
-		const exitBy = performance.now() + (this.settings.shutdownGraceS * secondMs * (1 - exitReserveShare));
+		const now = performance.now();
+		const graceMs = this.settings.shutdownGraceS * secondMs;
+		const exitBy = now + (graceMs * (1 - exitReserveShare));
+		const finalAnswersAt = now + (graceMs * finalAnswersShare);
 		this.log.record(LogEvent.DaemonStopping, {load: this.openRequests.count});
-		await this.callService('dispatcher.endAt', {time: exitBy});
+		await this.callService('dispatcher.endAt', {time: finalAnswersAt});
+		// Independent of the steps, of which one may last longer.
+		const finalAnswersTimer = setTimeout(() => {
+			void this.endRequests();
+		}, finalAnswersAt - now);
 		await this.callService('readiness.drain');
 		// A daemon that has not started has not been ready.
 		await Promise.all([this.resignAndLeave(), delay(this.hasStarted ? readinessPropagationMs : 0)]);
 		await this.callService('gateway.drain');
 		await this.callService('gateway.closeListener');
 		await this.waitForRequests(exitBy);
+		clearTimeout(finalAnswersTimer);
 		await this.callService('gateway.closeConnections');
 		await this.kernel.stop();
 		this.transport.close();
@@ -202,6 +216,13 @@
 		this.log.record(LogEvent.DaemonStopped, {});
 	}
 
+	/** Answers the requests that have no answer. Streamed answers go on. */
+	private async endRequests(): Promise<void> {
+		this.log.record(LogEvent.RequestsEnded, {load: this.openRequests.count});
+		await this.callService('dispatcher.endRequests');
+		await this.callService('gateway.endRequests');
+	}
+
 	/** Calls a service during the shutdown. A failed step must not keep the later ones from completing the requests in flight. */
 	private async callService(action: string, parameters: Record<string, unknown> = {}): Promise<void> {
 		try {
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -67,6 +67,15 @@
 /** Connections that each daemon may always open to a target. */
 const minConnections = 4;
 
+/** A request without a final answer. */
+type OpenForwarding = {
+	request: CallerRequest;
+	/** Cancelled at the end of a stop. */
+	ending: Cancellation;
+	/** Undefined until the route is known. */
+	context: ForwardingContext | undefined;
+};
+
 /** Dependencies and settings of the forwarder. */
 export type ForwarderOptions = {
 	availabilityZone: string;
@@ -89,7 +98,9 @@
 /** Forwards requests; one instance for each daemon. */
 export class Forwarder {
 	private readonly budgets = new Map<string, RetryBudget>();
-	private inFlight = 0;
+	private readonly openForwardings = new Set<OpenForwarding>();
+	/** True once requests have been answered because the daemon stops. */
+	private hasEnded = false;
 	private limitedAttempts = 0;
 	private readonly durations = new RouteDurations();
 	private readonly admission = new StopAdmission();
@@ -98,7 +109,7 @@
 
 	/** Number of requests without a final answer. */
 	get inFlightCount(): number {
-		return this.inFlight;
+		return this.openForwardings.size;
 	}
 
 	/** Number of attempts since the start at targets that name a limit. */
@@ -111,6 +122,17 @@
 		this.admission.begin(time);
 	}
 
+	/**
+	 * Ends all requests: those that may have run have an unknown outcome, the others are refused. A streamed answer that has begun
+	 * continues. Nothing is sent from then on.
+	 */
+	endRequests(): void {
+		this.hasEnded = true;
+		for (const {ending} of this.openForwardings) {
+			ending.cancel();
+		}
+	}
+
 	/** Called periodically. */
 	tick(): void {
 		this.options.relay?.tick();
@@ -118,14 +140,42 @@
 
 	/** Never rejects because of a failing target. */
 	async forward(request: CallerRequest): Promise<Outcome> {
-		this.inFlight += 1;
+		if (this.hasEnded) {
+			return this.refuseUnrouted(request, OutcomeReason.DaemonStopping, retryDelaysMs.stopping);
+		}
+
+		const open: OpenForwarding = {request, ending: new Cancellation(), context: undefined};
+		this.openForwardings.add(open);
 		try {
-			const outcome = await this.route(request);
+			const outcome = await this.routeUntilEnding(open);
 			this.recordDuration(request, outcome);
 			return outcome;
 		} finally {
-			this.inFlight -= 1;
+			this.openForwardings.delete(open);
+		}
+	}
+
+	/** At the end of a stop, an attempt under way ends by itself; all other waits are given up here. */
+	private async routeUntilEnding(open: OpenForwarding): Promise<Outcome> {
+		return new Promise((resolve, reject) => {
+			open.ending.subscribe(() => {
+				if (!open.context?.isAttempting) {
+					resolve(this.endOutcome(open));
+				}
+			});
+			this.route(open).then(resolve, reject);
+		});
+	}
+
+	private endOutcome({request, context}: OpenForwarding): Outcome {
+		if (!context) {
+			return this.refuseUnrouted(request, OutcomeReason.DaemonStopping, retryDelaysMs.stopping);
 		}
+
+		const {route, deliveredAttempts, relay} = context;
+		return {
+			...this.giveUp(context, OutcomeReason.DaemonStopping, retryDelaysMs.stopping), route, deliveredAttempts, relay,
+		};
 	}
 
 	private recordDuration({receivedAt}: CallerRequest, {kind, route}: Outcome): void {
@@ -134,7 +184,8 @@
 		}
 	}
 
-	private async route(request: CallerRequest): Promise<Outcome> {
+	private async route(open: OpenForwarding): Promise<Outcome> {
+		const {request} = open;
 		const {view} = this.options;
 		if (!view.routeIndex) {
 			return this.refuseUnrouted(request, OutcomeReason.NoConfiguration);
@@ -158,7 +209,8 @@
 			return this.refuseUnrouted(request, OutcomeReason.RouteUnreadable);
 		}
 
-		const context = this.createContext(request, route, service);
+		const context = this.createContext(open, route, service);
+		open.context = context;
 		const {receivedAt} = request;
 		const {isIdempotent, name} = route;
 		if (!this.admission.isAccepted({
@@ -203,15 +255,15 @@
 	}
 
 	/** Refuses a request for which no route has been determined. */
-	private refuseUnrouted({requestId, host, path}: CallerRequest, reason: OutcomeReason): Outcome {
+	private refuseUnrouted({requestId, host, path}: CallerRequest, reason: OutcomeReason, retryAfterMs = retryDelaysMs.starting): Outcome {
 		const {view, log} = this.options;
 		log.record(LogEvent.RequestRefused, {
-			request: requestId, host, path, reason, version: view.configuration?.version, confirmedMsAgo: view.freshness.roundedAgeMs, retryAfterMs: retryDelaysMs.starting,
+			request: requestId, host, path, reason, version: view.configuration?.version, confirmedMsAgo: view.freshness.roundedAgeMs, retryAfterMs,
 		});
-		return {kind: OutcomeKind.NotRun, reason, retryAfterMs: retryDelaysMs.starting};
+		return {kind: OutcomeKind.NotRun, reason, retryAfterMs};
 	}
 
-	private createContext(request: CallerRequest, route: Route, service: ServiceRule): ForwardingContext {
+	private createContext({request, ending}: OpenForwarding, route: Route, service: ServiceRule): ForwardingContext {
 		if (!request.relay) {
 			// A relayed request was counted by the daemon that received it.
 			this.recordRequest(request, service);
@@ -221,6 +273,8 @@
 			request,
 			route,
 			service,
+			ending,
+			isAttempting: false,
 			deadlineAt: request.receivedAt + Math.min(request.budgetMs ?? route.timeoutMs, route.timeoutMs),
 			triedTargets: new Set(),
 			deniedTargets: new Map(),
@@ -250,6 +304,10 @@
 				return this.abandon(context);
 			}
 
+			if (this.hasEnded) {
+				return this.giveUp(context, OutcomeReason.DaemonStopping, retryDelaysMs.stopping);
+			}
+
 			if (remainingMs(context) < minUsefulBudgetMs) {
 				return this.giveUp(context, OutcomeReason.Timeout, 0);
 			}
@@ -487,14 +545,16 @@
 			cancellation,
 			connectionLimit: this.connectionLimit(context.service),
 			usesOpenConnection,
-			mayBeSent: () => !context.service.isKeyed || view.mayUseOwners,
+			ending: context.ending,
+			mayBeSent: () => !this.hasEnded && (!context.service.isKeyed || view.mayUseOwners),
 			onStatement(statement) {
 				statements.record(target, statement, sentAt);
 			},
 		}));
 		const isNotSent = result.end === AttemptEnd.NotSent;
-		const wasHeldBack = isNotSent && (usesOpenConnection || (context.service.isKeyed && !view.mayUseOwners));
-		if (wasHeldBack || context.request.cancellation.isCancelled) {
+		const wasHeldBack = isNotSent && (usesOpenConnection || this.hasEnded || (context.service.isKeyed && !view.mayUseOwners));
+		const wasEnded = this.hasEnded && result.end === AttemptEnd.Ambiguous;
+		if (wasHeldBack || wasEnded || context.request.cancellation.isCancelled) {
 			recordEnd?.(undefined);
 			loads.recordAbandoned(target, key);
 			return result;
@@ -516,7 +576,9 @@
 		};
 
 		context.request.cancellation.subscribe(onCallerLeft);
+		context.isAttempting = true;
 		const result = await run(cancellation);
+		context.isAttempting = false;
 		context.request.cancellation.unsubscribe(onCallerLeft);
 		return result;
 	}
@@ -557,7 +619,10 @@
 		if (result.end === AttemptEnd.NotSent) {
 			context.unsentAttempts += 1;
 			context.triedTargets.add(target.id);
-			await this.options.relay?.confirmCutOff();
+			if (!this.hasEnded) {
+				await this.options.relay?.confirmCutOff();
+			}
+
 			return this.retryOrGiveUp(context, result, context.unsentAttempts < unsentLimit);
 		}
 
@@ -626,6 +691,10 @@
 	}
 
 	private retryOrGiveUp(context: ForwardingContext, result: AttemptResult, mayRetry: boolean): Outcome | undefined {
+		if (this.hasEnded) {
+			return this.giveUp(context, OutcomeReason.DaemonStopping, retryDelaysMs.stopping);
+		}
+
 		if (!mayRetry || isBodyConsumed(context)) {
 			return this.giveUp(context, result.isTimeout ? OutcomeReason.Timeout : OutcomeReason.AttemptsUsed, retryDelaysMs.overloaded);
 		}
--- a/src/decisions/forwarding/forwarding-context.ts
+++ b/src/decisions/forwarding/forwarding-context.ts
@@ -2,6 +2,7 @@
  * Context of a request while it is forwarded.
  */
 import {Readable} from 'node:stream';
+import type {Cancellation} from '../../model/cancellation.js';
 import type {LogFields} from '../../model/events.js';
 import type {AttemptResult, CallerRequest} from '../../model/forwarding.js';
 import type {Route, ServiceRule} from '../../model/route-configuration.js';
@@ -23,6 +24,10 @@
 	request: CallerRequest;
 	route: Route;
 	service: ServiceRule;
+	/** Cancelled at the end of a stop. */
+	ending: Cancellation;
+	/** True while an attempt is under way; its result tells whether it may have run. */
+	isAttempting: boolean;
 	/** Monotonic time at which the time budget of the caller or the timeout of the route ends, in milliseconds. */
 	deadlineAt: number;
 	triedTargets: Set<string>;
--- a/src/decisions/forwarding/request-relay.ts
+++ b/src/decisions/forwarding/request-relay.ts
@@ -101,7 +101,7 @@
 		this.relayed += 1;
 		peers.startRequest(peer);
 		const result = await transport.relay(context.request, {
-			peer, cancellation, deliveredAttempts: context.deliveredAttempts, budgetMs: leftMs - hopMs, timeoutMs: leftMs,
+			peer, cancellation, ending: context.ending, deliveredAttempts: context.deliveredAttempts, budgetMs: leftMs - hopMs, timeoutMs: leftMs,
 		});
 		const isAnswered = result.end === AttemptEnd.Answered || result.end === AttemptEnd.Streamed;
 		const isUsable = isAnswered || result.end === AttemptEnd.Refused || cancellation.isCancelled;
--- a/src/model/events.ts
+++ b/src/model/events.ts
@@ -61,6 +61,7 @@
 	TargetsUnreachable = 2060,
 	TargetsReachable = 2061,
 	RelayFailed = 2062,
+	RequestsEnded = 2090,
 	RequestServed = 2100,
 	RequestRetried = 2101,
 	RequestRefused = 2102,
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -58,6 +58,8 @@
 	timeoutMs: number;
 	/** Cancels this attempt only. */
 	cancellation: Cancellation;
+	/** Cancelled at the end of a stop: ends this attempt unless its answer is being streamed. */
+	ending?: Cancellation;
 	/** Largest number of connections that this daemon may have to the target. */
 	connectionLimit: number;
 	/** True if the attempt is not sent unless a connection to the target is open. */
@@ -110,7 +112,7 @@
 };
 
 /** One attempt to have a peer forward a request. */
-export type RelayAttempt = Pick<Attempt, 'budgetMs' | 'timeoutMs' | 'cancellation'> & {
+export type RelayAttempt = Pick<Attempt, 'budgetMs' | 'timeoutMs' | 'cancellation' | 'ending'> & {
 	peer: Member;
 	/** Number of attempts so far that reached a target or may have reached one. */
 	deliveredAttempts: number;
--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -73,6 +73,9 @@
 /** Retry delay sent to callers while the limits are not confirmed as the newest, in milliseconds. */
 const unconfirmedRetryMs = 300;
 
+/** Retry delay sent to callers whose requests end with the daemon, in milliseconds; other daemons serve them. */
+const stoppingRetryMs = 50;
+
 /** Result of forwarding a request. */
 type ForwardResult = {
 	caller: CallerRequest;
@@ -96,6 +99,12 @@
 			closeListener(this: Service) {
 				closeListeners(this);
 			},
+			/** Ends what requests wait for in the gateway; they are refused. */
+			endRequests(this: Service) {
+				for (const gateway of gatewaysOf(this)) {
+					gateway.endRequests();
+				}
+			},
 			/** Forwards no further request, for an exit that would cut it. */
 			closeConnections(this: Service) {
 				for (const gateway of gatewaysOf(this)) {
@@ -139,6 +148,8 @@
 	private readonly server: Server;
 	private readonly connections: CallerConnections;
 	private isDraining = false;
+	/** Cancelled at the end of a stop. */
+	private readonly ending = new Cancellation();
 
 	constructor(private readonly options: PlatformGatewayOptions, private readonly broker: ServiceBroker) {
 		this.server = createServer({
@@ -168,6 +179,11 @@
 		this.isDraining = true;
 	}
 
+	/** Refuses the requests whose body is incomplete or whose refusal is not confirmed. */
+	endRequests(): void {
+		this.ending.cancel();
+	}
+
 	/** Closes the connections without an open request; no other request is read from then on. */
 	closeConnections(): void {
 		this.connections.closeAll();
@@ -229,7 +245,7 @@
 			key,
 			budgetMs,
 			receivedAt: openRequest.receivedAt,
-			body: await openBody(request, limits.maxBodyBytes),
+			body: undefined,
 			cancellation,
 			relay,
 			beginStream: ({status, headers}) => this.connections.beginStream(response, state, () => {
@@ -241,6 +257,12 @@
 				response.destroy();
 			},
 		};
+		const start = await this.untilEnding(openBody(request, limits.maxBodyBytes));
+		if (!start) {
+			return {caller, outcome: {kind: OutcomeKind.NotRun, reason: OutcomeReason.DaemonStopping, retryAfterMs: stoppingRetryMs}};
+		}
+
+		caller.body = start.result;
 		await this.connections.detectEarlyDisconnect(request.socket);
 		openRequest.stage = RequestStage.Forwarding;
 		let outcome: Outcome;
@@ -268,9 +290,31 @@
 			return true;
 		}
 
-		const areLimitsConfirmed = await this.options.confirmLimits(cancellation);
+		const confirmation = await this.untilEnding(this.options.confirmLimits(cancellation));
 		const limits = this.options.limits();
-		return areLimitsConfirmed && limits !== undefined && limits[error.limit] <= error.limitBytes;
+		return confirmation?.result === true && limits !== undefined && limits[error.limit] <= error.limitBytes;
+	}
+
+	/** Returns undefined if the daemon ends before the result is there. */
+	private async untilEnding<Result>(work: Promise<Result>): Promise<{result: Result} | undefined> {
+		if (this.ending.isCancelled) {
+			return undefined;
+		}
+
+		return new Promise((resolve, reject) => {
+			const onEnding = (): void => {
+				resolve(undefined);
+			};
+
+			this.ending.subscribe(onEnding);
+			work.then(result => {
+				this.ending.unsubscribe(onEnding);
+				resolve({result});
+			}, (error: unknown) => {
+				this.ending.unsubscribe(onEnding);
+				reject(error instanceof Error ? error : new Error(String(error)));
+			});
+		});
 	}
 
 	private addOutcomeHeaders(response: ServerResponse, request: CallerRequest, outcome: Outcome): void {
--- a/src/services/platform-kernel.ts
+++ b/src/services/platform-kernel.ts
@@ -142,6 +142,10 @@
 			endAt(context: Context<{time: number}>): void {
 				forwarder.endAt(context.params.time);
 			},
+			/** Ends the requests that have no answer; the process ends afterwards. */
+			endRequests(): void {
+				forwarder.endRequests();
+			},
 			load(): number {
 				return forwarder.inFlightCount;
 			},
--- a/src/transport/target-exchange.ts
+++ b/src/transport/target-exchange.ts
@@ -61,6 +61,7 @@
 	private resolve: ((result: AttemptResult) => void) | undefined;
 
 	private readonly onCancel: () => void;
+	private readonly onEnding: () => void;
 	private readonly onBodyError: () => void;
 
 	constructor(
@@ -75,6 +76,12 @@
 			this.fail('cancelled');
 		};
 
+		this.onEnding = () => {
+			if (!this.sink) {
+				this.fail('the daemon stops');
+			}
+		};
+
 		this.onBodyError = () => {
 			this.fail('the request body was incomplete');
 		};
@@ -93,6 +100,7 @@
 				}
 			}, connectTimeoutMs);
 			attempt.cancellation.subscribe(this.onCancel);
+			attempt.ending?.subscribe(this.onEnding);
 			if (attempt.cancellation.isCancelled) {
 				this.onCancel();
 				return;
@@ -287,6 +295,7 @@
 		clearTimeout(this.timer);
 		clearTimeout(this.connectTimer);
 		this.attempt.cancellation.unsubscribe(this.onCancel);
+		this.attempt.ending?.unsubscribe(this.onEnding);
 		if (this.request.body instanceof Readable) {
 			this.request.body.off('error', this.onBodyError);
 		}
--- a/tests/decisions/forwarder.test.ts
+++ b/tests/decisions/forwarder.test.ts
@@ -50,7 +50,7 @@
 }
 
 /** Result of an attempt, returned after a delay in milliseconds. */
-type Step = Partial<AttemptResult> & {end: AttemptEnd; afterMs?: number};
+type Step = Partial<AttemptResult> & {end: AttemptEnd; afterMs?: number; isStreaming?: boolean};
 
 type Setup = {
 	forwarder: Forwarder;
@@ -94,6 +94,11 @@
 				attempts.push(attempt);
 				await new Promise(resolve => {
 					setTimeout(resolve, Math.min(step.afterMs ?? 10, attempt.timeoutMs));
+					if (!step.isStreaming) {
+						attempt.ending?.subscribe(() => {
+							resolve(undefined);
+						});
+					}
 				});
 				return step;
 			},
@@ -477,3 +482,62 @@
 	t.is(outcome.reason, OutcomeReason.OwnersUnconfirmed);
 	t.false(lines.some(({event}) => event === LogEvent.TargetEjected));
 });
+
+const endings: Array<{title: string; path: string; steps: Step[]; isMoving?: boolean; expected: Omit<Expected, 'reason'>}> = [
+	{
+		title: 'report a repeatable request that a target has as unknown, without another attempt',
+		path: '/read/a', steps: [{end: AttemptEnd.Ambiguous, afterMs: 900}, answered], expected: {kind: OutcomeKind.Unknown, attemptCount: 1},
+	},
+	{
+		title: 'refuse a request that was not sent', path: '/read/a', steps: [{end: AttemptEnd.NotSent, afterMs: 900}, answered], expected: {kind: OutcomeKind.NotRun, attemptCount: 1},
+	},
+	{
+		title: 'refuse a request that waits for its owner', path: '/record/a', steps: [answered], isMoving: true, expected: {kind: OutcomeKind.NotRun, attemptCount: 0},
+	},
+	{
+		title: 'report a request that waits for its owner as unknown after an attempt that may have run',
+		path: '/record/a', steps: [{end: AttemptEnd.Ambiguous, afterMs: 10}, answered], isMoving: true, expected: {kind: OutcomeKind.Unknown, attemptCount: 1},
+	},
+	{
+		title: 'pass on a streamed answer that ends later',
+		path: '/read/a', steps: [{end: AttemptEnd.Streamed, afterMs: 900, isStreaming: true}], expected: {kind: OutcomeKind.Streamed, attemptCount: 1},
+	},
+];
+
+for (const {title, path, steps, isMoving = false, expected} of endings) {
+	// LOST: the end of a stop left such requests without an answer.
+	test.serial(`should, at the end of a stop, ${title}`, async t => {
+		const clock = FakeTimers.install();
+		try {
+			const {forwarder, view, attempts} = setUp(steps);
+			const removeOwner = (): void => {
+				view.removeTarget('keyed-0');
+			};
+
+			if (isMoving && expected.attemptCount === 0) {
+				removeOwner();
+			}
+
+			const forwarding = forwarder.forward(callerRequest(path));
+			await clock.tickAsync(5);
+			if (isMoving) {
+				removeOwner();
+			}
+
+			await clock.tickAsync(200);
+			forwarder.endRequests();
+			const late = await forwarder.forward(callerRequest(path));
+			const endedAt = performance.now();
+			const ending = forwarding.then(outcome => ({...outcome, tookMs: performance.now() - endedAt}));
+			await clock.tickAsync(2000);
+			const {kind, reason, tookMs} = await ending;
+			t.like(late, {kind: OutcomeKind.NotRun, reason: OutcomeReason.DaemonStopping});
+			t.deepEqual({kind, attemptCount: attempts.length}, expected);
+			const isStreamed = kind === OutcomeKind.Streamed;
+			t.is(reason, isStreamed ? undefined : OutcomeReason.DaemonStopping);
+			t.true(isStreamed || tookMs < 1, `${tookMs} ms`);
+		} finally {
+			clock.uninstall();
+		}
+	});
+}
--- a/tests/http/relay.test.ts
+++ b/tests/http/relay.test.ts
@@ -25,7 +25,7 @@
 
 type Setup = {
 	broker: ServiceBroker;
-	relay(request: CallerRequest): Promise<RelayResult>;
+	relay(request: CallerRequest, ending?: Cancellation): Promise<RelayResult>;
 };
 
 /** Creates a request with the headers that every request has. */
@@ -59,11 +59,11 @@
 	const transport = new PeerRelayTransport('daemon-1');
 	try {
 		await run({
-			broker, relay: async request => transport.relay(request, {
+			broker, relay: async (request, ending = new Cancellation()) => transport.relay(request, {
 				peer: {
 					daemon: 'daemon-2', availabilityZone: 'zone', ip: '127.0.0.1', port, room: 1,
 				},
-				deliveredAttempts: 1, budgetMs: 700, timeoutMs: 800, cancellation: request.cancellation,
+				deliveredAttempts: 1, budgetMs: 700, timeoutMs: 800, cancellation: request.cancellation, ending,
 			}),
 		});
 	} finally {
@@ -279,3 +279,29 @@
 		t.is(end, AttemptEnd.NotSent);
 	});
 });
+
+/** Outcome of a request that nothing ends. */
+const unanswered = new Promise<Outcome>(() => {
+	// Stays pending.
+});
+
+// LOST: the end of a stop left relayed requests without an answer.
+test('should end a relayed request at the end of a stop of either daemon', async t => {
+	await withPeer(async () => unanswered, async ({relay}) => {
+		const ending = new Cancellation();
+		const result = relay(identifiedRequest(), ending);
+		await delay(50);
+		ending.cancel();
+		const {end} = await result;
+		t.is(end, AttemptEnd.Ambiguous);
+	});
+	await withPeer(async () => unanswered, async ({broker, relay}) => {
+		const body = new PassThrough();
+		body.write('incomplete');
+		const result = relay(identifiedRequest({method: 'POST', body}));
+		await delay(50);
+		await broker.call('gateway.endRequests');
+		const {end} = await result;
+		t.is(end, AttemptEnd.Misdirected);
+	});
+});
--- a/tests/platform/target-exchange.test.ts
+++ b/tests/platform/target-exchange.test.ts
@@ -428,3 +428,45 @@
 	server.close();
 	t.is(end, AttemptEnd.Ambiguous);
 });
+
+const endings = [
+	{title: 'fail a request at a silent target', answer: '', end: AttemptEnd.Ambiguous},
+	{title: 'fail a request whose answer is incomplete and has not begun', answer: `${head(['Content-Length: 9000000'])}part`, end: AttemptEnd.Ambiguous},
+	{title: 'complete a streamed answer', answer: `${head(['Content-Length: 500000'])}${'x'.repeat(400_000)}`, end: AttemptEnd.Streamed},
+];
+
+for (const {title, answer, end} of endings) {
+	test(`should ${title} at the end of a stop`, async t => {
+		let isAborted = false;
+		let bytes = 0;
+		const server = await listen(socket => {
+			socket.write(answer);
+			setTimeout(() => {
+				ending.cancel();
+				setTimeout(() => {
+					socket.write('x'.repeat(100_000));
+				}, 50);
+			}, 100);
+		});
+		const ending = new Cancellation();
+		const transport = new TargetTransport(new PlatformTargetProtocol());
+		const result = await transport.send(callerRequest({
+			beginStream: () => new Writable({
+				write(chunk: Uint8Array, _encoding, callback) {
+					bytes += chunk.length;
+					callback();
+				},
+			}),
+			abortStream() {
+				isAborted = true;
+			},
+		}), {
+			target: targetOf(server), budgetMs: 1000, timeoutMs: 5000, cancellation: new Cancellation(), ending, connectionLimit: 4, onStatement: () => undefined,
+		});
+		transport.close();
+		server.close();
+		t.is(result.end, end);
+		t.false(isAborted);
+		t.is(bytes, end === AttemptEnd.Streamed ? 500_000 : 0);
+	});
+}
