--- a/src/targets/http-exchange.ts
+++ b/src/targets/http-exchange.ts
@@ -10,6 +10,7 @@
 import {
 	AttemptEnd, type Attempt, type AttemptResult, type RoutedRequest,
 } from '../model/request.js';
+import {isValidStatus} from '../transport/answer-status.js';
 import {ProvisionalAnswers} from '../transport/provisional-answers.js';
 
 /** Error codes of connections that the server's VM refused or reset. */
@@ -109,6 +110,11 @@
 			return;
 		}
 
+		if (!isValidStatus(status)) {
+			this.cancel(`status ${status} is not valid`);
+			return;
+		}
+
 		if (this.provisionalAnswers.isExceededBy(status)) {
 			this.cancel('too many provisional answers');
 			return;
--- a/src/transport/json-call.ts
+++ b/src/transport/json-call.ts
@@ -4,6 +4,7 @@
 import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
 import {ByteBuffer} from '../model/byte-buffer.js';
+import {isValidStatus} from './answer-status.js';
 import type {ConnectionPool} from './connection-pool.js';
 import {ProvisionalAnswers} from './provisional-answers.js';
 
@@ -85,6 +86,11 @@
 				wasSent = true;
 			},
 			onResponseStart(_controller, statusCode, answerHeaders) {
+				if (!isValidStatus(statusCode)) {
+					fail(`status ${statusCode} is not valid`);
+					return;
+				}
+
 				if (provisionalAnswers.isExceededBy(statusCode)) {
 					fail('too many provisional answers');
 					return;
--- a/src/transport/target-exchange.ts
+++ b/src/transport/target-exchange.ts
@@ -8,6 +8,7 @@
 	AttemptEnd, type AnswerHead, type Attempt, type AttemptResult, type CallerRequest, type HeaderList,
 } from '../model/forwarding.js';
 import type {TargetStatement} from '../model/target-statement.js';
+import {isValidStatus} from './answer-status.js';
 import type {ConnectionPool} from './connection-pool.js';
 import type {HttpConnection} from './http-connection.js';
 import {ProvisionalAnswers} from './provisional-answers.js';
@@ -145,6 +146,11 @@
 			return;
 		}
 
+		if (!isValidStatus(status)) {
+			this.fail(`status ${status} is not valid`);
+			return;
+		}
+
 		if (this.provisionalAnswers.isExceededBy(status)) {
 			this.fail('too many provisional answers');
 			return;
