--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -13,6 +13,7 @@
 } from '../model/plan.js';
 import {burnReport, renderBurnHtml, renderBurnText} from './burn-report.js';
 import {CommandFailure, ExitCode} from './command-failure.js';
+import {checkConfigurationFile, exitCodeOf} from './configuration-file.js';
 import type {ControlConnection} from './control-connection.js';
 import {readIntent} from './intent-file.js';
 import {columns, type Output} from './output.js';
@@ -48,6 +49,7 @@
 	'explain request': explainRequest,
 	explain,
 	'report burn': reportBurn,
+	'configuration check': checkFile,
 };
 
 /**
@@ -81,6 +83,18 @@
 	return value;
 }
 
+async function checkFile(operands: string[], {output}: CommandContext): Promise<void> {
+	const report = await checkConfigurationFile(operand(operands, 'a FILE'), operands[1]);
+	const {errors, warnings, differences} = report;
+	output.result(report, [
+		...errors.map(text => `error: ${text}`),
+		...warnings.map(text => `warning: ${text}`),
+		...differences.map(text => `difference: ${text}`),
+		`${errors.length} errors, ${warnings.length} warnings, ${differences.length} differences`,
+	]);
+	process.exitCode = exitCodeOf(report);
+}
+
 async function submitIntent(operands: string[], {connection, output}: CommandContext): Promise<void> {
 	const intent = await readIntent(operand(operands, 'a FILE'));
 	printPlan(await connection.client.submitIntent.mutate(intent) as Plan, output);
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -25,6 +25,9 @@
     assignment show SERVICE     owners, epochs and moves of a service
     explain SERVICE [KEY]       why a key is where it is, and what was done
     explain request ID [FILE]   what the logs in files, or on standard input, tell of a request
+    configuration check FILE [IN_FORCE]
+                                check a configuration of the users' platform and compare it with the version in force;
+                                exits with 0 if clean, 1 with warnings, 2 with errors
     report burn [--html FILE]   error budget used by customer, service and class
 
   Options
--- /dev/null
+++ b/src/decisions/configuration-check.ts
@@ -0,0 +1,91 @@
+/**
+ * Checks a configuration before it is sent, and compares it with the version in force.
+ */
+import {
+	parserMaxHeaderBytes, type Route, type RouteConfiguration, type ServiceRule,
+} from '../model/route-configuration.js';
+
+/** Result of a check. Requests are refused or lost on account of errors; warnings have no effect, or not the intended one. */
+export type ConfigurationReport = {
+	errors: string[];
+	warnings: string[];
+	/** Differences from the version in force by route, service and limit. */
+	differences: string[];
+};
+
+/** Checks a decoded configuration. */
+export function checkConfiguration(configuration: RouteConfiguration, inForce?: RouteConfiguration): ConfigurationReport {
+	const {routes, services, limits, version, faults} = configuration;
+	const usedServices = new Set(routes.flatMap(({shares}) => shares.map(({service}) => service)));
+	const errors = [...faults, ...routes.flatMap(route => route.shares
+		.filter(({service}) => !services.has(service))
+		.map(({service}) => `route ${route.name}: service ${service} is not defined`))];
+	const warnings = [
+		...routes.flatMap((route, index) => routeWarnings(route, routes.slice(0, index))),
+		...[...services.keys()].filter(name => !usedServices.has(name)).map(name => `service ${name}: no route uses it`),
+	];
+	if (limits.maxHeaderBytes > parserMaxHeaderBytes) {
+		warnings.push(`limits: maxHeaderBytes ${limits.maxHeaderBytes} is above the ${parserMaxHeaderBytes} bytes that a daemon reads`);
+	}
+
+	if (inForce && version <= inForce.version) {
+		warnings.push(`version ${version} is not above version ${inForce.version} in force`);
+	}
+
+	return {errors, warnings, differences: inForce ? differencesOf(inForce, configuration) : []};
+}
+
+/** @param earlier routes before this one in the document */
+function routeWarnings(route: Route, earlier: Route[]): string[] {
+	const {name, host, prefix, timeoutMs, targetLatencyMs} = route;
+	const warnings: string[] = [];
+	const shadow = earlier.find(other => other.host === host && other.prefix === prefix);
+	if (shadow) {
+		warnings.push(`route ${name}: never matches, because route ${shadow.name} has the same host and prefix`);
+	}
+
+	if (/:\d+$/v.test(host)) {
+		warnings.push(`route ${name}: never matches, because host ${host} has a port`);
+	}
+
+	if (!prefix.startsWith('/') || prefix.includes('?')) {
+		warnings.push(`route ${name}: never matches, because prefix ${prefix} is not the beginning of a path`);
+	}
+
+	if (targetLatencyMs > timeoutMs) {
+		warnings.push(`route ${name}: targetLatencyMs ${targetLatencyMs} is above timeoutMs ${timeoutMs}`);
+	}
+
+	return warnings;
+}
+
+function differencesOf(before: RouteConfiguration, after: RouteConfiguration): string[] {
+	return [
+		...compareNamed('route', byName(before.routes), byName(after.routes)),
+		...compareNamed('service', before.services, after.services),
+		...compareFields('limits', before.limits, after.limits),
+	];
+}
+
+function byName(routes: Route[]): Map<string, Route> {
+	return new Map(routes.map(route => [route.name, route]));
+}
+
+function compareNamed(kind: string, before: Map<string, Route | ServiceRule>, after: Map<string, Route | ServiceRule>): string[] {
+	return [...new Set([...before.keys(), ...after.keys()])].flatMap(name => {
+		const [old, current] = [before.get(name), after.get(name)];
+		if (!old || !current) {
+			return [`${kind} ${name}: ${current ? 'added' : 'removed'}`];
+		}
+
+		return compareFields(`${kind} ${name}`, old, current);
+	});
+}
+
+function compareFields(title: string, before: Record<string, unknown>, after: Record<string, unknown>): string[] {
+	const old = new Map<string, unknown>(Object.entries(before));
+	return Object.entries(after).flatMap(([field, value]: [string, unknown]) => {
+		const [from, to] = [JSON.stringify(old.get(field)), JSON.stringify(value)];
+		return from === to ? [] : [`${title}: ${field} ${from} becomes ${to}`];
+	});
+}
--- a/src/model/route-configuration.ts
+++ b/src/model/route-configuration.ts
@@ -48,6 +48,9 @@
 	idleTimeoutMs: number;
 };
 
+/** Largest headers that daemons read, in bytes; the configured limit applies within it. */
+export const parserMaxHeaderBytes = 65_536;
+
 /** Limits that apply before the first configuration. */
 export const initialLimits: CallerLimits = {
 	maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -18,7 +18,7 @@
 import {
 	OutcomeKind, OutcomeReason, type CallerRequest, type Outcome, type RelayOrigin,
 } from '../model/forwarding.js';
-import {initialLimits, type CallerLimits} from '../model/route-configuration.js';
+import {initialLimits, parserMaxHeaderBytes, type CallerLimits} from '../model/route-configuration.js';
 import {
 	CallerConnections, malformedStatus, type RequestState,
 } from './caller-connections.js';
@@ -59,9 +59,6 @@
 	onOutcome(request: CallerRequest, outcome: Outcome): void;
 };
 
-/** Largest headers that the parser accepts, in bytes; the configured limit is lower. */
-const parserMaxHeaderBytes = 65_536;
-
 /** Interval at which the server checks for callers that send too slowly, in milliseconds. */
 const slowSenderCheckMs = 500;
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -9,7 +9,8 @@
 	decisions: ['model'],
 	services: ['decisions', 'targets', 'peers', 'model'],
 	daemon: ['services', 'decisions', 'platform', 'published', 'transport', 'targets', 'peers', 'model'],
-	cli: ['decisions', 'peers', 'model'],
+	// The check of a configuration decodes the documents of the platform as a daemon does.
+	cli: ['decisions', 'peers', 'platform', 'model'],
 };
 
 const outsideFolders = ['standins', 'bench', 'soak', 'tests'];
