--- a/src/decisions/forwarding/forwarding-context.ts
+++ b/src/decisions/forwarding/forwarding-context.ts
@@ -2,6 +2,7 @@
  * Context of a request while it is forwarded.
  */
 import {Readable} from 'node:stream';
+import type {Cancellation} from '../../model/cancellation.js';
 import type {LogFields} from '../../model/events.js';
 import type {AttemptResult, CallerRequest} from '../../model/forwarding.js';
 import type {Route, ServiceRule} from '../../model/route-configuration.js';
@@ -26,6 +27,10 @@
 	service: ServiceRule;
 	/** True if attempts ask a coordinator for a slot; decided once, so that all attempts of the request follow the same rules. */
 	isCoordinated: boolean;
+	/** Cancelled at the end of a stop. */
+	ending: Cancellation;
+	/** True while an attempt is under way; its result tells whether it may have run. */
+	isAttempting: boolean;
 	/** Monotonic time at which the time budget of the caller or the timeout of the route ends, in milliseconds. */
 	deadlineAt: number;
 	triedTargets: Set<string>;
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -58,6 +58,8 @@
 	warmUpOverrun?: number | undefined;
 	/** Requests in addition that a cold target may get within any second; missing on platforms without this bound. */
 	warmUpSlack?: number | undefined;
+	/** Memory of the VM in megabytes; without it, the bytes held for callers and targets are not bounded. */
+	memoryMb?: number;
 };
 
 /**
@@ -96,6 +98,7 @@
 		thawSlackMs: reader.integer('thawSlackMs', {maximum: longestTimeMs}),
 		...(warmUpOverrun !== undefined && {warmUpOverrun}),
 		...(warmUpSlack !== undefined && {warmUpSlack}),
+		...(reader.has('memoryMb') && {memoryMb: reader.number('memoryMb', {minimum: 1})}),
 	};
 	reader.throwOnFaults();
 	return settings;
--- a/src/transport/target-exchange.ts
+++ b/src/transport/target-exchange.ts
@@ -8,6 +8,7 @@
 	AttemptEnd, type AnswerHead, type Attempt, type AttemptResult, type CallerRequest, type HeaderList,
 } from '../model/forwarding.js';
 import type {TargetStatement} from '../model/target-statement.js';
+import {isValidStatus} from './answer-status.js';
 import type {ConnectionPool} from './connection-pool.js';
 import type {HttpConnection} from './http-connection.js';
 import {ProvisionalAnswers} from './provisional-answers.js';
@@ -61,6 +62,7 @@
 	private resolve: ((result: AttemptResult) => void) | undefined;
 
 	private readonly onCancel: () => void;
+	private readonly onEnding: () => void;
 	private readonly onBodyError: () => void;
 
 	constructor(
@@ -75,6 +77,12 @@
 			this.fail('cancelled');
 		};
 
+		this.onEnding = () => {
+			if (!this.sink) {
+				this.fail('the daemon stops');
+			}
+		};
+
 		this.onBodyError = () => {
 			this.fail('the request body was incomplete');
 		};
@@ -93,6 +101,7 @@
 				}
 			}, connectTimeoutMs);
 			attempt.cancellation.subscribe(this.onCancel);
+			attempt.ending?.subscribe(this.onEnding);
 			if (attempt.cancellation.isCancelled) {
 				this.onCancel();
 				return;
@@ -137,6 +146,11 @@
 			return;
 		}
 
+		if (!isValidStatus(status)) {
+			this.fail(`status ${status} is not valid`);
+			return;
+		}
+
 		if (this.provisionalAnswers.isExceededBy(status)) {
 			this.fail('too many provisional answers');
 			return;
@@ -287,6 +301,7 @@
 		clearTimeout(this.timer);
 		clearTimeout(this.connectTimer);
 		this.attempt.cancellation.unsubscribe(this.onCancel);
+		this.attempt.ending?.unsubscribe(this.onEnding);
 		if (this.request.body instanceof Readable) {
 			this.request.body.off('error', this.onBodyError);
 		}
