--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -660,7 +660,6 @@
 		const timeoutMs = this.patienceMs(context, target, budgetMs) ?? budgetMs;
 		let answerStartedAt: number | undefined;
 		let told: TargetStatement | undefined;
-		const usesOpenConnection = context.way === RequestWay.OpenConnection;
 		const recordEnd = this.options.relay?.startAttempt(target);
 		const result = await this.untilCallerLeaves(context, async cancellation => transport.send(context.request, {
 			target,
@@ -668,7 +667,7 @@
 			timeoutMs,
 			cancellation,
 			connectionLimit: this.connectionLimit(context.service),
-			usesOpenConnection,
+			usesOpenConnection: context.way === RequestWay.OpenConnection,
 			ending: context.ending,
 			mayBeSent: () => this.mayBeSent(context, target),
 			onStatement: statement => {
@@ -678,10 +677,7 @@
 				this.recordWarmUp(context, target, statement);
 			},
 		}));
-		const isNotSent = result.end === AttemptEnd.NotSent;
-		const wasHeldBack = isNotSent && (usesOpenConnection || !this.mayBeSent(context, target));
-		const wasEnded = this.hasEnded && result.end === AttemptEnd.Ambiguous;
-		const isUnknown = wasHeldBack || wasEnded || context.request.cancellation.isCancelled;
+		const isUnknown = this.isWithoutEvidence(context, target, result);
 		this.releaseSlot(context, {
 			end: isUnknown ? SlotEnd.Unused : slotEndOf(result),
 			// A slow caller delays the end of a streamed answer.
@@ -707,6 +703,13 @@
 		return result;
 	}
 
+	/** True if the result says nothing about the target: the daemon held the attempt back or ended it, or the caller left. */
+	private isWithoutEvidence(context: ForwardingContext, target: Target, {end}: AttemptResult): boolean {
+		const wasHeldBack = end === AttemptEnd.NotSent && (context.way === RequestWay.OpenConnection || !this.mayBeSent(context, target));
+		const wasEnded = end === AttemptEnd.Ambiguous && this.hasEnded;
+		return wasHeldBack || wasEnded || context.request.cancellation.isCancelled;
+	}
+
 	/** Time after which a silent attempt is given up, in milliseconds; undefined if it may use all the time that is left. */
 	private patienceMs(context: ForwardingContext, target: Target, leftMs: number): number | undefined {
 		const {route, service, request, grant, deliveredAttempts} = context;
