--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -129,7 +129,14 @@
 		const {leadership} = this.leader;
 		const {holdLimitMs, thawSlackMs} = settings;
 		const leaderWord = new LeaderWord({
-			leadership, ownerFreshness: this.view.ownerFreshness, limits: {holdLimitMs, thawSlackMs}, readOwners: async () => this.sync.refreshOwners(),
+			leadership,
+			ownerFreshness: {
+				confirm: at => {
+					this.view.confirmOwners(at);
+				},
+			},
+			limits: {holdLimitMs, thawSlackMs},
+			readOwners: async () => this.sync.refreshOwners(),
 		});
 		this.relayTransport = new PeerRelayTransport(daemon);
 		this.relay = this.createRelay(loads);
@@ -390,6 +397,7 @@
 			unreleasedRanges: () => this.view.unreleasedRangeCount,
 			configurationVersion: () => this.view.configuration?.version ?? 0,
 			configurationEvidenceAgeMs: () => this.view.freshness.ageMs,
+			storeEra: () => this.store.era.current ?? 0,
 			ownerEvidenceAgeMs: () => this.view.ownerFreshness.ageMs,
 			isStoreReachable: () => this.sync.isStoreReachable,
 			limitedTargets: () => this.statements.limitedCount,
--- a/src/decisions/fleet/assignment-codec.ts
+++ b/src/decisions/fleet/assignment-codec.ts
@@ -30,6 +30,8 @@
 	service: documentName,
 	fence: fencingToken,
 	writeId: z.string(),
+	/** Missing while no era of the store is known. */
+	era: z.optional(counter),
 	owners: z.array(ownerSchema),
 	ranges: z.array(rangeSchema),
 	/** Missing in documents of earlier versions. */
@@ -76,20 +78,20 @@
  */
 export function applyAssignmentChange(change: AssignmentChange, base?: KeyAssignment): KnownAssignment {
 	const {
-		service, fence, writeId, ranges, unreleased,
+		service, fence, writeId, era, ranges, unreleased,
 	} = fromDocument(change);
 	const kept = base?.ranges.filter(range => !ranges.some(({first, last}) => first <= range.last && last >= range.first)) ?? [];
 	const all = [...kept, ...ranges].toSorted((left, right) => left.first - right.first);
 	return {
 		assignment: requireFullCoverage({
-			service, fence, writeId, ranges: all, unreleased,
+			service, fence, writeId, ...(era !== undefined && {era}), ranges: all, unreleased,
 		}),
 		revision: change.revision,
 	};
 }
 
 function toDocument({
-	service, fence, writeId, unreleased,
+	service, fence, writeId, era, unreleased,
 }: KeyAssignment, ranges: readonly OwnedRange[]): AssignmentDocument {
 	const positions = new Map<string, number>();
 	const owners: AssignmentDocument['owners'] = [];
@@ -108,6 +110,7 @@
 		service,
 		fence,
 		writeId,
+		...(era !== undefined && {era}),
 		ranges: ranges.map(range => [range.first, range.last, positionOf(range.owner), range.fence, range.previous.map(incarnation => positionOf(incarnation)), range.isBlocked ? 1 : 0]),
 		...(unreleased.length > 0 && {unreleased: unreleased.map((range): z.infer<typeof unreleasedSchema> => [range.first, range.last, positionOf(range.holder), range.fence])}),
 		owners,
@@ -115,7 +118,7 @@
 }
 
 function fromDocument({
-	service, fence, writeId, owners, ranges, unreleased = [],
+	service, fence, writeId, era, owners, ranges, unreleased = [],
 }: AssignmentDocument): KeyAssignment {
 	const incarnations = owners.map(([id, bornAt, address]): TargetIncarnation => ({id, bornAt, address}));
 	const incarnationAt = (position: number): TargetIncarnation => {
@@ -131,6 +134,7 @@
 		service,
 		fence,
 		writeId,
+		...(era !== undefined && {era}),
 		ranges: ranges.map(([first, last, owner, rangeFence, previous, isBlocked]) => ({
 			first, last, owner: incarnationAt(owner), fence: rangeFence, previous: previous.map(position => incarnationAt(position)), isBlocked: isBlocked === 1,
 		})),
--- a/src/decisions/fleet/configuration-freshness.ts
+++ b/src/decisions/fleet/configuration-freshness.ts
@@ -37,6 +37,8 @@
 	/** Monotonic time at which a peer with a newer version last reached the store. */
 	private lastObtainableAt = Number.NEGATIVE_INFINITY;
 	private readonly waiters = new EvidenceWaiters();
+	/** True while the restored store is not known to have a configuration at least as new as the active one. */
+	private isAhead = false;
 
 	/** @param boundMs time in which a configuration has to be active on every daemon, in milliseconds */
 	constructor(readonly boundMs = defaultBoundMs) {}
@@ -105,7 +107,7 @@
 	 * @param at a moment that is not after the store's answer; requested evidence counts from the request
 	 */
 	confirm(at: Moment): void {
-		if (elapsedSince(at) >= this.ageMs) {
+		if (this.isAhead || elapsedSince(at) >= this.ageMs) {
 			return;
 		}
 
@@ -117,6 +119,24 @@
 		this.settleIfFresh();
 	}
 
+	/** True while the restored store is not known to have a configuration at least as new as the active one, which is not confirmed then. */
+	get isAheadOfStore(): boolean {
+		return this.isAhead;
+	}
+
+	/** Records the version of the store, read by this daemon or a peer. */
+	recordStoredVersion(version: number): void {
+		this.isAhead &&= version < this.activeVersion;
+	}
+
+	/** Discards the evidence and what peers reported, because the store was restored. */
+	beginEra(): void {
+		this.isAhead = this.activeVersion > 0;
+		this.confirmedAt = undefined;
+		this.failedAt = undefined;
+		this.missingVersions = [];
+	}
+
 	/** Records that neither the store nor a peer has evidence: pending waits end, and new ones fail at once for some time. */
 	recordFailure(): void {
 		this.failedAt = currentMoment();
--- a/src/decisions/fleet/daemon-documents.ts
+++ b/src/decisions/fleet/daemon-documents.ts
@@ -4,7 +4,7 @@
 import * as z from 'zod/mini';
 import {MalformedDocumentError} from '../../model/errors.js';
 import type {Member} from '../../model/fleet.js';
-import {decodeDocument, documentName} from './document-schema.js';
+import {counter, decodeDocument, documentName} from './document-schema.js';
 
 /** Prefix of all keys of the daemons. */
 const prefix = 'eelgrasswheel/';
@@ -27,7 +27,11 @@
 	room: z.number().check(z.minimum(0), z.maximum(maxRoom)),
 });
 
-const leaderSchema = z.object({daemon: documentName});
+const leaderSchema = z.object({
+	daemon: documentName,
+	/** Era of the store in which the daemon acquired leadership; missing while none is known. */
+	era: z.optional(counter),
+});
 
 /**
  * Decodes the entry of a daemon.
@@ -49,6 +53,6 @@
  *
  * @throws {MalformedDocumentError}
  */
-export function decodeLeader(text: string): {daemon: string} {
+export function decodeLeader(text: string): z.infer<typeof leaderSchema> {
 	return decodeDocument('leader', leaderSchema, text);
 }
--- a/src/decisions/fleet/evidence-requester.ts
+++ b/src/decisions/fleet/evidence-requester.ts
@@ -94,7 +94,7 @@
 	applyRisingChanges(changes: readonly StoreChange[]): void {
 		const {view, writer, configurationKey} = this.options;
 		const isNewerOwners = ({key, revision}: StoreChange): boolean => key.startsWith(storeKeys.assignments)
-			&& revision > (view.assignments.get(key.slice(storeKeys.assignments.length))?.revision ?? 0);
+			&& revision > (view.currentAssignment(key.slice(storeKeys.assignments.length))?.revision ?? 0);
 		for (const change of changes.filter(each => each.key === configurationKey || isNewerOwners(each))) {
 			writer.apply(change);
 		}
@@ -134,9 +134,12 @@
 		const requestedAt = currentMoment();
 		this.readAt = requestedAt.monotonic;
 		this.isReading = true;
-		if (await this.read(this.options.configurationKey)) {
+		const isRead = await this.read(this.options.configurationKey);
+		if (isRead) {
 			this.confirm(requestedAt);
-		} else {
+		}
+
+		if (!isRead || this.options.view.freshness.isAheadOfStore) {
 			this.options.view.freshness.recordFailure();
 		}
 
--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -2,10 +2,10 @@
  * Synchronizes the view with the store, by one watch on all keys or by the updates of another daemon that watches.
  */
 import type {
-	CoordinationStore, StoreChange, StoreChanges, StoreUpdate,
+	CoordinationStore, StoreChange, StoreChanges, StoredItem, StoreUpdate,
 } from '../../model/coordination-store.js';
 import {
-	describeFailure, HistoryLostError, RouterError, WatchInterruptedError,
+	describeFailure, HistoryLostError, RouterError, StoreRestoredError, WatchInterruptedError,
 } from '../../model/errors.js';
 import {LogEvent, type EventLog} from '../../model/events.js';
 import {
@@ -100,6 +100,10 @@
 	private hasListed = false;
 	/** True until everything was read, at the start and when the store no longer has the history that is missing here. */
 	private mustList = true;
+	/** Revision that the store did not have at the last watch. */
+	private missingRevision = 0;
+	/** True until everything was read in the current era of the store, if the view has contents of an earlier one. */
+	private isRestored = false;
 	private newestPeerRevision = 0;
 	private newestPeerRevisionAt = 0;
 	private behindSince = 0;
@@ -126,6 +130,9 @@
 		this.evidenceRequester = new EvidenceRequester({
 			store, view, writer: this.writer, relay, log, configurationKey: documents.configurationKey,
 		});
+		store.era.subscribe((era, isRestore) => {
+			this.beginEra(era, isRestore);
+		});
 		this.watchWaitMs = Math.floor(Math.min(watchLimitMs, view.freshness.boundMs * watchWaitShare));
 		this.ownerEvidenceRequester = new OwnerEvidenceRequester({
 			view,
@@ -143,6 +150,11 @@
 		return this.hasLastCallSucceeded && !this.isWatchSilent;
 	}
 
+	/** Records the era of the store that a peer knows; false if it cannot be believed. */
+	learnEra(era: number): boolean {
+		return this.store.era.advance(era);
+	}
+
 	/** True once everything was read. */
 	get isComplete(): boolean {
 		return this.hasListed;
@@ -231,6 +243,31 @@
 		}
 	}
 
+	/** Starts over because the store was restored: everything is read again, and replaces what is known. */
+	private beginEra(era: number, isRestore: boolean): void {
+		const {view} = this;
+		if (!isRestore) {
+			view.storeEra = era;
+			return;
+		}
+
+		this.log.record(LogEvent.StoreRestored, {
+			era, earlierEra: view.storeEra, revision: view.revision, configuration: view.configuration?.version,
+		});
+		view.beginEra(era);
+		view.tolerateExpiry(performance.now() + renewalGraceMs);
+		this.writer.beginEra();
+		this.mustList = true;
+		this.isRestored = true;
+		this.newestPeerRevision = 0;
+		this.missingRevision = 0;
+		this.ownersKnownTo = 0;
+		this.endFollowing?.();
+		if (this.isWatching) {
+			this.store.interruptWatch(`the store was restored, its era is ${era}`);
+		}
+	}
+
 	private applyUpdate({changes, revision}: StoreUpdate): void {
 		for (const change of changes) {
 			if (change.revision > this.view.revision) {
@@ -291,10 +328,11 @@
 		} catch (error) {
 			if (error instanceof HistoryLostError) {
 				this.mustList = true;
+				this.missingRevision = this.view.revision;
 				return;
 			}
 
-			if (error instanceof WatchInterruptedError) {
+			if (error instanceof StoreRestoredError || error instanceof WatchInterruptedError) {
 				return;
 			}
 
@@ -316,18 +354,19 @@
 		this.recordSuccess();
 		this.capPeerRevision(revision, requestedAt.monotonic);
 		this.mustList = false;
-		if (revision < this.view.revision) {
+		if (revision < this.view.revision && revision >= this.missingRevision) {
 			// Updates from peers have brought the view to a newer revision meanwhile.
 			return;
 		}
 
 		const after = this.view.revision;
-		const removals = this.writer.unlistedKeys(items).map((key): StoreChange => ({key, value: undefined, revision}));
+		const removals = this.unlistedKeys(items).map((key): StoreChange => ({key, value: undefined, revision}));
 		for (const change of [...removals, ...items]) {
 			this.writer.apply(change);
 		}
 
 		this.view.revision = revision;
+		this.isRestored = false;
 		this.evidenceRequester.confirm(requestedAt);
 		this.confirmOwners(requestedAt, revision);
 		if (this.hasListed && !this.relay.isFollowing()) {
@@ -337,6 +376,21 @@
 		this.hasListed = true;
 	}
 
+	/** Keys to be removed. The daemons whose entries a restore has lost write them again, and get messages until then. */
+	private unlistedKeys(items: readonly StoredItem[]): string[] {
+		const keys = this.writer.unlistedKeys(items);
+		if (!this.isRestored) {
+			return keys;
+		}
+
+		const isMember = (key: string): boolean => key.startsWith(storeKeys.members);
+		for (const key of keys.filter(each => isMember(each))) {
+			this.view.keepUnlistedMember(key.slice(storeKeys.members.length));
+		}
+
+		return keys.filter(key => !isMember(key));
+	}
+
 	/** Caps the newest revision that peers reported before the request at the store's, which had no higher one by then. */
 	private capPeerRevision(revision: number, requestedAt: number): void {
 		if (this.newestPeerRevisionAt < requestedAt) {
@@ -413,7 +467,7 @@
 	private confirmOwners(at: Moment, revision: number): void {
 		if (!this.writer.hasMalformedOwners) {
 			this.ownersKnownTo = Math.max(this.ownersKnownTo, revision);
-			this.view.ownerFreshness.confirm(at);
+			this.view.confirmOwners(at);
 		}
 	}
 
--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -7,6 +7,7 @@
 } from '../../model/fleet.js';
 import type {KeyAssignment} from '../../model/key-ownership.js';
 import type {RouteConfiguration} from '../../model/route-configuration.js';
+import type {Moment} from '../ownership/moment.js';
 import {RouteIndex} from '../routing/route-index.js';
 import {ConfigurationFreshness} from './configuration-freshness.js';
 import {OwnerFreshness} from './owner-freshness.js';
@@ -40,22 +41,42 @@
 /** Time for which a daemon is remembered whose entry has expired, in milliseconds; bounds the memory. */
 const formerMemberRetentionMs = 600_000;
 
+/**
+ * Time for which a daemon is sent messages after a restore of the store although its entry is missing, in milliseconds. It writes
+ * its entry again once it learns of the restore, at the latest by the renewal of its lease.
+ */
+const unlistedMemberRetentionMs = 9000;
+
 /** Number of earlier assignments kept for each service, so that daemons a few changes behind need not get all ranges. */
 const assignmentHistoryLimit = 8;
 
 /** Entries in a row that an incarnation with an earlier start has to write to be listed again; one may be a late write of a process that ended. */
 const repeatedEntryCount = 2;
 
+/** True if an assignment is newer than another one of the same service. Revisions are compared only within one era. */
+export function isNewerAssignment(left: KnownAssignment, right: KnownAssignment): boolean {
+	const eras = (left.assignment.era ?? 0) - (right.assignment.era ?? 0);
+	return eras === 0 ? left.revision > right.revision : eras > 0;
+}
+
 /** The copy that decisions read; the synchronization with the store updates it. */
 export class FleetView {
 	/** Revision of the store up to which the view is complete. */
 	revision = 0;
+	/** Era of the store to which the revisions belong; undefined while none is known. */
+	storeEra: number | undefined;
 	leader: KnownLeader | undefined;
+	/** Revision of the leader's key if it was written before the store was restored, so that it names no leader; 0 otherwise. */
+	formerLeaderRevision = 0;
 	readonly members = new Map<string, Member>();
 	readonly assignments = new Map<string, KnownAssignment>();
 	readonly ownerFreshness = new OwnerFreshness();
 	/** Daemons whose entries have expired, with the time of the removal. */
 	private readonly formerMembers = new Map<string, {member: Member; removedAt: number}>();
+	/** Members whose entries the restored store does not contain, with the time until which they count as members. */
+	private readonly unlistedMembers = new Map<string, number>();
+	/** Highest revision of earlier eras. */
+	private lostRevision = 0;
 	private readonly assignmentHistory = new Map<string, KnownAssignment[]>();
 	private routes: RouteIndex | undefined;
 	private readonly targets = new Map<string, Target>();
@@ -92,7 +113,50 @@
 
 	/** True if requests may be sent to the known owners. There are none before the first listing of the store. */
 	get mayUseOwners(): boolean {
-		return this.ownerFreshness.isFresh || (this.revision === 0 && !this.ownerFreshness.hasEvidence);
+		return this.ownerFreshness.isFresh || (this.revision === 0 && this.lostRevision === 0 && !this.ownerFreshness.hasEvidence);
+	}
+
+	/** True unless the newest known owners of a keyed service were written before the store was restored. */
+	get areOwnersCurrent(): boolean {
+		return [...this.assignments].every(([service, known]) => this.isCurrent(known) || this.configuration?.services.get(service)?.isKeyed !== true);
+	}
+
+	/** Records that the known owners were the newest ones at a moment; owners of a lost era are never confirmed. */
+	confirmOwners(at: Moment): void {
+		if (this.areOwnersCurrent) {
+			this.ownerFreshness.confirm(at);
+		}
+	}
+
+	/** Highest revision of this and earlier eras, for comparisons of magnitude. */
+	get highestRevision(): number {
+		return Math.max(this.revision, this.lostRevision);
+	}
+
+	/**
+	 * Starts over because the store was restored. The contents stay in use until they are read again, but revisions and evidence
+	 * belong to the lost era.
+	 */
+	beginEra(era: number): void {
+		this.storeEra = era;
+		this.lostRevision = this.highestRevision;
+		this.revision = 0;
+		this.leader = undefined;
+		this.formerLeaderRevision = 0;
+		this.unlistedMembers.clear();
+		this.freshness.beginEra();
+		this.ownerFreshness.beginEra();
+	}
+
+	/** True if an assignment was written in the current era of the store. */
+	isCurrent({assignment}: KnownAssignment): boolean {
+		return assignment.era === this.storeEra;
+	}
+
+	/** The known assignment of a service if it was written in the current era of the store. */
+	currentAssignment(service: string): KnownAssignment | undefined {
+		const known = this.assignments.get(service);
+		return known && this.isCurrent(known) ? known : undefined;
 	}
 
 	/** Waits for evidence that the active limits for callers are the newest ones. */
@@ -100,7 +164,18 @@
 		return await this.freshness.waitForEvidence(cancellation) && this.configuration?.hasUnknownLimits === false;
 	}
 
+	applyMember(member: Member): void {
+		this.members.set(member.daemon, member);
+		this.unlistedMembers.delete(member.daemon);
+	}
+
+	/** Keeps a member for some time although the restored store does not contain its entry. */
+	keepUnlistedMember(daemon: string, now = performance.now()): void {
+		this.unlistedMembers.set(daemon, now + unlistedMemberRetentionMs);
+	}
+
 	removeMember(daemon: string, now = performance.now()): void {
+		this.unlistedMembers.delete(daemon);
 		const member = this.members.get(daemon);
 		if (member) {
 			this.members.delete(daemon);
@@ -113,9 +188,14 @@
 		return this.members.get(daemon) ?? this.formerMembers.get(daemon)?.member;
 	}
 
-	/** Activates a configuration unless the active one is as new; returns whether it did. */
-	applyConfiguration(configuration: RouteConfiguration): boolean {
-		if (this.configuration && this.configuration.version >= configuration.version) {
+	/**
+	 * Activates a configuration unless the active one is as new; returns whether it did.
+	 *
+	 * @param replacesEqual true if the store was restored since the active one was read, so that its version may have been written anew
+	 */
+	applyConfiguration(configuration: RouteConfiguration, replacesEqual = false): boolean {
+		const active = this.configuration?.version ?? -1;
+		if (active > configuration.version || (active === configuration.version && !replacesEqual)) {
 			return false;
 		}
 
@@ -222,19 +302,24 @@
 		return this.graceUntil;
 	}
 
+	/**
+	 * Applies an assignment of the current era unless the known one is as new. One that was written before a restore of the store is
+	 * only read by the leader, which compares it with what daemons know.
+	 */
 	applyAssignment(known: KnownAssignment): void {
-		const current = this.assignments.get(known.assignment.service);
-		if (current && current.revision >= known.revision) {
-			return;
+		if (this.isCurrent(known)) {
+			this.applyNewer(known);
 		}
+	}
 
-		this.assignments.set(known.assignment.service, known);
-		const history = this.assignmentHistory.get(known.assignment.service) ?? [];
-		this.assignmentHistory.set(known.assignment.service, [...history, ...(current ? [current] : [])].slice(-assignmentHistoryLimit));
-		this.notifyAssignments();
+	/** Applies an assignment of a lost era from another daemon, unless the known one is as new. */
+	applyFormerAssignment(known: KnownAssignment): void {
+		if (this.storeEra !== undefined && (known.assignment.era ?? 0) < this.storeEra) {
+			this.applyNewer(known);
+		}
 	}
 
-	/** The recent assignment with this revision, if it is still kept. */
+	/** The recent assignment with this revision of the era of the newest one, if it is still kept. */
 	assignmentAt(service: string, revision: number): KnownAssignment | undefined {
 		return this.assignmentHistory.get(service)?.find(known => known.revision === revision);
 	}
@@ -274,6 +359,12 @@
 			}
 		}
 
+		for (const [daemon, keptUntil] of this.unlistedMembers) {
+			if (now > keptUntil) {
+				this.removeMember(daemon, now);
+			}
+		}
+
 		for (const [id, {removedAt}] of this.removed) {
 			if (now - removedAt > removedRetentionMs) {
 				this.removed.delete(id);
@@ -310,6 +401,20 @@
 		return ready;
 	}
 
+	private applyNewer(known: KnownAssignment): void {
+		const {service, era} = known.assignment;
+		const current = this.assignments.get(service);
+		if (current && !isNewerAssignment(known, current)) {
+			return;
+		}
+
+		this.assignments.set(service, known);
+		const isSameEra = current?.assignment.era === era;
+		const history = isSameEra ? this.assignmentHistory.get(service) ?? [] : [];
+		this.assignmentHistory.set(service, [...history, ...(current && isSameEra ? [current] : [])].slice(-assignmentHistoryLimit));
+		this.notifyAssignments();
+	}
+
 	private notifyAssignments(): void {
 		for (const listener of this.assignmentListeners) {
 			listener();
--- a/src/decisions/fleet/leader-word.ts
+++ b/src/decisions/fleet/leader-word.ts
@@ -18,7 +18,7 @@
 /** Dependencies of the word. */
 export type LeaderWordOptions = {
 	leadership: Pick<Leadership, 'isLeader' | 'termCount' | 'confirmationAgeMs'>;
-	ownerFreshness: OwnerFreshness;
+	ownerFreshness: Pick<OwnerFreshness, 'confirm'>;
 	limits: HoldLimits;
 	/** Reads the owners from the store; false if that failed. */
 	readOwners(): Promise<boolean>;
--- a/src/decisions/fleet/membership.ts
+++ b/src/decisions/fleet/membership.ts
@@ -32,6 +32,8 @@
 	/** Revision of the entry. */
 	revision: number;
 	at: number;
+	/** Era of the store to which lease and revision belong. */
+	era: number | undefined;
 };
 
 /** Writes the entry, renews its lease and removes it. */
@@ -49,6 +51,13 @@
 			return;
 		}
 
+		if (this.registration && this.registration.era !== this.options.store.era.current) {
+			// Lease and entry are lost; the id of the lease may have been given to another daemon since.
+			this.registration = undefined;
+			this.nextCallAt = now;
+			this.options.log.record(LogEvent.LeaseLost, {detail: 'the store was restored'});
+		}
+
 		if (this.registration && this.isEntryRemoved) {
 			// An entry that the view can never show must not be written again and again.
 			this.nextCallAt = this.registration.at + renewalMs;
@@ -67,7 +76,7 @@
 	/** Removes the entry. */
 	async leave(): Promise<void> {
 		this.hasLeft = true;
-		if (this.registration) {
+		if (this.registration && this.registration.era === this.options.store.era.current) {
 			await this.options.store.endLease(this.registration.lease);
 		}
 	}
@@ -103,9 +112,13 @@
 
 	private async register(): Promise<void> {
 		const {store} = this.options;
+		const era = store.era.current;
 		const {id} = await store.openLease(leaseMs);
+		store.era.requireSame(era);
 		const key = `${storeKeys.members}${this.member.daemon}`;
 		const revision = await store.write({expected: [], puts: [{key, value: JSON.stringify(this.member), lease: id}]});
-		this.registration = {lease: id, revision, at: performance.now()};
+		this.registration = {
+			lease: id, revision, at: performance.now(), era: store.era.current,
+		};
 	}
 }
--- a/src/decisions/fleet/owner-freshness.ts
+++ b/src/decisions/fleet/owner-freshness.ts
@@ -14,6 +14,8 @@
 /** Tracks until when the known owners were confirmed as the newest ones. */
 export class OwnerFreshness {
 	private confirmedAt: Moment | undefined;
+	/** True if the evidence is from before the store was restored. */
+	private isOfLostEra = false;
 	private failedAt: Moment | undefined;
 	private readonly waiters = new EvidenceWaiters();
 
@@ -31,6 +33,11 @@
 		return this.waiters.size > 0;
 	}
 
+	/** True if other daemons may rely on the evidence. */
+	get isShareable(): boolean {
+		return this.hasEvidence && !this.isOfLostEra;
+	}
+
 	/** Age of the evidence in milliseconds. */
 	get ageMs(): number {
 		return this.confirmedAt ? elapsedSince(this.confirmedAt) : Infinity;
@@ -47,12 +54,21 @@
 		}
 
 		this.confirmedAt = at;
+		this.isOfLostEra = false;
 		if (this.isFresh) {
 			this.failedAt = undefined;
 			this.waiters.settle(true);
 		}
 	}
 
+	/**
+	 * Marks the evidence as being from before the store was restored. It holds for the rest of its lifetime: the leader of the new era
+	 * waits for its end as after any other takeover.
+	 */
+	beginEra(): void {
+		this.isOfLostEra = this.hasEvidence;
+	}
+
 	/**
 	 * Waits for evidence; false if none came in time, or the request was cancelled. After a wait in vain, others fail at once for
 	 * some time.
--- a/src/decisions/fleet/peer-exchange.ts
+++ b/src/decisions/fleet/peer-exchange.ts
@@ -4,6 +4,7 @@
  * In a small availability zone, each daemon reports its load to all others. In a large one, it reports to the hub, which sends
  * the total to all. A message to another availability zone goes to the hub there, which forwards it.
  */
+import {partition} from 'es-toolkit';
 import type {StoreUpdate} from '../../model/coordination-store.js';
 import type {Member} from '../../model/fleet.js';
 import type {TargetLoads} from '../forwarding/target-loads.js';
@@ -61,6 +62,9 @@
 /** Number of evidence requests whose answers are still accepted; one is sent every 60 ms. */
 const evidenceRequestLimit = 16;
 
+/** Shortest interval between requests for an assignment from before a restore, in milliseconds; an answer takes a few milliseconds. */
+const formerRequestIntervalMs = 60;
+
 /** Dependencies of the exchange. */
 export type PeerExchangeOptions = {
 	daemon: string;
@@ -120,6 +124,9 @@
 	private pendingOwnerEvidence: OwnerEvidence | undefined;
 	/** Starts at the time of day, so that requests of an earlier process of this daemon have lower numbers. */
 	private nextRequestNumber = Date.now();
+	/** Era of the store to which the known revisions of peers belong. */
+	private storeEra: number | undefined;
+	private readonly formerRequestedAt = new Map<string, number>();
 
 	constructor(private readonly options: PeerExchangeOptions) {}
 
@@ -134,6 +141,7 @@
 
 	/** Called periodically. */
 	tick(now = performance.now()): void {
+		this.followEra();
 		this.reportLoad(now);
 		this.reportZoneLoad(now);
 		this.reportKeys(now);
@@ -152,6 +160,7 @@
 
 	/** Relays changes of the store to the other daemons of the availability zone, which do not watch it. */
 	publish(update: StoreUpdate): void {
+		this.followEra();
 		const localPeers = this.options.hubs.localPeers();
 		for (const part of splitUpdate(withoutLargeValues(withoutSuperseded(withoutAssignments(update))), updateLimitBytes)) {
 			this.recentUpdates.add(part);
@@ -181,7 +190,7 @@
 	/** Sends peers the owners that were just written. A peer that misses the message notices it by the revisions in later ones. */
 	announce(service: string): void {
 		const {hubs, view} = this.options;
-		const known = view.assignments.get(service);
+		const known = view.currentAssignment(service);
 		if (known) {
 			this.send({change: diffAssignment(known, view.previousAssignment(service))}, [...hubs.localPeers(), ...hubs.remoteRecipients(performance.now())]);
 		}
@@ -205,8 +214,9 @@
 	}
 
 	receive(message: PeerMessage, now = performance.now()): void {
-		const {sync, view, recordKeys, daemon} = this.options;
-		if (message.daemon === daemon || !this.isPlausible(message)) {
+		const {view, recordKeys, daemon} = this.options;
+		const isCurrent = message.daemon !== daemon && this.learnEra(message.storeEra);
+		if (message.daemon === daemon || (isCurrent && !this.isPlausible(message))) {
 			return;
 		}
 
@@ -216,6 +226,21 @@
 			this.receiveHubReport(message, now);
 		}
 
+		if (isCurrent) {
+			this.receiveStoreData(message, now);
+		}
+
+		for (const [service, keys] of Object.entries(message.keys ?? {})) {
+			recordKeys(service, keys);
+		}
+
+		this.answerRequests(message, view.findSender(message.daemon), isCurrent);
+		this.forwardToZone(message, now);
+	}
+
+	/** Takes what a message of the current era says of the store. */
+	private receiveStoreData(message: PeerMessage, now: number): void {
+		const {sync, view} = this.options;
 		if (message.update && sync.applyPeerUpdate(message.update)) {
 			this.recentUpdates.add(message.update);
 		}
@@ -233,18 +258,43 @@
 		}
 
 		this.recordMissingAssignments(message, now);
-		for (const [service, keys] of Object.entries(message.keys ?? {})) {
-			recordKeys(service, keys);
+		this.requestFormerAssignments(message, now);
+	}
+
+	/**
+	 * Learns the era of a peer.
+	 *
+	 * @returns false if the message is of another era than the current one, so that its revisions, changes and evidence are not believed
+	 */
+	private learnEra(era: number | undefined): boolean {
+		const {sync, view} = this.options;
+		if (era !== undefined) {
+			sync.learnEra(era);
 		}
 
-		this.answerRequests(message, view.findSender(message.daemon));
-		this.forwardToZone(message, now);
+		this.followEra();
+		return era === view.storeEra;
+	}
+
+	/** Forgets what belongs to a lost era of the store. */
+	private followEra(): void {
+		const {storeEra} = this.options.view;
+		if (storeEra === this.storeEra) {
+			return;
+		}
+
+		this.storeEra = storeEra;
+		this.recentUpdates.clear();
+		this.missingAssignments.clear();
+		this.newestPeer = '';
+		this.evidenceRequests.length = 0;
+		this.pendingOwnerEvidence = undefined;
 	}
 
 	/** False if a revision or version is too far ahead, and before the first listing, when no known revision can be compared. */
 	private isPlausible({revision, update, change, assignments, configurationVersion = 0}: PeerMessage): boolean {
 		const {view} = this.options;
-		const known = view.revision;
+		const known = view.highestRevision;
 		if (configurationVersion > (view.configuration?.version ?? Infinity) + plausibleLead) {
 			return false;
 		}
@@ -256,7 +306,12 @@
 	/** Ignores a change whose base is not the known revision; the missing assignment is requested later. */
 	private receiveAssignmentChange(change: AssignmentChange): void {
 		const {view} = this.options;
-		const known = view.assignments.get(change.service);
+		if (change.era !== view.storeEra) {
+			this.receiveFormerAssignment(change);
+			return;
+		}
+
+		const known = view.currentAssignment(change.service);
 		if (known && (known.revision >= change.revision || (change.base !== undefined && known.revision !== change.base))) {
 			return;
 		}
@@ -268,6 +323,34 @@
 		view.applyAssignment(applyAssignmentChange(change, change.base === undefined ? undefined : known?.assignment));
 	}
 
+	/** Takes a whole assignment from before a restore, if no leader has written the owners since. */
+	private receiveFormerAssignment(change: AssignmentChange): void {
+		if (change.base === undefined) {
+			this.options.view.applyFormerAssignment(applyAssignmentChange(change));
+		}
+	}
+
+	/** Requests assignments from before a restore that are newer than the known ones: the next leader has to know the newest. */
+	private requestFormerAssignments({daemon, formerAssignments = {}}: PeerMessage, now: number): void {
+		const {view} = this.options;
+		const services = Object.entries(formerAssignments).filter(([service, {era, revision}]) => {
+			const known = view.assignments.get(service);
+			const knownEra = known?.assignment.era ?? 0;
+			const isNewer = known === undefined || era > knownEra || (era === knownEra && revision > known.revision);
+			return isNewer && now - (this.formerRequestedAt.get(service) ?? Number.NEGATIVE_INFINITY) > formerRequestIntervalMs;
+		}).map(([service]) => service);
+		const member = view.findSender(daemon);
+		if (services.length === 0 || !member) {
+			return;
+		}
+
+		for (const service of services) {
+			this.formerRequestedAt.set(service, now);
+		}
+
+		this.send({wants: {formerAssignments: services}}, [member]);
+	}
+
 	private requestEvidenceFrom(daemon = ''): void {
 		const member = this.options.view.members.get(daemon);
 		if (!member || daemon === this.options.daemon) {
@@ -289,7 +372,8 @@
 			return;
 		}
 
-		if ((view.configuration?.version ?? 0) >= evidence.version) {
+		if (evidence.ageMs !== undefined && (view.configuration?.version ?? 0) >= evidence.version) {
+			view.freshness.recordStoredVersion(evidence.version);
 			view.freshness.confirm(shiftMoment(request.sentAt, -evidence.ageMs));
 		}
 
@@ -300,9 +384,9 @@
 
 	/** Applies evidence for owners that are known here, and keeps it until then; the message with newer owners may be on its way. */
 	private receiveOwnerEvidence(evidence: OwnerEvidence): void {
-		const {assignments, ownerFreshness} = this.options.view;
-		if (Object.entries(evidence.assignments).every(([service, revision]) => (assignments.get(service)?.revision ?? 0) >= revision)) {
-			ownerFreshness.confirm(evidence.at);
+		const {view} = this.options;
+		if (Object.entries(evidence.assignments).every(([service, revision]) => (view.currentAssignment(service)?.revision ?? 0) >= revision)) {
+			view.confirmOwners(evidence.at);
 		} else {
 			this.pendingOwnerEvidence = evidence;
 		}
@@ -318,7 +402,7 @@
 
 	private recordMissingAssignments({daemon, assignments}: PeerMessage, now: number): void {
 		for (const [service, revision] of Object.entries(assignments)) {
-			const known = this.options.view.assignments.get(service)?.revision ?? 0;
+			const known = this.options.view.currentAssignment(service)?.revision ?? 0;
 			const missing = this.missingAssignments.get(service);
 			if (revision <= known) {
 				if (missing && missing.revision <= known) {
@@ -342,7 +426,7 @@
 	private requestAssignments(now: number): void {
 		const {view, sync} = this.options;
 		for (const [service, missing] of this.missingAssignments) {
-			const revision = view.assignments.get(service)?.revision ?? 0;
+			const revision = view.currentAssignment(service)?.revision ?? 0;
 			if (missing.revision <= revision) {
 				this.missingAssignments.delete(service);
 				continue;
@@ -360,9 +444,12 @@
 		}
 	}
 
-	/** Sends a daemon the data that it requests, as far as it is available here. */
-	private answerRequests({wants}: PeerMessage, member: Member | undefined): void {
-		if (!wants || !member) {
+	/**
+	 * Sends a daemon the data that it requests, as far as it is available here. One that asks in another era of the store gets nothing
+	 * but the era of the next message.
+	 */
+	private answerRequests({wants}: PeerMessage, member: Member | undefined, isCurrent: boolean): void {
+		if (!wants || !member || !isCurrent) {
 			return;
 		}
 
@@ -373,24 +460,39 @@
 		}
 
 		const {view} = this.options;
-		const {ageMs} = view.freshness;
-		if (wants.evidence !== undefined && view.configuration && Number.isFinite(ageMs)) {
-			const ownersAgeMs = view.ownerFreshness.hasEvidence ? Math.ceil(view.ownerFreshness.ageMs) : undefined;
-			this.send({
-				evidence: {
-					question: wants.evidence, version: view.configuration.version, ageMs: Math.ceil(ageMs), ownersAgeMs,
-				},
-			}, [member]);
+		if (wants.evidence !== undefined) {
+			this.sendEvidence(wants.evidence, member);
 		}
 
-		for (const [service, revision] of Object.entries(wants.assignments ?? {})) {
+		for (const service of wants.formerAssignments ?? []) {
 			const known = view.assignments.get(service);
+			if (known && !view.isCurrent(known)) {
+				this.send({change: diffAssignment(known)}, [member]);
+			}
+		}
+
+		for (const [service, revision] of Object.entries(wants.assignments ?? {})) {
+			const known = view.currentAssignment(service);
 			if (known && known.revision > revision) {
 				this.send({change: diffAssignment(known, view.assignmentAt(service, revision))}, [member]);
 			}
 		}
 	}
 
+	private sendEvidence(question: number, member: Member): void {
+		const {freshness, ownerFreshness, configuration, storeEra} = this.options.view;
+		const ageMs = Number.isFinite(freshness.ageMs) ? Math.ceil(freshness.ageMs) : undefined;
+		const ownersAgeMs = ownerFreshness.isShareable ? Math.ceil(ownerFreshness.ageMs) : undefined;
+		// After a restore, the owners may be confirmed although the store has an older configuration.
+		if (configuration && (ageMs !== undefined || (storeEra !== undefined && ownersAgeMs !== undefined))) {
+			this.send({
+				evidence: {
+					question, version: configuration.version, ageMs, ownersAgeMs,
+				},
+			}, [member]);
+		}
+	}
+
 	/** Takes the hub's total for the own availability zone, less this daemon's own part. */
 	private receiveHubReport({daemon, zoneLoad, watcher}: PeerMessage, now: number): void {
 		const {loads, hubs, availabilityZone} = this.options;
@@ -522,12 +624,15 @@
 		}
 
 		const {daemon, availabilityZone, view, sync, sender} = this.options;
+		const [current, former] = partition([...view.assignments], ([, known]) => view.isCurrent(known));
 		sender.send({
 			daemon,
 			availabilityZone,
 			revision: view.revision,
-			assignments: Object.fromEntries(Array.from(view.assignments, ([service, {revision}]) => [service, revision])),
+			assignments: Object.fromEntries(current.map(([service, {revision}]) => [service, revision])),
 			isStoreReachable: sync.isStoreReachable,
+			...(view.storeEra !== undefined && {storeEra: view.storeEra}),
+			...(former.length > 0 && {formerAssignments: Object.fromEntries(former.map(([service, {assignment, revision}]) => [service, {era: assignment.era ?? 0, revision}]))}),
 			configurationVersion: view.configuration?.version,
 			...content,
 		}, members);
--- a/src/decisions/fleet/peer-message.ts
+++ b/src/decisions/fleet/peer-message.ts
@@ -3,6 +3,7 @@
  */
 import * as z from 'zod/mini';
 import {lastKey} from '../../model/key-ownership.js';
+import {highestEra} from '../../model/store-era.js';
 import {highestLimitPerS} from '../../model/target-statement.js';
 import {PermitDecision} from '../limits/permit-queue.js';
 import {assignmentChangeSchema} from './assignment-codec.js';
@@ -47,6 +48,9 @@
 /** The limit of a target; ages in milliseconds. */
 const limitSchema = z.object({limitPerS: z.optional(z.number().check(z.positive(), z.maximum(highestLimitPerS))), namedAgeMs: z.optional(counter), clearedAgeMs: z.optional(counter)});
 
+/** Era and revision of an assignment. */
+const formerAssignmentSchema = z.object({era: counter, revision: counter});
+
 const messageSchema = z.object({
 	daemon: documentName,
 	availabilityZone: documentName,
@@ -55,6 +59,10 @@
 	/** Revisions of the assignments that the sender has. */
 	assignments: revisionsSchema,
 	isStoreReachable: z.boolean(),
+	/** Era of the store to which the sender's revisions belong; missing while none is known. */
+	storeEra: z.optional(z.int().check(z.minimum(0), z.maximum(highestEra))),
+	/** Assignments that the sender has from before a restore of the store and that no leader has written since, by service. */
+	formerAssignments: z.optional(z.record(z.string(), formerAssignmentSchema)),
 	/** Version of the sender's active configuration. */
 	configurationVersion: z.optional(counter),
 	/** Load of targets by the sender's requests. */
@@ -73,13 +81,19 @@
 	 * Data that the sender requests: changes of the store after a revision, assignments newer than the revisions that it has, and
 	 * evidence that its configuration and its owners of keys are the newest ones, as the answer to an evidence request with this number.
 	 */
-	wants: z.optional(z.object({after: z.optional(counter), assignments: z.optional(revisionsSchema), evidence: z.optional(counter)})),
+	wants: z.optional(z.object({
+		after: z.optional(counter),
+		assignments: z.optional(revisionsSchema),
+		/** Services of which the sender lacks a newer assignment from before a restore. */
+		formerAssignments: z.optional(z.array(z.string())),
+		evidence: z.optional(counter),
+	})),
 	/**
 	 * Answer to an evidence request: its number, the sender's active version, the age of the sender's evidence for it, and the age of
-	 * the sender's evidence for the owners of keys in its `assignments`.
+	 * the sender's evidence for the owners of keys in its `assignments`. Either age is missing if the sender has no such evidence.
 	 */
 	evidence: z.optional(z.object({
-		question: counter, version: counter, ageMs: counter, ownersAgeMs: z.optional(counter),
+		question: counter, version: counter, ageMs: z.optional(counter), ownersAgeMs: z.optional(counter),
 	})),
 	/** What targets have said of themselves, as far as the sender knows. */
 	statements: z.optional(z.record(z.string(), z.extend(limitSchema, {bornAt: counter, isLeaving: z.optional(z.boolean())}))),
--- a/src/decisions/fleet/recent-updates.ts
+++ b/src/decisions/fleet/recent-updates.ts
@@ -30,6 +30,11 @@
 		}
 	}
 
+	clear(): void {
+		this.entries.length = 0;
+		this.bytes = 0;
+	}
+
 	/** Updates that complete a view from a revision on; an empty list if some of them are no longer buffered. */
 	since(revision: number): StoreUpdate[] {
 		const start = this.entries.findIndex(({update}) => update.revision > revision);
--- a/src/decisions/fleet/view-writer.ts
+++ b/src/decisions/fleet/view-writer.ts
@@ -25,6 +25,8 @@
 	private readonly malformed = new Map<string, number>();
 	/** Revisions of values that peers omitted because they were too large for a message, by key. */
 	private readonly omitted = new Map<string, number>();
+	/** True once the log names the older version of the store. */
+	private isBehindLogged = false;
 
 	constructor(
 		private readonly view: FleetView,
@@ -32,6 +34,13 @@
 		private readonly log: EventLog,
 	) {}
 
+	/** Forgets revisions, because the store was restored. */
+	beginEra(): void {
+		this.malformed.clear();
+		this.omitted.clear();
+		this.isBehindLogged = false;
+	}
+
 	/** True if the newest received value of a key could not be decoded. */
 	isMalformed(key: string): boolean {
 		return this.malformed.has(key);
@@ -58,7 +67,7 @@
 		const known = [
 			...Array.from(this.view.listedTargets(), ({id}) => `${this.documents.targetsPrefix}${id}`),
 			...Array.from(this.view.members.keys(), daemon => `${storeKeys.members}${daemon}`),
-			...(this.view.leader ? [storeKeys.leader] : []),
+			...(this.view.leader !== undefined || this.view.formerLeaderRevision > 0 ? [storeKeys.leader] : []),
 		];
 		return known.filter(key => !listed.has(key));
 	}
@@ -121,7 +130,9 @@
 	private applyConfiguration(value: string, revision: number): void {
 		const earlier = this.view.configuration;
 		const configuration = this.documents.decodeConfiguration(value, earlier);
-		if (!this.view.applyConfiguration(configuration)) {
+		const wasAhead = this.view.freshness.isAheadOfStore;
+		this.recordStoredVersion(configuration.version, revision);
+		if (!this.view.applyConfiguration(configuration, wasAhead)) {
 			return;
 		}
 
@@ -134,22 +145,36 @@
 		}
 	}
 
+	/** After a restore, the active configuration is confirmed once the store has one at least as new, which the operator writes again. */
+	private recordStoredVersion(version: number, revision: number): void {
+		const {freshness, configuration} = this.view;
+		freshness.recordStoredVersion(version);
+		if (freshness.isAheadOfStore !== this.isBehindLogged) {
+			this.isBehindLogged = freshness.isAheadOfStore;
+			this.log.record(this.isBehindLogged ? LogEvent.ConfigurationBehind : LogEvent.ConfigurationCaughtUp, {version, active: configuration?.version, revision});
+		}
+	}
+
 	private applyMember(daemon: string, value: string | undefined): void {
 		if (value === undefined) {
 			this.view.removeMember(daemon);
 			return;
 		}
 
-		this.view.members.set(daemon, decodeMember(daemon, value));
+		this.view.applyMember(decodeMember(daemon, value));
 	}
 
 	private applyLeader(value: string | undefined, revision: number): void {
-		const leader = value === undefined ? undefined : {daemon: decodeLeader(value).daemon, revision};
+		const {daemon, era} = value === undefined ? {} : decodeLeader(value);
+		// A key from before a restore is in the copy, but its daemon has given up the term.
+		const isCurrent = daemon !== undefined && era === this.view.storeEra;
+		const leader = isCurrent ? {daemon, revision} : undefined;
 		if (leader?.daemon !== this.view.leader?.daemon) {
 			this.log.record(LogEvent.LeaderChanged, {leader: leader?.daemon ?? 'none', revision});
 		}
 
 		this.view.leader = leader;
+		this.view.formerLeaderRevision = value === undefined || isCurrent ? 0 : revision;
 	}
 
 	/** Records a malformed value and logs the first of several in a row for one key. A target with a malformed entry is removed. */
--- a/src/decisions/ownership/assignment-draft.ts
+++ b/src/decisions/ownership/assignment-draft.ts
@@ -3,22 +3,74 @@
  */
 import {isSameIncarnation, type TargetIncarnation} from '../../model/fleet.js';
 import {
-	lastKey, subtractRange, type KeyAssignment, type KeyRange, type OwnedRange, type UnreleasedRange,
+	areOverlapping, lastKey, subtractRange, type KeyAssignment, type KeyRange, type OwnedRange, type UnreleasedRange,
 } from '../../model/key-ownership.js';
 
 /** Divides all keys evenly among the owners of a service that has no assignment yet. */
-export function initialAssignment(service: string, owners: readonly TargetIncarnation[]): KeyAssignment {
+export function initialAssignment(service: string, owners: readonly TargetIncarnation[], era?: number): KeyAssignment {
 	const keys = lastKey + 1;
+	const fence = firstFenceOf(era);
 	const ranges = owners.map((owner, index): OwnedRange => ({
 		first: Math.floor(index * keys / owners.length),
 		last: Math.floor((index + 1) * keys / owners.length) - 1,
 		owner,
-		fence: 1,
+		fence,
 		previous: [],
 		isBlocked: false,
 	}));
 	return {
-		service, fence: 1, writeId: '', ranges, unreleased: [],
+		service, ...(era !== undefined && {era}), fence, writeId: '', ranges, unreleased: [],
+	};
+}
+
+/**
+ * Fencing tokens of each era of the store; far more than the writes of an era. Tokens of an era are above all that were handed out
+ * before, also those that a restore has lost and no daemon in touch knows.
+ */
+const fencesPerEra = 2 ** 20;
+
+/** Highest token from which eras count; below the highest token of a stored assignment, 2 ** 48. */
+const highestFirstFence = 2 ** 47;
+
+/** Lowest fencing token of an era; 1 while none is known, and for eras so high that the number of tokens does not suffice. */
+function firstFenceOf(era: number | undefined): number {
+	const fence = (era ?? 0) * fencesPerEra;
+	return fence === 0 || fence > highestFirstFence ? 1 : fence;
+}
+
+/**
+ * Returns the owners after a restore of the store: those of the newest assignment that is known, under higher fencing tokens.
+ *
+ * Where another known assignment differs, its owners may still hold the keys as well, so that they have to be released first.
+ */
+export function reconcileAssignments(newest: KeyAssignment, others: readonly KeyAssignment[], era: number | undefined): KeyAssignment {
+	const fence = Math.max(Math.max(newest.fence, ...others.map(other => other.fence)) + fencesPerEra, firstFenceOf(era));
+	let {ranges} = newest;
+	for (const other of others) {
+		ranges = ranges.flatMap(range => other.ranges.filter(each => areOverlapping(each, range)).map(each => withPossibleHolders(range, each)));
+	}
+
+	let unreleased = [newest, ...others].flatMap(assignment => assignment.unreleased);
+	for (const range of ranges) {
+		unreleased = unreleased.flatMap(entry => isSameIncarnation(range.owner, entry.holder) ? subtractRange(entry, range) : [entry]);
+	}
+
+	return {
+		...newest, era, fence, ranges: ranges.map(range => ({...range, fence})), unreleased: unreleased.map(entry => ({...entry, fence})),
+	};
+}
+
+/** The part of a range that another assignment gives to its owner, which may hold it as well. */
+function withPossibleHolders(range: OwnedRange, other: OwnedRange): OwnedRange {
+	const previous = [...range.previous];
+	for (const holder of [other.owner, ...other.previous]) {
+		if (![range.owner, ...previous].some(known => isSameIncarnation(known, holder))) {
+			previous.push(holder);
+		}
+	}
+
+	return {
+		...range, first: Math.max(range.first, other.first), last: Math.min(range.last, other.last), previous,
 	};
 }
 
@@ -39,7 +91,7 @@
 	result(writeId: string): KeyAssignment | undefined {
 		return this.isChanged
 			? {
-				service: this.base.service, fence: this.fence, writeId, ranges: this.ranges, unreleased: this.unreleased,
+				...this.base, fence: this.fence, writeId, ranges: this.ranges, unreleased: this.unreleased,
 			}
 			: undefined;
 	}
--- a/src/decisions/ownership/assignment-manager.ts
+++ b/src/decisions/ownership/assignment-manager.ts
@@ -14,10 +14,10 @@
 import type {ServiceRule} from '../../model/route-configuration.js';
 import {decodeAssignment, encodeAssignment} from '../fleet/assignment-codec.js';
 import {storeKeys} from '../fleet/daemon-documents.js';
-import type {FleetView, KnownAssignment} from '../fleet/fleet-view.js';
+import {isNewerAssignment, type FleetView, type KnownAssignment} from '../fleet/fleet-view.js';
 import type {TargetLoads} from '../forwarding/target-loads.js';
 import type {TargetStatements} from '../limits/target-statements.js';
-import {AssignmentDraft, initialAssignment} from './assignment-draft.js';
+import {AssignmentDraft, initialAssignment, reconcileAssignments} from './assignment-draft.js';
 import type {HoldPolicy} from './hold-policy.js';
 import {balanceKeys, type OwnerCandidate} from './key-balance.js';
 import {KeyRequestRates} from './key-request-rates.js';
@@ -69,8 +69,11 @@
 	private readonly stableCandidates = {count: 0, since: 0};
 	private writeCount = 0;
 	private readonly rangeOrders: RangeOrders;
+	/** Era of the store in which this term began; its writes are of this era. */
+	private readonly era: number | undefined;
 
 	constructor(public rule: ServiceRule, private readonly options: AssignmentManagerOptions, takeoverAt: number) {
+		this.era = options.leadership.era;
 		this.rangeOrders = new RangeOrders({
 			...options,
 			rule: () => this.rule,
@@ -109,7 +112,9 @@
 	/** Takes over the existing assignment and raises its fencing tokens. */
 	private async takeOver(): Promise<void> {
 		const known = await this.currentAssignment();
-		if (known) {
+		if (known?.assignment.era !== this.era) {
+			this.reconcile(known);
+		} else if (known) {
 			this.rangeOrders.recordEarlierLeader();
 			this.applyAssignment(known.assignment, known.revision);
 			const draft = new AssignmentDraft(known.assignment);
@@ -118,7 +123,7 @@
 			this.pendingAssignment = draft.result(this.nextWriteId());
 		}
 
-		this.areFencesWritten = known === undefined;
+		this.areFencesWritten = this.pendingAssignment === undefined;
 		this.isTakenOver = true;
 	}
 
@@ -128,7 +133,7 @@
 	 */
 	private async currentAssignment(): Promise<KnownAssignment | undefined> {
 		const {store, view} = this.options;
-		const known = view.assignments.get(this.rule.name);
+		const known = view.currentAssignment(this.rule.name);
 		if (known) {
 			return known;
 		}
@@ -137,6 +142,34 @@
 		return item && {assignment: decodeAssignment(item.value), revision: item.revision};
 	}
 
+	/**
+	 * Takes over after a restore of the store. The store has a copy of the assignment, or none, and daemons may know a newer one.
+	 *
+	 * @param stored the assignment in the store, which no leader of this era has written
+	 */
+	private reconcile(stored: KnownAssignment | undefined): void {
+		const {view, log} = this.options;
+		this.rangeOrders.recordEarlierLeader();
+		this.revision = stored?.revision ?? 0;
+		const known = [view.assignments.get(this.rule.name), stored].filter(each => each !== undefined);
+		const [newest, ...others] = known.toSorted((left, right) => Number(isNewerAssignment(right, left)) - Number(isNewerAssignment(left, right)));
+		if (!newest) {
+			return;
+		}
+
+		const draft = new AssignmentDraft(reconcileAssignments(newest.assignment, others.map(({assignment}) => assignment), this.era));
+		draft.raiseFences();
+		draft.mergeNeighbours();
+		this.pendingAssignment = draft.result(this.nextWriteId());
+		log.record(LogEvent.OwnersReconciled, {
+			service: this.rule.name,
+			storedFence: stored?.assignment.fence,
+			knownFence: newest.assignment.fence,
+			fence: this.pendingAssignment?.fence,
+			unsettled: this.pendingAssignment?.ranges.filter(({previous}) => previous.length > 0).length,
+		});
+	}
+
 	private writeNextChange(now: number): void {
 		this.pendingAssignment ??= this.planNextChange(now);
 		const {pendingAssignment} = this;
@@ -204,7 +237,16 @@
 		const item = await store.read(`${storeKeys.assignments}${this.rule.name}`);
 		const stored = item && decodeAssignment(item.value);
 		log.record(LogEvent.AssignmentRejected, {service: this.rule.name, revision: item?.revision, isOwn: stored?.writeId === pendingAssignment.writeId});
-		if (item && stored && item.revision !== this.revision) {
+		const isForeign = item !== undefined && item.revision !== this.revision;
+		if (isForeign && stored && stored.era !== this.era) {
+			// A write of a lost era was carried out late.
+			this.pendingAssignment = undefined;
+			this.areFencesWritten = false;
+			this.reconcile({assignment: stored, revision: item.revision});
+			return;
+		}
+
+		if (isForeign && stored) {
 			this.applyAssignment(stored, item.revision);
 			this.areFencesWritten ||= stored.writeId === pendingAssignment.writeId;
 			this.isTakenOver = this.areFencesWritten;
@@ -214,6 +256,9 @@
 		// The assignment is unchanged, so another daemon leads; the next renewal of the lease will fail.
 		this.pendingAssignment = undefined;
 		this.nextWriteAt = performance.now() + writeRetryDelayMs;
+		if (this.era !== undefined) {
+			this.isTakenOver &&= this.areFencesWritten;
+		}
 	}
 
 	private applyAssignment(assignment: KeyAssignment, revision: number): void {
@@ -271,7 +316,7 @@
 		}
 
 		const owners = candidates.map(({incarnation}) => incarnation);
-		return {...initialAssignment(this.rule.name, owners), writeId: this.nextWriteId()};
+		return {...initialAssignment(this.rule.name, owners, this.era), writeId: this.nextWriteId()};
 	}
 
 	private planRange(draft: AssignmentDraft, range: OwnedRange, {state, candidates, now}: {state: RangeState; candidates: readonly OwnerCandidate[]; now: number}): void {
--- a/src/decisions/ownership/leadership.ts
+++ b/src/decisions/ownership/leadership.ts
@@ -51,6 +51,8 @@
 	confirmedAt: Moment;
 	/** When the key was last written or read. */
 	keySeenAt: Moment;
+	/** Era of the store to which lease and revision belong. */
+	era: number | undefined;
 };
 
 /** Acquires, renews and resigns leadership. */
@@ -67,12 +69,17 @@
 
 	/** True while no other daemon can have acquired leadership. */
 	get isConfirmed(): boolean {
-		return this.term !== undefined && !this.isKeyRemoved && this.confirmationAgeMs() < this.term.lease.durationMs - confirmationMarginMs;
+		return this.isLeader && this.term !== undefined && this.confirmationAgeMs() < this.term.lease.durationMs - confirmationMarginMs;
 	}
 
-	/** True from the acquisition of the lease until this daemon knows that it has ended, or that the key was removed. */
+	/** True from the acquisition of the lease until this daemon knows that it has ended, that the key was removed or the store restored. */
 	get isLeader(): boolean {
-		return this.term !== undefined && !this.isKeyRemoved;
+		return this.term !== undefined && !this.isKeyRemoved && !this.isLost;
+	}
+
+	/** Era of the store in which leadership was acquired; undefined while none is known. */
+	get era(): number | undefined {
+		return this.term?.era;
 	}
 
 	/** Revision of the leader's key, which is a condition of every write. */
@@ -92,6 +99,11 @@
 
 	/** Called at regular intervals. */
 	tick(now = performance.now()): void {
+		if (this.term && this.isLost) {
+			// The id of the lease may have been given to another daemon since, so that it must not be ended.
+			this.endTerm('the store was restored');
+		}
+
 		if (this.term && !this.isReadingKey && elapsedSince(this.term.keySeenAt) >= keyReadIntervalMs) {
 			void this.readKey(this.term);
 		}
@@ -120,6 +132,11 @@
 		}
 	}
 
+	/** True once the store was restored, which loses the lease. */
+	private get isLost(): boolean {
+		return this.term !== undefined && this.term.era !== this.options.store.era.current;
+	}
+
 	/** True once the view shows that the store removed the leader's key, which may happen although the lease goes on. */
 	private get isKeyRemoved(): boolean {
 		const {view} = this.options;
@@ -139,13 +156,18 @@
 			return;
 		}
 
+		const {isLost} = this;
 		this.endTerm(detail);
-		await this.options.store.endLease(term.lease.id);
+		if (!isLost) {
+			await this.options.store.endLease(term.lease.id);
+		}
 	}
 
 	private isCandidate(now: number): boolean {
-		const {view} = this.options;
-		if (this.isResigned || this.options.isCutOff() || view.revision === 0 || view.leader) {
+		const {view, store} = this.options;
+		// A leader of the lost era that has not learned of the restore may send orders until its lease has run out.
+		const mayBeLed = now - store.era.since < this.leaseDurationMs;
+		if (this.isResigned || this.options.isCutOff() || view.revision === 0 || view.leader !== undefined || mayBeLed) {
 			this.vacantSince = undefined;
 			return false;
 		}
@@ -154,6 +176,10 @@
 		return now - this.vacantSince >= this.candidacyDelayMs();
 	}
 
+	private get leaseDurationMs(): number {
+		return Math.max(leaseMs, this.options.leaseMinimumMs);
+	}
+
 	private candidacyDelayMs(): number {
 		const {view, daemon, random} = this.options;
 		const rank = [...view.members.values()].toSorted(compareBySpareCapacity).findIndex(member => member.daemon === daemon);
@@ -218,17 +244,20 @@
 	}
 
 	private async acquire(): Promise<void> {
-		const {store, leaseMinimumMs} = this.options;
+		const {store} = this.options;
 		const requestedAt = currentMoment();
-		const lease = await store.openLease(Math.max(leaseMs, leaseMinimumMs));
+		const era = store.era.current;
+		const lease = await store.openLease(this.leaseDurationMs);
+		store.era.requireSame(era);
 		const revision = await this.writeLeader(lease);
+		store.era.requireSame(era);
 		if (revision === undefined || this.isResigned) {
 			await store.endLease(lease.id);
 			return;
 		}
 
 		this.term = {
-			lease, revision, confirmedAt: requestedAt, keySeenAt: requestedAt,
+			lease, revision, confirmedAt: requestedAt, keySeenAt: requestedAt, era: store.era.current,
 		};
 		this.startedTerms += 1;
 		this.options.log.record(LogEvent.LeadershipTaken, {revision, lease: lease.id, leaseMs: lease.durationMs});
@@ -236,10 +265,10 @@
 
 	/** Returns the revision of the written key, or undefined if another daemon leads. */
 	private async writeLeader(lease: StoreLease): Promise<number | undefined> {
-		const {store, daemon} = this.options;
-		const value = JSON.stringify({daemon, lease: lease.id});
+		const {store, daemon, view} = this.options;
+		const value = JSON.stringify({daemon, lease: lease.id, era: store.era.current});
 		try {
-			return await store.write({expected: [{key: storeKeys.leader, revision: 0}], puts: [{key: storeKeys.leader, value, lease: lease.id}]});
+			return await store.write({expected: [{key: storeKeys.leader, revision: view.formerLeaderRevision}], puts: [{key: storeKeys.leader, value, lease: lease.id}]});
 		} catch (error) {
 			if (error instanceof ConflictError) {
 				return undefined;
--- a/src/model/coordination-store.ts
+++ b/src/model/coordination-store.ts
@@ -2,6 +2,8 @@
  * The platform's store as the daemons use it: compare-and-swap, leases and a watch.
  */
 
+import type {StoreEra} from './store-era.js';
+
 /** A key with its value. */
 export type StoredItem = {
 	key: string;
@@ -59,9 +61,12 @@
 /**
  * Calls reject with `StoreUnavailableError` if they had no effect, `StoreAmbiguousError` if a write may have taken effect
  * or may still do so, `ConflictError` if a key did not have its expected revision, `HistoryLostError` if the changes since
- * a watch's revision are no longer available and `LeaseEndedError` if a lease has ended.
+ * a watch's revision are no longer available and `LeaseEndedError` if a lease has ended. If the store was restored meanwhile,
+ * they reject with `StoreRestoredError`, or with `StoreAmbiguousError` for a write.
  */
 export type CoordinationStore = {
+	/** Era of the newest answer; an answer of an earlier era, or to a call that was made in one, is not returned. */
+	readonly era: StoreEra;
 	list(prefix: string): Promise<StoreListing>;
 	/** Waits up to `waitMs` for changes after a revision. */
 	watch(prefix: string, after: number, waitMs: number): Promise<StoreChanges>;
--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -152,6 +152,11 @@
 	}
 }
 
+/** The store was restored from a copy during a call, so that the answer cannot be believed. */
+export class StoreRestoredError extends StoreUnavailableError {
+	override name = 'StoreRestoredError';
+}
+
 /** A peer daemon did not answer. */
 export class PeerUnavailableError extends RouterError {
 	override name = 'PeerUnavailableError';
--- a/src/model/key-ownership.ts
+++ b/src/model/key-ownership.ts
@@ -54,6 +54,8 @@
 /** All ranges of a service in the order of their keys; together they cover every key once. */
 export type KeyAssignment = {
 	service: string;
+	/** Era of the store in which the leader wrote it; undefined while no era is known. */
+	era?: number | undefined;
 	/** Highest fencing token ever written. */
 	fence: number;
 	/** Id of the write, by which its writer recognizes it after a lost reply. */
--- a/src/platform/platform-store.ts
+++ b/src/platform/platform-store.ts
@@ -8,14 +8,15 @@
 import {
 	ConflictError, HistoryLostError, LeaseEndedError, MalformedDocumentError, StoreAmbiguousError, StoreUnavailableError, WatchInterruptedError,
 } from '../model/errors.js';
+import {StoreEra} from '../model/store-era.js';
 import {ConnectionPool} from '../transport/connection-pool.js';
 import {
 	callJson, CallFailure, type JsonAnswer, type JsonCall,
 } from '../transport/json-call.js';
 import {
-	decodeChanges, decodeItem, decodeLease, decodePage, decodeRevision, type StorePage,
+	decodeChanges, decodeEra, decodeItem, decodeLease, decodePage, decodeRevision, type StorePage,
 } from './store-answers.js';
-import {wirePaths} from './wire.js';
+import {WireHeader, wirePaths} from './wire.js';
 
 /** Timeout of a call in milliseconds. When the store is slow, its calls take 4 ms to about 400 ms. */
 const callTimeoutMs = 1200;
@@ -31,6 +32,7 @@
 
 /** Calls the store over pooled connections. */
 export class PlatformStore implements CoordinationStore {
+	readonly era = new StoreEra();
 	private readonly pool = new ConnectionPool();
 	private abortWatch: ((reason: string) => void) | undefined;
 	private interruptionReason: string | undefined;
@@ -47,6 +49,7 @@
 		let items: StoredItem[] = [];
 		let revision: number | undefined;
 		let after: string | undefined;
+		const startedIn = this.era.current;
 		for (;;) {
 			// eslint-disable-next-line no-await-in-loop -- each page starts after the last key of the previous one.
 			const page = await this.readPage(prefix, after);
@@ -54,6 +57,8 @@
 			revision ??= page.revision;
 			items = [...items, ...page.items];
 			after = page.nextAfter;
+			// Pages of different eras do not belong together.
+			this.era.requireSame(startedIn);
 			if (after === undefined) {
 				return {items, revision};
 			}
@@ -163,11 +168,14 @@
 		return content;
 	}
 
+	/** Makes a call and checks the era of its answer, of whatever status. */
 	private async call(storeCall: JsonCall, onStart?: (abort: (reason: string) => void) => void): Promise<JsonAnswer> {
 		this.calls += 1;
+		const startedIn = this.era.current;
 		const call = {maxAnswerBytes: maxAnswerBytes.item, ...storeCall};
 		try {
 			const answer = await callJson(this.pool, this.address, call, onStart);
+			this.era.acceptAnswer(startedIn, decodeEra(answer.headers[WireHeader.StoreEra]), call.method !== 'GET');
 			if (answer.status === 429 || answer.status >= 500) {
 				throw new StoreUnavailableError(`status ${answer.status}`);
 			}
--- a/src/platform/store-answers.ts
+++ b/src/platform/store-answers.ts
@@ -6,6 +6,7 @@
 	StoreChange, StoreChanges, StoredItem, StoreLease,
 } from '../model/coordination-store.js';
 import {MalformedDocumentError} from '../model/errors.js';
+import {highestEra} from '../model/store-era.js';
 import {DocumentReader} from './document-reader.js';
 
 /** Name of an answer in faults. */
@@ -20,6 +21,9 @@
 /** Value of an item whose own cannot be read. No decoder of a document accepts it, so that the key counts as malformed. */
 const unreadableValue = '';
 
+/** An era as the store writes it: a whole number without sign or leading zero. */
+const eraPattern = /^(?:0|[1-9]\d{0,9})$/v;
+
 /** One page of a listing. */
 export type StorePage = {
 	items: StoredItem[];
@@ -88,6 +92,12 @@
 	return revision;
 }
 
+/** Reads the era of the store from a header; undefined if it is missing or cannot be read. */
+export function decodeEra(header: string | string[] | undefined): number | undefined {
+	const era = typeof header === 'string' && eraPattern.test(header) ? Number(header) : undefined;
+	return era !== undefined && era <= highestEra ? era : undefined;
+}
+
 /** Calls have a bound on the size of their answers already. */
 function parse(text: string): DocumentReader {
 	return DocumentReader.parse(document, text, {maxCharacters: Infinity});
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -2,7 +2,7 @@
  * Names in the platform's protocols: headers, paths and store keys.
  */
 
-/** Headers between callers, daemons and targets, in lower case. */
+/** Headers between callers, daemons, targets and the store, in lower case. */
 export enum WireHeader {
 	/** Id of a caller's attempt; targets return it with the answer. */
 	RequestId = 'attempt-id',
@@ -21,6 +21,8 @@
 	Handover = 'handover',
 	/** Requests a second that the target takes from all daemons together. */
 	Limit = 'server-limit',
+	/** Era of the store, in all of its answers: rises by one whenever the store is restored from a copy. */
+	StoreEra = 'store-era',
 	/** The target will stop soon. */
 	Leaving = 'server-leaving',
 }
--- a/src/services/platform-metrics-service.ts
+++ b/src/services/platform-metrics-service.ts
@@ -29,6 +29,8 @@
 	configurationVersion(): number;
 	/** Age of the evidence that this version is the newest, in milliseconds. */
 	configurationEvidenceAgeMs(): number;
+	/** Era of the store; 0 while it names none. */
+	storeEra(): number;
 	/** Age of the evidence that the known owners of keys are the newest ones, in milliseconds. */
 	ownerEvidenceAgeMs(): number;
 	isStoreReachable(): boolean;
@@ -72,6 +74,7 @@
 		this.addGauge('unreleased_ranges', 'Ranges whose former owners have not proved that they no longer hold them.', () => sources.unreleasedRanges());
 		this.addGauge('configuration_version', 'Version of the configuration in force.', () => sources.configurationVersion());
 		this.addGauge('configuration_evidence_age_seconds', 'Age of the evidence that this version is the newest one.', () => sources.configurationEvidenceAgeMs() / secondMs);
+		this.addGauge('store_era', 'Era of the platform\'s store, which rises at each restore from a copy; 0 while it names none.', () => sources.storeEra());
 		this.addGauge('owner_evidence_age_seconds', 'Age of the evidence that the known owners of keys are the newest ones.', () => sources.ownerEvidenceAgeMs() / secondMs);
 		this.addGauge('store_reachable', '1 while the platform\'s store answers.', () => Number(sources.isStoreReachable()));
 		this.addGauge('limited_targets', 'Targets that name a limit.', () => sources.limitedTargets());
--- a/standins/keyed-fleet.ts
+++ b/standins/keyed-fleet.ts
@@ -77,8 +77,8 @@
 			limits: {holdLimitMs: 10_000, thawSlackMs: 300},
 			random: () => 0.5,
 			isCutOff: () => this.isCutOff,
-			onOwnersWritten() {
-				// Peers read the owners from the store.
+			onOwnersWritten: () => {
+				fleet.announce(this);
 			},
 		});
 		void this.sync.run();
@@ -110,6 +110,8 @@
 	readonly store = new MemoryCoordinationStore();
 	readonly holders = new Map<string, KeyHolder>();
 	readonly daemons: FleetDaemon[] = [];
+	/** True if the owners that a daemon wrote reach the other running daemons at once, and not only by their watches. */
+	announcesOwners = false;
 	readonly events: Array<{event: LogEvent; daemon: string; at: number} & LogFields> = [];
 	private readonly meter = new HoldMeter();
 	private incarnationCount = 0;
@@ -135,6 +137,22 @@
 		return this.meter.longestOverlapMs;
 	}
 
+	/** Delivers the owners that a daemon wrote to the others that run. */
+	announce(from: FleetDaemon): void {
+		const known = from.view.assignments.get(keyedService);
+		if (!this.announcesOwners || !known) {
+			return;
+		}
+
+		setTimeout(() => {
+			for (const {view, isPaused} of this.daemons) {
+				if (!isPaused) {
+					view.applyAssignment(known);
+				}
+			}
+		}, 1);
+	}
+
 	/** Starts a daemon. */
 	addDaemon(name: string): void {
 		this.daemons.push(new FleetDaemon(name, this));
--- a/standins/memory-coordination-store.ts
+++ b/standins/memory-coordination-store.ts
@@ -7,6 +7,7 @@
 import {
 	ConflictError, HistoryLostError, LeaseEndedError, RouterError, StoreAmbiguousError, StoreUnavailableError, WatchInterruptedError,
 } from '../src/model/errors.js';
+import {StoreEra} from '../src/model/store-era.js';
 
 /** Fault that the store applies to calls. */
 export enum StoreFault {
@@ -38,9 +39,18 @@
 	timer: NodeJS.Timeout | undefined;
 };
 
+/** A copy of the store's contents, without leases. */
+export type StoreCopy = {
+	entries: ReadonlyMap<string, Entry>;
+	revision: number;
+	nextLease: number;
+};
+
 /** The store; `createClient` gives each daemon its own client, which can be disconnected. */
 export class MemoryCoordinationStore {
 	revision = 1;
+	/** Undefined while answers name no era. */
+	era: number | undefined;
 	fault = StoreFault.None;
 	/** Time until a delayed write is carried out, in milliseconds. */
 	lateWriteDelayMs = 2000;
@@ -51,6 +61,30 @@
 	private nextLease = 1;
 	private readonly changeListeners = new Set<() => void>();
 
+	takeCopy(): StoreCopy {
+		return {entries: new Map(this.entries), revision: this.revision, nextLease: this.nextLease};
+	}
+
+	/** Goes back to a copy and raises the era. Leases end, and the entries of those in the copy stay until they are written again. */
+	restore({entries, revision, nextLease}: StoreCopy): void {
+		for (const {timer} of this.leases.values()) {
+			clearTimeout(timer);
+		}
+
+		this.leases.clear();
+		this.entries.clear();
+		for (const [key, entry] of entries) {
+			this.entries.set(key, entry);
+		}
+
+		this.history = [];
+		this.compactedRevision = revision;
+		this.revision = revision;
+		this.nextLease = nextLease;
+		this.era = (this.era ?? 0) + 1;
+		this.notifyListeners();
+	}
+
 	createClient(): MemoryStoreClient {
 		return new MemoryStoreClient(this);
 	}
@@ -66,7 +100,7 @@
 	}
 
 	changesAfter(prefix: string, after: number): StoreChange[] {
-		if (after < this.compactedRevision) {
+		if (after < this.compactedRevision || (this.era !== undefined && after > this.revision)) {
 			throw new HistoryLostError(after);
 		}
 
@@ -174,6 +208,7 @@
 
 /** Client of one daemon. */
 export class MemoryStoreClient implements CoordinationStore {
+	readonly era = new StoreEra();
 	/** True while the daemon cannot reach the store. */
 	isDisconnected = false;
 	/** True while watches get no answer, although their connection is open. */
@@ -213,6 +248,7 @@
 	}
 
 	async watch(prefix: string, after: number, waitMs: number): Promise<StoreChanges> {
+		const startedIn = this.era.current;
 		await this.wait(requestDelayMs);
 		this.assertReachable();
 		if (this.isWatchSilent) {
@@ -221,14 +257,15 @@
 			throw new StoreUnavailableError('the watch got no answer');
 		}
 
-		if (this.store.changesAfter(prefix, after).length === 0) {
-			await this.wait(waitMs, true);
-		}
+		return this.answerWithEra(startedIn, false, async () => {
+			if (this.store.changesAfter(prefix, after).length === 0) {
+				await this.wait(waitMs, true);
+			}
 
-		this.assertReachable();
-		const answer = {changes: this.store.changesAfter(prefix, after), revision: this.store.revision};
-		await this.wait(this.answerDelayMs);
-		return answer;
+			this.assertReachable();
+			const answer = {changes: this.store.changesAfter(prefix, after), revision: this.store.revision};
+			return answer;
+		}, async () => this.wait(this.answerDelayMs));
 	}
 
 	interruptWatch(reason: string): void {
@@ -266,6 +303,7 @@
 	}
 
 	private async call<Result>(operation: () => Result, isWrite: boolean): Promise<Result> {
+		const startedIn = this.era.current;
 		await pause(requestDelayMs);
 		this.assertReachable();
 		if (isWrite && this.store.fault === StoreFault.DelaysWrites) {
@@ -276,14 +314,33 @@
 			throw new StoreAmbiguousError('the reply was lost');
 		}
 
-		const result = operation();
-		if (isWrite && this.store.fault === StoreFault.LosesReplies) {
-			await pause(replyTimeoutMs);
-			throw new StoreAmbiguousError('the reply was lost');
-		}
+		return this.answerWithEra(startedIn, isWrite, async () => {
+			const result = operation();
+			if (isWrite && this.store.fault === StoreFault.LosesReplies) {
+				await pause(replyTimeoutMs);
+				throw new StoreAmbiguousError('the reply was lost');
+			}
 
-		await pause(this.answerDelayMs);
-		return result;
+			return result;
+		}, async () => pause(this.answerDelayMs));
+	}
+
+	/** Carries out a call, and checks the era that the store had then once the answer arrives. */
+	private async answerWithEra<Result>(startedIn: number | undefined, isWrite: boolean, carryOut: () => Promise<Result>, arrive: () => Promise<void>): Promise<Result> {
+		try {
+			const result = await carryOut();
+			const {era} = this.store;
+			await arrive();
+			this.era.acceptAnswer(startedIn, era, isWrite);
+			return result;
+		} catch (error) {
+			// Refusals are answers of the store, too.
+			if (error instanceof ConflictError || error instanceof HistoryLostError || error instanceof LeaseEndedError) {
+				this.era.acceptAnswer(startedIn, this.store.era, isWrite);
+			}
+
+			throw error;
+		}
 	}
 
 	private assertReachable(): void {
--- a/standins/platform-store-server.ts
+++ b/standins/platform-store-server.ts
@@ -7,7 +7,7 @@
 	ConflictError, HistoryLostError, LeaseEndedError, StoreAmbiguousError,
 } from '../src/model/errors.js';
 import type {StoreChange, StoredItem, StoreTransaction} from '../src/model/coordination-store.js';
-import {wirePaths} from '../src/platform/wire.js';
+import {WireHeader, wirePaths} from '../src/platform/wire.js';
 import {listenJson, sendJson} from './json-http.js';
 import type {MemoryCoordinationStore, MemoryStoreClient} from './memory-coordination-store.js';
 
@@ -17,6 +17,12 @@
 	remove: string[];
 };
 
+/** A call with the client that carries it out, which learns the era of its answer. */
+type Call = {
+	response: ServerResponse;
+	client: MemoryStoreClient;
+};
+
 /** Serves a store on loopback. */
 export class PlatformStoreServer {
 	/** While true, calls get no answer. */
@@ -42,8 +48,9 @@
 		}
 
 		const url = new URL(request.url ?? '/', 'http://store');
+		const client = this.store.createClient();
 		try {
-			await this.answer(url, response, body, this.store.createClient());
+			await this.answer(url, {response, client}, body);
 		} catch (error) {
 			if (error instanceof StoreAmbiguousError) {
 				// The write took effect, so that no status would be true.
@@ -51,63 +58,69 @@
 				return;
 			}
 
-			sendJson(response, statusOf(error), {});
+			send({response, client}, statusOf(error), {});
 		}
 	}
 
-	private async answer(url: URL, response: ServerResponse, body: unknown, client: MemoryStoreClient): Promise<void> {
+	private async answer(url: URL, call: Call, body: unknown): Promise<void> {
 		const query = (name: string): string => url.searchParams.get(name) ?? '';
+		const {client} = call;
 		const storeRevision = this.store.revision;
 		const [basePath = '', lease = ''] = splitLease(url.pathname);
 		switch (basePath) {
 			case wirePaths.storeItem: {
 				const item = await client.read(query('key'));
-				sendJson(response, item ? 200 : 404, item ? {...encode(item), storeRevision} : {});
+				send(call, item ? 200 : 404, item ? {...encode(item), storeRevision} : {});
 				return;
 			}
 
 			case wirePaths.storeRange: {
 				const {items} = await client.list(query('prefix'));
-				sendJson(response, 200, {items: items.map(item => encode(item)), hasMore: false, storeRevision});
+				send(call, 200, {items: items.map(item => encode(item)), hasMore: false, storeRevision});
 				return;
 			}
 
 			case wirePaths.storeWatch: {
 				const {changes, revision} = await client.watch(query('prefix'), Number(query('after')), Number(query('waitMs')));
-				sendJson(response, 200, {events: changes.map(change => encode(change)), storeRevision: revision});
+				send(call, 200, {events: changes.map(change => encode(change)), storeRevision: revision});
 				return;
 			}
 
 			case wirePaths.storeTransaction: {
-				sendJson(response, 200, {revision: await client.write(decode(body as WireTransaction))});
+				send(call, 200, {revision: await client.write(decode(body as WireTransaction))});
 				return;
 			}
 
 			case wirePaths.storeLease: {
 				const granted = await client.openLease((body as {ttlMs: number}).ttlMs);
-				sendJson(response, 200, {lease: granted.id, ttlMs: granted.durationMs});
+				send(call, 200, {lease: granted.id, ttlMs: granted.durationMs});
 				return;
 			}
 
 			case wirePaths.storeLeaseRenewal: {
 				await client.renewLease(Number(lease));
-				sendJson(response, 200, {});
+				send(call, 200, {});
 				return;
 			}
 
 			case wirePaths.storeLeaseEnd: {
 				await client.endLease(Number(lease));
-				sendJson(response, 200, {});
+				send(call, 200, {});
 				return;
 			}
 
 			default: {
-				sendJson(response, 404, {});
+				send(call, 404, {});
 			}
 		}
 	}
 }
 
+function send({response, client}: Call, status: number, body: unknown): void {
+	const era = client.era.current;
+	sendJson(response, status, body, era === undefined ? {} : {[WireHeader.StoreEra]: String(era)});
+}
+
 function splitLease(path: string): string[] {
 	const match = /^(?<base>.*)\/(?<lease>\d+)$/v.exec(path);
 	return match?.groups ? [match.groups.base ?? '', match.groups.lease ?? ''] : [path];
--- a/standins/relayed-fleet.ts
+++ b/standins/relayed-fleet.ts
@@ -211,12 +211,18 @@
 	compete(random: () => number): void {
 		const {daemon} = this.member;
 		const {leaseMinimumMs, holdLimitMs, thawSlackMs} = createPlatformSettings({daemon, ip: '', storeIp: ''});
-		const {ownerFreshness} = this.view;
 		this.leadership = new Leadership({
 			daemon, store: this.client, view: this.view, log: silentLog, leaseMinimumMs, random, isCutOff: () => false,
 		});
 		this.leaderWord = new LeaderWord({
-			leadership: this.leadership, ownerFreshness, limits: {holdLimitMs, thawSlackMs}, readOwners: async () => this.sync.refreshOwners(),
+			leadership: this.leadership,
+			ownerFreshness: {
+				confirm: at => {
+					this.view.confirmOwners(at);
+				},
+			},
+			limits: {holdLimitMs, thawSlackMs},
+			readOwners: async () => this.sync.refreshOwners(),
 		});
 	}
 
--- a/standins/scripted-store.ts
+++ b/standins/scripted-store.ts
@@ -5,6 +5,7 @@
 import type {
 	CoordinationStore, StoreChanges, StoredItem, StoreLease, StoreListing,
 } from '../src/model/coordination-store.js';
+import {StoreEra} from '../src/model/store-era.js';
 import {decodeConfiguration, decodeTarget} from '../src/platform/documents.js';
 
 /** A clock that stands still until the test advances it. */
@@ -37,6 +38,7 @@
 
 /** A store that lists a fixed listing and answers watches and reads when the test resolves them; other calls do nothing. */
 export class ScriptedStore implements CoordinationStore {
+	readonly era = new StoreEra();
 	/** Wait time of each watch, in milliseconds. */
 	readonly watchWaitsMs: number[] = [];
 	readonly watchResolvers: Array<(changes: StoreChanges) => void> = [];
