--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -40,6 +40,8 @@
 	targetCount: number;
 	/** True if the lateness of orders excuses no two holders. */
 	isStrict: boolean;
+	/** True if the store names its era. */
+	hasEra: boolean;
 };
 
 /** A place for lives of a target. */
@@ -83,6 +85,7 @@
 	async start(): Promise<void> {
 		// Daemons inherit it.
 		process.env.NODE_OPTIONS = `--import=${fileURLToPath(new URL('link-route.js', import.meta.url))}`;
+		this.store.era = this.options.hasEra ? 1 : undefined;
 		await this.storeServer.listen(ports.store, storeIp(this.options.network));
 		this.store.put(wireKeys.configuration, configurationText(this.configurationVersion));
 		await Promise.all([...this.links.flat(), ...this.storeLinks].map(async link => link.listen()));
@@ -140,6 +143,14 @@
 		slot.silentSince = undefined;
 	}
 
+	/** Writes what the operator and the targets write after a restore of the store. */
+	writeAgain(): void {
+		this.store.put(wireKeys.configuration, configurationText(this.configurationVersion));
+		for (const slot of this.targets.filter(({isUp, silentSince}) => isUp && silentSince === undefined)) {
+			putReady(slot);
+		}
+	}
+
 	/** Writes the next version of the configuration. */
 	putConfiguration(oddResources: unknown[] = []): void {
 		this.configurationVersion += 1;
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -22,6 +22,9 @@
 /** Shortest time for which a target serves after its leaving was acknowledged, in milliseconds; `drainMs` of the settings and a little more. */
 const drainServiceMs = 2300;
 
+/** Time until the operator and the targets write their entries after a restore, in milliseconds; a heartbeat is 1 s. */
+const rewriteDelayMs = 500;
+
 /** Interval at which the delay of a link changes, in milliseconds. */
 const jitterIntervalMs = 150;
 
@@ -320,6 +323,23 @@
 	}
 }
 
+/** Restores the store from a copy of the start of the step; the operator and the targets write their entries again soon after. */
+class StoreRestoredFault implements Fault {
+	constructor(private readonly context: FaultContext) {}
+
+	async play(): Promise<boolean> {
+		const {deployment, trace, step: {kind, durationMs}} = this.context;
+		const copy = deployment.store.takeCopy();
+		await delay(durationMs);
+		const end = trace.disturb(Part.Store, {detail: kind});
+		deployment.store.restore(copy);
+		await delay(rewriteDelayMs);
+		deployment.writeAgain();
+		end();
+		return true;
+	}
+}
+
 class LeasesRevokedFault implements Fault {
 	constructor(private readonly context: FaultContext) {}
 
@@ -385,6 +405,7 @@
 	[FaultKind.OrdersHeldUp]: TargetTroubleFault,
 	[FaultKind.TargetDeaf]: TargetTroubleFault,
 	[FaultKind.StoreDown]: StoreTroubleFault,
+	[FaultKind.StoreRestored]: StoreRestoredFault,
 	[FaultKind.StoreSlow]: StoreTroubleFault,
 	[FaultKind.StoreLosesAnswers]: StoreTroubleFault,
 	[FaultKind.StoreWritesLate]: StoreTroubleFault,
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -35,6 +35,7 @@
     --delay-limit   longest delay of a link per direction in milliseconds (default 1500)
     --regression    name of a schedule that failed once, instead of a seed: ${regressions.map(({name}) => `"${name}"`).join(', ')}
     --network       first two parts of the addresses (default: by the seed)
+    --restores      the store names its era and is restored from copies
     --logs          folder for the logs of the processes of a run with violations
     --schedule      print the schedule without running it
 `, {
@@ -47,6 +48,7 @@
 		delayLimit: {type: 'number', default: 1500},
 		regression: {type: 'string', choices: regressions.map(({name}) => name)},
 		network: {type: 'string'},
+		restores: {type: 'boolean', default: false},
 		logs: {type: 'string'},
 		schedule: {type: 'boolean', default: false},
 	},
@@ -57,13 +59,19 @@
 	const {flags} = cli;
 	const regression = regressions.find(({name}) => name === flags.regression);
 	const options = regression?.options ?? {
-		seed: flags.seed, durationMs: flags.minutes * minuteMs, daemonCount: Math.min(flags.daemons, daemonLimit), targetCount: flags.targets, delayLimitMs: flags.delayLimit,
+		seed: flags.seed,
+		durationMs: flags.minutes * minuteMs,
+		daemonCount: Math.min(flags.daemons, daemonLimit),
+		targetCount: flags.targets,
+		delayLimitMs: flags.delayLimit,
+		restoresStore: flags.restores,
 	};
 	return {
 		...options,
 		network: flags.network ?? `127.${firstNetwork + (options.seed % networkCount)}`,
 		logFolder: flags.logs,
 		isStrict: regression?.isStrict ?? false,
+		hasEra: flags.restores,
 		steps: regression?.steps ?? createSchedule(options),
 	};
 }
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -37,6 +37,8 @@
 	/** Orders are lost, while requests are served. */
 	TargetDeaf = 'target deaf',
 	StoreDown = 'store down',
+	/** Goes back to a copy of the start of the step. */
+	StoreRestored = 'store restored',
 	StoreSlow = 'store slow',
 	StoreLosesAnswers = 'store loses answers',
 	/** Writes get no answer and are carried out late. */
@@ -99,6 +101,8 @@
 	targetCount: number;
 	/** Longest delay of a link per direction in milliseconds; not from the users' pages, which say only that links are harmed. */
 	delayLimitMs: number;
+	/** True if the store names its era, and is restored from copies. */
+	restoresStore?: boolean;
 };
 
 /** Sets of faults that overlap. Faults of every kind at once would leave no request that no fault excuses. */
@@ -173,6 +177,7 @@
 		ownership: 4, shortestMs: 3000, longestMs: 9000, amount: [Deafness.Orders, Deafness.Heartbeats],
 	},
 	[FaultKind.StoreDown]: {store: 1, longestMs: 4000},
+	[FaultKind.StoreRestored]: {store: 2, longestMs: 4000},
 	[FaultKind.StoreSlow]: {store: 1, longestMs: 4000, amount: storeDelayMs},
 	[FaultKind.StoreLosesAnswers]: {store: 1, longestMs: 3000},
 	[FaultKind.StoreWritesLate]: {store: 1, longestMs: 3000, amount: writeLatenessMs},
@@ -233,7 +238,7 @@
 
 function createEpisode(theme: Theme, [startMs, endMs]: Bounds, focus: number, {draws, options}: {draws: Draws; options: ScheduleOptions}): Step[] {
 	const steps: Step[] = [];
-	const kinds = kindsOf(theme);
+	const kinds = kindsOf(theme).filter(kind => kind !== FaultKind.StoreRestored || options.restoresStore === true);
 	for (let atMs = startMs + draws.integer(0, 800); atMs < endMs - defaultShortestMs;) {
 		const kind = draws.item(kinds);
 		const {shortestMs = defaultShortestMs, longestMs = shortestMs} = plans[kind];
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -62,6 +62,7 @@
 	/** Folder for the logs of the processes if there are violations. */
 	logFolder: string | undefined;
 	isStrict: boolean;
+	hasEra: boolean;
 	steps: Step[];
 };
 
