--- a/src/services/held-bytes.ts
+++ b/src/services/held-bytes.ts
@@ -167,9 +167,16 @@
 		}
 
 		if (bytes < 0 && this.pausedReaders.size > 0 && this.hasReadAheadRoom) {
-			for (const reader of this.pausedReaders) {
-				this.pausedReaders.delete(reader);
-				reader.continueReading();
+			// A reader may pause again while it continues, so a copy is iterated.
+			const readers = [...this.pausedReaders];
+			for (const reader of readers) {
+				if (!this.hasReadAheadRoom) {
+					break;
+				}
+
+				if (this.pausedReaders.delete(reader)) {
+					reader.continueReading();
+				}
 			}
 		}
 	}
--- a/tests/http/slow-readers.test.ts
+++ b/tests/http/slow-readers.test.ts
@@ -12,7 +12,7 @@
 import {initialLimits} from '../../src/model/route-configuration.js';
 import {PlatformTargetProtocol, readCallerHeaders} from '../../src/platform/target-protocol.js';
 import {WireHeader} from '../../src/platform/wire.js';
-import {HeldBytes} from '../../src/services/held-bytes.js';
+import {HeldBytes, type PausedReader} from '../../src/services/held-bytes.js';
 import {OpenRequests} from '../../src/services/open-requests.js';
 import {createPlatformGatewayService} from '../../src/services/platform-gateway-service.js';
 import {TargetTransport} from '../../src/transport/target-transport.js';
@@ -218,3 +218,45 @@
 		socket.destroy();
 	});
 });
+
+test('should continue each reader once although it pauses again at once, because an endless loop would stop the daemon', t => {
+	const held = new HeldBytes({record: () => undefined}, memoryMb.ample);
+	let continuedCount = 0;
+	const reader = {
+		socket: undefined,
+		continueReading() {
+			continuedCount += 1;
+			if (continuedCount < 10) {
+				held.pause(this);
+			}
+		},
+		destroy: () => undefined,
+	};
+	held.addBody(1000);
+	held.pause(reader);
+	held.addBody(-1000);
+	t.is(continuedCount, 1);
+	held.addBody(1000);
+	held.addBody(-1000);
+	t.is(continuedCount, 2);
+});
+
+test('should continue readers only while there is memory, because each reads ahead at once', t => {
+	const held = new HeldBytes({record: () => undefined}, memoryMb.small);
+	let continuedCount = 0;
+	held.addBody(1000);
+	const createReader = (): PausedReader => ({
+		socket: undefined,
+		continueReading() {
+			continuedCount += 1;
+			held.addBody(4 * megabyte);
+		},
+		destroy: () => undefined,
+	});
+	for (const reader of [createReader(), createReader(), createReader()]) {
+		held.pause(reader);
+	}
+
+	held.addBody(-1000);
+	t.is(continuedCount, 1);
+});
