--- a/src/decisions/admission/slot-coordinator.ts
+++ b/src/decisions/admission/slot-coordinator.ts
@@ -38,8 +38,8 @@
 /** Age from which a grant ends if its daemon does not name it, in milliseconds; a younger one may cross the message. */
 const confirmedAgeMs = 250;
 
-/** Time without a message after which a daemon's grants and requests end, in milliseconds. */
-const silenceMs = 1000;
+/** Time without a message after which a daemon's grants and requests end, in milliseconds; three times the interval of the lists of open requests. */
+const silenceMs = 3000;
 
 /** Time without repetition after which a waiting request ends, in milliseconds; daemons repeat it every 150 ms. */
 const repetitionMs = 600;
--- a/src/decisions/admission/slot-requests.ts
+++ b/src/decisions/admission/slot-requests.ts
@@ -23,8 +23,11 @@
 /** Time for which the load that a coordinator reported is used, in milliseconds; requests take about as long. */
 const loadValidityMs = 500;
 
-/** Interval at which open requests are named to their coordinators, in milliseconds. */
-const confirmIntervalMs = 250;
+/**
+ * Interval at which open requests are named to their coordinators, in milliseconds. With 250 ms, 59 daemons that use some 20 coordinators
+ * each exchange twice as many of these lists as requests.
+ */
+const confirmIntervalMs = 1000;
 
 /** Empty lists that a coordinator gets after the last request ended, so that it notices a lost release although one of them is lost. */
 const emptyListCount = 2;
