--- a/src/decisions/admission/slot-coordinator.ts
+++ b/src/decisions/admission/slot-coordinator.ts
@@ -14,6 +14,7 @@
 	retryDelayMs, SlotQueue, type Pace, type WaitingRequest,
 } from './slot-queue.js';
 import {TargetGroups, type GroupView} from './target-groups.js';
+import {TickIntervals} from './tick-intervals.js';
 import {TargetMeter, TrustChange, type Grant} from './target-meter.js';
 
 /** Factor on the estimate of a target in another availability zone than the asking daemon: traffic between them is priced. */
@@ -98,6 +99,7 @@
 	/** In the order in which they ended. */
 	private readonly ended = new Map<string, EndedNumber>();
 	private readonly heardAt = new Map<string, number>();
+	private readonly intervals = new TickIntervals();
 	private granted = 0;
 	private queued = 0;
 	private denied = 0;
@@ -205,8 +207,10 @@
 
 	/** Called periodically: grants what time has made available, and ends what nobody uses. */
 	advance(now = performance.now()): SlotAnswer[] {
+		const stallMs = this.intervals.stallMs(now);
+		this.excuseStall(stallMs, now);
 		this.forgetEnded(now);
-		for (const meter of this.meters.values()) {
+		for (const meter of stallMs > 0 ? [] : this.meters.values()) {
 			this.logTrust(meter, now, () => meter.checkSilence(now));
 		}
 
@@ -480,6 +484,21 @@
 		return daemon !== this.options.daemon && now - (this.heardAt.get(daemon) ?? -Infinity) > silenceMs;
 	}
 
+	/** After a stall of this process, timers run before sockets are read: messages of other daemons may have arrived in time. */
+	private excuseStall(stallMs: number, now: number): void {
+		if (stallMs === 0) {
+			return;
+		}
+
+		for (const [daemon, heardAt] of this.heardAt) {
+			this.heardAt.set(daemon, Math.min(now, heardAt + stallMs));
+		}
+
+		for (const {waiting} of this.places.values()) {
+			waiting.repeatedAt = Math.min(now, waiting.repeatedAt + stallMs);
+		}
+	}
+
 	private forgetEnded(now: number): void {
 		for (const [key, {endedAt}] of this.ended) {
 			if (now - endedAt <= endedMemoryMs) {
--- a/src/decisions/admission/slot-requests.ts
+++ b/src/decisions/admission/slot-requests.ts
@@ -7,6 +7,7 @@
 	SlotDecision, SlotEnd, type SlotAnswer, type SlotRelease,
 } from '../../model/slots.js';
 import type {SlotLink} from './slot-exchange.js';
+import {TickIntervals} from './tick-intervals.js';
 
 /** Time without an answer after which a message is repeated, in milliseconds; an exchange takes about 3 ms, and ticks are 20 ms apart. */
 const repeatMs = 40;
@@ -148,6 +149,7 @@
 	private readonly loads = new Map<string, {load: number; reportedAt: number}>();
 	/** Empty lists that coordinators still get. */
 	private readonly contacts = new Map<string, number>();
+	private readonly intervals = new TickIntervals();
 	private confirmedAt = 0;
 	private averageWaitMs = 0;
 	/** Starts at the time of day, so that answers to an earlier process of this daemon have lower numbers. */
@@ -256,7 +258,10 @@
 	/** Called periodically. */
 	tick(now = performance.now()): void {
 		this.options.link.tick(now);
+		// After a stall, timers run before sockets are read: answers may have arrived in time.
+		const stallMs = this.intervals.stallMs(now);
 		for (const pending of this.pending.values()) {
+			pending.askedAt = Math.min(now, pending.askedAt + stallMs);
 			this.followUp(pending, now);
 		}
 
--- a/tests/decisions/slot-coordinator.test.ts
+++ b/tests/decisions/slot-coordinator.test.ts
@@ -243,6 +243,20 @@
 	t.is(fixture.coordinator.openGrantCount, 0);
 });
 
+test('should keep grants and queued requests after a stall of its own, because messages have not been read yet', t => {
+	const fixture = new Fixture();
+	fixture.coordinator.advance(0);
+	for (let number = 1; number <= slotLimit; number += 1) {
+		fixture.ask(number, 5, {leftMs: 20_000});
+	}
+
+	t.is(fixture.ask(5, 5, {leftMs: 20_000}), '5 queued');
+	fixture.coordinator.advance(20);
+	t.is(described(fixture.coordinator.advance(5000)), '');
+	t.is(fixture.coordinator.openGrantCount, slotLimit);
+	t.is(fixture.release(1, 5001), '5 granted');
+});
+
 for (const isKeyed of [false, true]) {
 	test(`should send a cold target no more than it takes in any second, and use that, for a ${isKeyed ? 'keyed service' : 'service without keys'}`, t => {
 		let leftMs = 0;
