--- a/src/decisions/admission/slot-coordinator.ts
+++ b/src/decisions/admission/slot-coordinator.ts
@@ -251,7 +251,9 @@
 		const place = this.places.get(key);
 		if (place) {
 			place.waiting.repeatedAt = now;
-			return [this.queuedAnswer(place, this.candidatesOf(place.pool, now), now)];
+			const candidates = this.candidatesOf(place.pool, now);
+			// Without candidates the estimates are not defined; the next tick denies the request.
+			return candidates.length === 0 ? [] : [this.queuedAnswer(place, candidates, now)];
 		}
 
 		const ended = this.ended.get(key);
@@ -284,11 +286,12 @@
 		}
 
 		const groups = this.groups.groupsOf(service, now);
-		if (group !== undefined) {
-			return groups[group]?.targets ?? [];
+		const chosen = group === undefined ? [] : groups[group]?.targets ?? [];
+		if (chosen.length > 0) {
+			return chosen;
 		}
 
-		// The asking daemon knows other groups than this one: any for which this daemon is first, or else all.
+		// The asking daemon knows other groups than this one, or the group has lost its targets: any for which this daemon is first, or else all.
 		const own = groups.filter(({coordinators}) => coordinators[0] === this.options.daemon);
 		return (own.length > 0 ? own : groups).flatMap(({targets}) => targets);
 	}
--- a/tests/decisions/slot-coordinator.test.ts
+++ b/tests/decisions/slot-coordinator.test.ts
@@ -49,7 +49,7 @@
 /** A coordinator and the requests of one daemon. */
 class Fixture {
 	readonly coordinator: SlotCoordinator;
-	readonly view;
+	readonly view: View;
 
 	constructor(options: Options = {}) {
 		this.view = createView(options);
@@ -207,6 +207,33 @@
 	});
 }
 
+test('should serve requests that wait for a group that vanishes with other targets of the service', t => {
+	const fixture = new Fixture({count: 13});
+	const all = fixture.view.readyTargets(service);
+	const [first, ...others] = new TargetGroups(fixture.view).groupsOf(service, 0);
+	t.is(others.length, 1);
+	t.true(others.every(({targets}) => targets.length > 0));
+	let number = 1;
+	while (fixture.ask(number, 0, {group: 1}) === `${number} granted`) {
+		number += 1;
+	}
+
+	// The target that is left may not belong to the first group as it was.
+	const [left] = first?.targets ?? [];
+	t.not(left, undefined);
+	fixture.view.readyTargets = () => all.filter(({id}) => id === left?.id);
+	t.is(described(fixture.coordinator.advance(20)), `${number} granted`);
+});
+
+test('should give no answer without estimates to a repeated request, because the asking daemon would reject the whole message', t => {
+	const fixture = new Fixture();
+	fixture.fill(slotLimit, 0);
+	t.is(fixture.ask(5, 1), '5 queued');
+	fixture.view.readyTargets = () => [];
+	t.is(fixture.ask(5, 2), '');
+	t.is(described(fixture.coordinator.advance(20)), '5 denied');
+});
+
 test('should answer a repeated request as before, without another slot', t => {
 	const fixture = new Fixture();
 	fixture.fill(slotLimit, 0);
