--- a/src/decisions/admission/slot-coordinator.ts
+++ b/src/decisions/admission/slot-coordinator.ts
@@ -155,7 +155,8 @@
 			daemon, request, queuedAt: now, dueAt: now + request.dueMs, deadlineAt: now + request.leftMs, repeatedAt: now,
 		};
 		if (candidates.length === 0) {
-			return [this.deny(waiting, retryDelayMs(unknownRetryMs, this.options.random()), 0, now)];
+			// Without any ready target, this daemon may not know the service yet, and the asking daemon goes on to the second coordinator.
+			return this.options.view.readyTargets(request.service, now).length === 0 ? [] : [this.denyUnknown(waiting, now)];
 		}
 
 		this.places.set(key, {waiting, pool});
@@ -228,7 +229,7 @@
 		for (const [key, pool] of this.pools) {
 			const candidates = this.candidatesOf(pool, now);
 			if (candidates.length === 0) {
-				answers.push(...pool.queue.clear().map(waiting => this.deny(waiting, retryDelayMs(unknownRetryMs, this.options.random()), 0, now)));
+				answers.push(...pool.queue.clear().map(waiting => this.denyUnknown(waiting, now)));
 			} else {
 				answers.push(...this.serve(pool, candidates, now));
 			}
@@ -318,7 +319,7 @@
 
 		queue.advance(now, pace);
 		for (const waiting of queue.removeHopeless(now, pace)) {
-			answers.push(this.deny(waiting, queue.retryAfterMs(pace, this.options.random()), this.loadOf(candidates, queue.length, now), now));
+			answers.push(this.deny(waiting, {retryAfterMs: queue.retryAfterMs(pace, this.options.random()), load: this.loadOf(candidates, queue.length, now)}, now));
 		}
 
 		return answers;
@@ -450,10 +451,16 @@
 		};
 	}
 
-	private deny({daemon, request: {number}}: WaitingRequest, retryAfterMs: number, load: number, now: number): SlotAnswer {
+	/** Denies a request for which no target is known. */
+	private denyUnknown(waiting: WaitingRequest, now: number): SlotAnswer {
+		const isUnknownTarget = waiting.request.target !== undefined;
+		return this.deny(waiting, {retryAfterMs: retryDelayMs(unknownRetryMs, this.options.random()), load: 0, ...(isUnknownTarget && {isUnknownTarget})}, now);
+	}
+
+	private deny({daemon, request: {number}}: WaitingRequest, reason: Pick<SlotAnswer, 'retryAfterMs' | 'load' | 'isUnknownTarget'>, now: number): SlotAnswer {
 		const key = keyOf(daemon, number);
 		const denial = {
-			daemon, number, decision: SlotDecision.Denied, responseMs: 0, retryAfterMs, load,
+			daemon, number, decision: SlotDecision.Denied, responseMs: 0, ...reason,
 		};
 		this.places.delete(key);
 		this.ended.set(key, {endedAt: now, denial});
--- a/src/decisions/admission/slot-message.ts
+++ b/src/decisions/admission/slot-message.ts
@@ -40,8 +40,8 @@
 	duration,
 ]);
 
-/** Number, decision, target, estimated response time, delay until a retry, and load of the group. */
-const answerSchema = z.tuple([counter, z.enum(SlotDecision), optionalName, duration, duration, count]);
+/** Number, decision, target, estimated response time, delay until a retry, load of the group, and whether the only target is unknown. */
+const answerSchema = z.tuple([counter, z.enum(SlotDecision), optionalName, duration, duration, count, z.optional(z.boolean())]);
 
 /** Number, service, target, end, duration, load of the target, and time until it has warmed up. */
 const releaseSchema = z.tuple([
@@ -99,13 +99,15 @@
 	};
 }
 
-export function packAnswer({number, decision, target, responseMs, retryAfterMs, load}: SlotAnswer): AnswerPart {
-	return [number, decision, target ?? null, toDuration(responseMs), toDuration(retryAfterMs), Math.min(highestCount, Math.round(load * 100) / 100)];
+export function packAnswer({number, decision, target, responseMs, retryAfterMs, load, isUnknownTarget}: SlotAnswer): AnswerPart {
+	const loadCount = Math.min(highestCount, Math.round(load * 100) / 100);
+	const part = [number, decision, target ?? null, toDuration(responseMs), toDuration(retryAfterMs), loadCount] as const;
+	return isUnknownTarget ? [...part, true] : [...part];
 }
 
-export function unpackAnswer([number, decision, target, responseMs, retryAfterMs, load]: AnswerPart, daemon: string): SlotAnswer {
+export function unpackAnswer([number, decision, target, responseMs, retryAfterMs, load, isUnknownTarget]: AnswerPart, daemon: string): SlotAnswer {
 	return {
-		daemon, number, decision, target: target ?? undefined, responseMs, retryAfterMs, load,
+		daemon, number, decision, target: target ?? undefined, responseMs, retryAfterMs, load, ...(isUnknownTarget && {isUnknownTarget}),
 	};
 }
 
--- a/src/decisions/admission/slot-requests.ts
+++ b/src/decisions/admission/slot-requests.ts
@@ -84,7 +84,7 @@
 
 export type SlotOutcome
 	= | {kind: SlotOutcomeKind.Granted; grant: SlotGrant}
-		| {kind: SlotOutcomeKind.Denied; retryAfterMs: number}
+		| {kind: SlotOutcomeKind.Denied; retryAfterMs: number; isUnknownTarget?: boolean | undefined}
 		| {kind: SlotOutcomeKind.Uncoordinated};
 
 /** How the use of a granted slot ended. */
@@ -249,7 +249,7 @@
 
 			case SlotDecision.Denied: {
 				this.counts.denied += 1;
-				pending.settle({kind: SlotOutcomeKind.Denied, retryAfterMs: answer.retryAfterMs});
+				pending.settle({kind: SlotOutcomeKind.Denied, retryAfterMs: answer.retryAfterMs, isUnknownTarget: answer.isUnknownTarget});
 				break;
 			}
 		}
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -490,6 +490,11 @@
 			dueAt: receivedAt + targetLatencyMs,
 			deadlineAt,
 		}, cancellation);
+		if (outcome?.kind === SlotOutcomeKind.Denied && outcome.isUnknownTarget && owner) {
+			// The coordinator knows a newer owner, or will soon know this one.
+			return this.waitForOwner(context, OutcomeReason.KeyMoving, retryDelaysMs.moving);
+		}
+
 		if (outcome?.kind === SlotOutcomeKind.Denied) {
 			return this.giveUp(context, OutcomeReason.Overloaded, outcome.retryAfterMs);
 		}
--- a/src/model/slots.ts
+++ b/src/model/slots.ts
@@ -53,6 +53,8 @@
 	responseMs: number;
 	/** Delay after which a denied request is likely to be granted, in milliseconds; 0 otherwise. */
 	retryAfterMs: number;
+	/** True if a request was denied because its only target is not ready as far as the coordinator knows. */
+	isUnknownTarget?: boolean | undefined;
 	/** Requests in flight on average over about two seconds, and waiting at present, for each slot of the group. */
 	load: number;
 };
--- a/tests/decisions/coordinated-forwarding.test.ts
+++ b/tests/decisions/coordinated-forwarding.test.ts
@@ -36,8 +36,8 @@
 	},
 ];
 
-/** What the coordinator does with a request: grants a target, denies, queues until the given time, or stays silent. */
-type Decision = {grant: string; afterMs?: number} | 'deny' | 'silence';
+/** What the coordinator does with a request: grants a target, denies, does not know the target, queues until the given time, or stays silent. */
+type Decision = {grant: string; afterMs?: number} | 'deny' | 'unknown' | 'silence';
 
 type Step = AttemptResult & {afterMs: number; statement?: Partial<TargetStatement>};
 
@@ -97,9 +97,9 @@
 	const attempts: Attempt[] = [];
 	const asked: SlotRequest[] = [];
 	const releases: SlotRelease[] = [];
-	const answer = (number: number, decision: SlotDecision, target?: string): void => {
+	const answer = (number: number, decision: SlotDecision, target?: string, isUnknownTarget?: boolean): void => {
 		requests.receiveAnswer('coordinator', {
-			daemon: 'own', number, decision, target, responseMs: 100, retryAfterMs: 700, load: 1,
+			daemon: 'own', number, decision, target, responseMs: 100, retryAfterMs: 700, load: 1, isUnknownTarget,
 		});
 	};
 
@@ -119,8 +119,8 @@
 					return;
 				}
 
-				if (decision === 'deny') {
-					answer(request.number, SlotDecision.Denied);
+				if (decision === 'deny' || decision === 'unknown') {
+					answer(request.number, SlotDecision.Denied, undefined, decision === 'unknown');
 				} else if (decision.afterMs === undefined) {
 					answer(request.number, SlotDecision.Granted, decision.grant);
 				} else {
@@ -207,6 +207,29 @@
 		attempts: [],
 		ends: [],
 	},
+	{
+		title: 'wait for another owner if the coordinator does not know the target',
+		path: '/record/a',
+		decisions: ['unknown', {grant: 'keyed-1'}],
+		whileWaiting(view) {
+			const owner = createTarget('keyed-1', 'keyed', 0);
+			view.applyTarget(owner);
+			view.applyAssignment({assignment: initialAssignment('keyed', [owner]), revision: 2});
+		},
+		kind: OutcomeKind.Answered,
+		attempts: ['keyed-1 300 740'],
+		ends: [SlotEnd.Answered],
+	},
+	{
+		title: 'give up like at a moving key if no other owner follows after the coordinator did not know the target',
+		path: '/record/a',
+		decisions: ['unknown'],
+		kind: OutcomeKind.NotRun,
+		reason: OutcomeReason.KeyMoving,
+		retryAfterMs: 100,
+		attempts: [],
+		ends: [],
+	},
 	{
 		title: 'not claim that a request did not run if a denial follows a silent attempt',
 		path: '/read/a',
--- a/tests/decisions/slot-coordinator.test.ts
+++ b/tests/decisions/slot-coordinator.test.ts
@@ -188,7 +188,6 @@
 
 const denials: Array<{title: string; fields: Partial<SlotRequest>; expected: string}> = [
 	{title: 'a request that waits too long', fields: {leftMs: 130}, expected: '9 denied'},
-	{title: 'a request for an unknown service', fields: {service: 'unknown'}, expected: '9 denied'},
 	{title: 'a request for an unknown target', fields: {target: 'unknown'}, expected: '9 denied'},
 	{title: 'a request that is displaced, and not the one that displaces it', fields: {priority: 0, dueMs: 140, leftMs: 300}, expected: '8 denied, 9 queued'},
 	{title: 'no request that has time', fields: {priority: 1, dueMs: -1, leftMs: 500}, expected: '9 queued'},
@@ -234,6 +233,16 @@
 	t.is(described(fixture.coordinator.advance(20)), '5 denied');
 });
 
+test('should leave requests for a service without ready targets to the second coordinator, and say that a target is unknown', t => {
+	const fixture = new Fixture();
+	t.is(fixture.ask(1, 0, {service: 'unknown'}), '');
+	t.is(fixture.ask(2, 0, {service: 'unknown', target: 't0'}), '');
+	const [denial] = fixture.coordinator.request('asking', {...plain, number: 3, target: 'unknown'}, 0);
+	t.true(denial?.isUnknownTarget);
+	fixture.view.readyTargets = () => [];
+	t.is(fixture.ask(4, 1), '');
+});
+
 test('should answer a repeated request as before, without another slot', t => {
 	const fixture = new Fixture();
 	fixture.fill(slotLimit, 0);
--- a/tests/decisions/slot-exchange.test.ts
+++ b/tests/decisions/slot-exchange.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
 import {SlotExchange} from '../../src/decisions/admission/slot-exchange.js';
-import {decodeSlotMessage, isSlotMessage, type SlotMessage} from '../../src/decisions/admission/slot-message.js';
+import {
+	decodeSlotMessage, isSlotMessage, packAnswer, unpackAnswer, type SlotMessage,
+} from '../../src/decisions/admission/slot-message.js';
 import {MalformedDocumentError} from '../../src/model/errors.js';
 import {
 	SlotDecision, SlotEnd, type SlotAnswer, type SlotRelease, type SlotRequest,
@@ -89,6 +91,14 @@
 	]);
 });
 
+test('should transfer that a target is unknown, because the request then waits for its owner', t => {
+	const denial = {
+		...answer, daemon: 'a', decision: SlotDecision.Denied, target: undefined, isUnknownTarget: true,
+	};
+	const {slotAnswers = []} = decodeSlotMessage({slotsOf: 'b', availabilityZone: 'zone', slotAnswers: [packAnswer(denial)]});
+	t.deepEqual(slotAnswers.map(part => unpackAnswer(part, 'a')), [denial]);
+});
+
 test('should call the coordinator of its own daemon directly', t => {
 	const {asking, messages, seen, endTurn} = setUp();
 	asking.request('a', request, 0);
