--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -277,8 +277,6 @@
 
 		this.targets.delete(id);
 		this.overtaken.delete(id);
-		this.warmedUpAt.delete(id);
-		this.reportedWarmUps.delete(id);
 		this.removed.set(id, {target, removedAt: now, usableUntil: now < this.graceUntil ? this.graceUntil : 0});
 		this.readyByService.clear();
 	}
@@ -323,7 +321,7 @@
 	/** Time until a target has warmed up, in milliseconds. */
 	warmUpLeft(id: string, now = performance.now()): number {
 		const reported = this.reportedWarmUps.get(id);
-		const isCurrent = reported !== undefined && reported.bornAt === this.targets.get(id)?.bornAt;
+		const isCurrent = reported !== undefined && reported.bornAt === this.findTarget(id)?.bornAt;
 		return Math.max(0, (this.warmedUpAt.get(id) ?? 0) - now, isCurrent ? reported.until - now : 0);
 	}
 
@@ -332,7 +330,7 @@
 	 * shortens the time, because answers overtake each other and entries of the store.
 	 */
 	extendWarmUp(id: string, warmUpLeftMs: number, now = performance.now()): boolean {
-		const bornAt = this.targets.get(id)?.bornAt;
+		const bornAt = this.findTarget(id)?.bornAt;
 		const knownMs = this.warmUpLeft(id, now);
 		if (bornAt === undefined || warmUpLeftMs <= knownMs) {
 			return false;
@@ -431,6 +429,8 @@
 		for (const [id, {removedAt}] of this.removed) {
 			if (now - removedAt > removedRetentionMs) {
 				this.removed.delete(id);
+				this.warmedUpAt.delete(id);
+				this.reportedWarmUps.delete(id);
 			}
 		}
 
--- a/tests/decisions/fleet-view.test.ts
+++ b/tests/decisions/fleet-view.test.ts
@@ -8,6 +8,7 @@
 import type {Route, RouteConfiguration} from '../../src/model/route-configuration.js';
 import {decodeEvacuation, decodeTarget} from '../../src/platform/documents.js';
 import {MemoryCoordinationStore, StoreFault} from '../../standins/memory-coordination-store.js';
+import {target as createTarget} from '../../standins/relayed-fleet.js';
 
 function route(name: string, prefix: string, shares = [{service: 'one', weight: 1}]): Route {
 	return {
@@ -38,6 +39,21 @@
 	});
 }
 
+test('should keep the warm-up times of targets whose entry expired, because they may still be used', t => {
+	const view = new FleetView();
+	view.applyTarget({...createTarget('listed'), warmUpLeftMs: 1000}, 0);
+	view.applyTarget({...createTarget('reported'), warmUpLeftMs: 0}, 0);
+	view.extendWarmUp('reported', 2000, 0);
+	view.removeTarget('listed', 100);
+	view.removeTarget('reported', 100);
+	t.is(view.warmUpLeft('listed', 200), 800);
+	t.is(view.warmUpLeft('reported', 200), 1800);
+	t.true(view.extendWarmUp('listed', 3000, 1500), 'a report counts after the entry expired');
+	t.is(view.warmUpLeft('listed', 1500), 3000);
+	view.prune(10_000_000);
+	t.is(view.warmUpLeft('listed', 1500), 0);
+});
+
 test('should take the route with the longest prefix', t => {
 	const index = new RouteIndex(configurationOf(1, [route('short', '/a/'), route('long', '/a/b/')]));
 	t.is(index.routeOf('HOST:80', '/a/b/c')?.name, 'long');
