--- a/src/decisions/admission/target-meter.ts
+++ b/src/decisions/admission/target-meter.ts
@@ -168,14 +168,16 @@
 	/** Requests in flight, given what peers report. */
 	inFlight(peerInFlight: number, now: number): number {
 		const foreign = now - this.foreignAt < foreignValidityMs ? this.foreign : 0;
-		const known = this.grants.size + foreign;
+		const known = this.grants.size - this.countOverdue(now, ({grantedAt}) => grantedAt < this.wellGrantedAt) + foreign;
 		return now - this.startedAt < takeoverMs ? Math.max(known, peerInFlight + this.countYoung(reportAgeMs, now)) : known;
 	}
 
 	/** True if a request may be granted a slot; a suspect target gets one only as a trial, or if there is no other target. */
 	isAvailable(inFlight: number, isOnlyChoice: boolean, now: number): boolean {
 		const {isCold, warmUpPerS} = this.condition;
-		if (now < this.pausedUntil || inFlight >= this.slots + spareInFlight || (isCold && warmUpPerS !== undefined && this.coldGrants < 1)) {
+		// Requests that the target dropped hold their grants until the deadline and must not prevent the trial that shows that it works again.
+		const counted = this.isTrialDue(now) ? inFlight - this.countOverdue(now, ({grantedAt}) => grantedAt >= this.wellGrantedAt) : inFlight;
+		if (now < this.pausedUntil || counted >= this.slots + spareInFlight || (isCold && warmUpPerS !== undefined && this.coldGrants < 1)) {
 			return false;
 		}
 
@@ -348,6 +350,16 @@
 		}
 	}
 
+	/** Grants without an end for so long that their requests count as lost. */
+	private countOverdue(now: number, isCounted: (grant: Grant) => boolean): number {
+		let count = 0;
+		for (const grant of this.grants) {
+			count += now - grant.grantedAt > suspectFactor * grant.expectedMs && isCounted(grant) ? 1 : 0;
+		}
+
+		return count;
+	}
+
 	private countYoung(ageMs: number, now: number): number {
 		let count = 0;
 		for (const {grantedAt} of this.grants) {
--- a/tests/decisions/slot-coordinator.test.ts
+++ b/tests/decisions/slot-coordinator.test.ts
@@ -373,6 +373,43 @@
 	});
 }
 
+test('should find out that a target works again although requests that it dropped hold all its slots', t => {
+	const fixture = new Fixture();
+	for (let number = 1; number <= slotLimit; number += 1) {
+		t.is(fixture.ask(number, 0, {leftMs: 6000}), `${number} granted`);
+	}
+
+	const grantedAt: number[] = [];
+	let number = slotLimit;
+	for (let now = 20; now <= 4000; now += 20) {
+		number += 1;
+		const isGranted = fixture.ask(number, now, {dueMs: 3000, leftMs: 6000}).includes(`${number} granted`);
+		fixture.release(number, now + 10, isGranted ? SlotEnd.Answered : SlotEnd.Unused, 10);
+		fixture.coordinator.advance(now + 10);
+		if (isGranted) {
+			grantedAt.push(now);
+		}
+	}
+
+	t.log(grantedAt.slice(0, 5));
+	t.true((grantedAt[0] ?? Infinity) < 1500, 'a trial is not blocked by lost requests');
+	t.true(grantedAt.length > 100, 'lost requests do not count once a later one was answered');
+});
+
+test('should not grant more than one trial at a time beyond the lost requests', t => {
+	const fixture = new Fixture();
+	for (let number = 1; number <= slotLimit; number += 1) {
+		fixture.ask(number, 0, {leftMs: 6000});
+	}
+
+	for (let now = 20; now <= 900; now += 20) {
+		fixture.coordinator.advance(now);
+	}
+
+	const answers = [10, 11, 12].map(number => fixture.ask(number, 905, {dueMs: 3000, leftMs: 6000}));
+	t.deepEqual(answers, ['10 granted', '11 queued', '12 queued']);
+});
+
 test('should not starve a keyed target after a failure: it has no substitute', t => {
 	const fixture = new Fixture({isKeyed: true});
 	t.is(fixture.ask(1, 0, {target: 't0'}), '1 granted');
