--- a/src/decisions/admission/target-groups.ts
+++ b/src/decisions/admission/target-groups.ts
@@ -47,7 +47,7 @@
 		this.followMembers();
 		const ready = this.view.readyTargets(service, now);
 		const known = this.groupings.get(service);
-		if (known?.ready === ready) {
+		if (known && isSame(known.ready, ready)) {
 			return known.groups;
 		}
 
@@ -111,6 +111,11 @@
 	}
 }
 
+/** Compares elements, because the view returns another array each time while it uses targets whose entries expired. */
+function isSame(left: readonly Target[], right: readonly Target[]): boolean {
+	return left === right || (left.length === right.length && left.every((target, index) => target === right[index]));
+}
+
 function groupNumber(target: string, count: number): number {
 	let best = 0;
 	let highest = -1;
--- a/tests/decisions/slot-coordinator.test.ts
+++ b/tests/decisions/slot-coordinator.test.ts
@@ -503,3 +503,14 @@
 	t.log(`${Math.min(...batches).toFixed(4)} ms`);
 	t.true(Math.min(...batches) < 0.05, `${Math.min(...batches)} ms`);
 });
+
+test('should divide targets into groups again only if they changed, because that costs more than a request', t => {
+	const view = createView({count: 36}, 5);
+	const targets = view.readyTargets(service);
+	view.readyTargets = () => [...targets];
+	const groups = new TargetGroups(view);
+	const first = groups.groupsOf(service, 0);
+	t.is(groups.groupsOf(service, 1), first);
+	targets[3] = target('t3');
+	t.not(groups.groupsOf(service, 2), first);
+});
