--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -34,6 +34,9 @@
 /** Longest wait for the new owner of a moving key, in milliseconds; a planned move takes less time. */
 const maxMoveWaitMs = 1200;
 
+/** Age up to which a reported load is passed on, in milliseconds; the shortest work of the deployments takes 76.5 ms. */
+const loadReportValidityMs = 50;
+
 /** Delay after a target answered that it does not own the key, unless the assignment changes sooner, in milliseconds. */
 const misdirectedWaitMs = 80;
 
@@ -683,12 +686,14 @@
 			},
 		}));
 		const isUnknown = this.isWithoutEvidence(context, target, result);
+		const endedAt = performance.now();
+		// A slow caller delays the end of a streamed answer, whose head has reported load and warm-up time.
+		const ageMs = endedAt - (answerStartedAt ?? endedAt);
 		this.releaseSlot(context, {
 			end: isUnknown ? SlotEnd.Unused : slotEndOf(result),
-			// A slow caller delays the end of a streamed answer.
-			durationMs: Math.round((result.end === AttemptEnd.Streamed ? answerStartedAt ?? performance.now() : performance.now()) - sentAt),
-			load: told?.load,
-			warmUpLeftMs: context.service.warmUpPerS === undefined ? undefined : told?.warmUpLeftMs,
+			durationMs: Math.round((result.end === AttemptEnd.Streamed ? endedAt - ageMs : endedAt) - sentAt),
+			load: ageMs > loadReportValidityMs ? undefined : told?.load,
+			warmUpLeftMs: context.service.warmUpPerS === undefined || told?.warmUpLeftMs === undefined ? undefined : Math.max(0, told.warmUpLeftMs - ageMs),
 		});
 		if (isUnknown) {
 			recordEnd?.(undefined);
--- a/tests/decisions/coordinated-forwarding.test.ts
+++ b/tests/decisions/coordinated-forwarding.test.ts
@@ -39,7 +39,12 @@
 /** What the coordinator does with a request: grants a target, denies, does not know the target, queues until the given time, or stays silent. */
 type Decision = {grant: string; afterMs?: number} | 'deny' | 'unknown' | 'silence';
 
-type Step = AttemptResult & {afterMs: number; statement?: Partial<TargetStatement>};
+type Step = AttemptResult & {
+	afterMs: number;
+	statement?: Partial<TargetStatement>;
+	/** Time between the head and the end of the answer, in milliseconds. */
+	bodyMs?: number;
+};
 
 const answered: Step = {
 	end: AttemptEnd.Answered, answer: {status: 200, headers: {}}, body: new Uint8Array([1]), afterMs: 100,
@@ -156,6 +161,12 @@
 					});
 				}
 
+				if (step.bodyMs !== undefined) {
+					await new Promise(resolve => {
+						setTimeout(resolve, step.bodyMs);
+					});
+				}
+
 				return step;
 			},
 		},
@@ -352,6 +363,35 @@
 	});
 }
 
+test.serial('should report no outdated load and warm-up time when a streamed answer ends, because its caller may read for long', async t => {
+	const clock = FakeTimers.install({now: 1_800_000_000_000, toFake: ['setTimeout', 'clearTimeout', 'Date', 'performance']});
+	try {
+		const load = {
+			running: 2, waiting: 0, slots: 3, slowness: 300,
+		};
+		const expectations = [
+			{bodyMs: 40, load, warmUpLeftMs: 160},
+			{bodyMs: 60, load: undefined, warmUpLeftMs: 140},
+			{bodyMs: 400, load: undefined, warmUpLeftMs: 0},
+		];
+		for (const {bodyMs, ...expected} of expectations) {
+			const {forwarder, releases} = setUp({
+				...cases[0], steps: [{
+					end: AttemptEnd.Streamed, answer: {status: 200, headers: {}}, afterMs: 100, bodyMs, statement: {load, warmUpLeftMs: 200},
+				}],
+			});
+			const outcome = forwarder.forward(callerRequest('/read/a'));
+			// eslint-disable-next-line no-await-in-loop -- one case after the other on one clock.
+			await clock.tickAsync(600);
+			// eslint-disable-next-line no-await-in-loop -- as above.
+			await outcome;
+			t.like(releases[0], {durationMs: 100, ...expected});
+		}
+	} finally {
+		clock.uninstall();
+	}
+});
+
 test.serial('should report time, load and warm-up of the target, and treat it as cold from then on', async t => {
 	const clock = FakeTimers.install({now: 1_800_000_000_000, toFake: ['setTimeout', 'clearTimeout', 'Date', 'performance']});
 	try {
