--- a/src/decisions/admission/slot-coordinator.ts
+++ b/src/decisions/admission/slot-coordinator.ts
@@ -98,7 +98,7 @@
 	private readonly places = new Map<string, WaitingPlace>();
 	/** In the order in which they ended. */
 	private readonly ended = new Map<string, EndedNumber>();
-	private readonly heardAt = new Map<string, number>();
+	private readonly lastMessageAt = new Map<string, number>();
 	private readonly intervals = new TickIntervals();
 	private granted = 0;
 	private queued = 0;
@@ -142,7 +142,7 @@
 
 	/** Answers a request, and others whose turn it changes. A repeated request gets its answer again. */
 	request(daemon: string, request: SlotRequest, now = performance.now()): SlotAnswer[] {
-		this.heardAt.set(daemon, now);
+		this.lastMessageAt.set(daemon, now);
 		const key = keyOf(daemon, request.number);
 		const repeated = this.repeatAnswer(key, now);
 		if (repeated) {
@@ -172,7 +172,7 @@
 
 	/** Ends a grant, or a request that waits. */
 	release(daemon: string, release: SlotRelease, now = performance.now()): SlotAnswer[] {
-		this.heardAt.set(daemon, now);
+		this.lastMessageAt.set(daemon, now);
 		const key = keyOf(daemon, release.number);
 		const place = this.places.get(key);
 		if (place) {
@@ -200,7 +200,7 @@
 
 	/** Ends the grants of a daemon that it does not name; their releases were lost. */
 	confirm(daemon: string, openNumbers: readonly number[], now = performance.now()): SlotAnswer[] {
-		this.heardAt.set(daemon, now);
+		this.lastMessageAt.set(daemon, now);
 		const open = new Set(openNumbers);
 		const lost = [...this.grants.values()].filter(grant => grant.daemon === daemon && now - grant.grantedAt > confirmedAgeMs && !open.has(grant.number));
 		return this.drop(lost, {unconfirmed: lost.length}, now);
@@ -491,7 +491,7 @@
 	}
 
 	private isSilent(daemon: string, now: number): boolean {
-		return daemon !== this.options.daemon && now - (this.heardAt.get(daemon) ?? -Infinity) > silenceMs;
+		return daemon !== this.options.daemon && now - (this.lastMessageAt.get(daemon) ?? -Infinity) > silenceMs;
 	}
 
 	/** After a stall of this process, timers run before sockets are read: messages of other daemons may have arrived in time. */
@@ -500,8 +500,8 @@
 			return;
 		}
 
-		for (const [daemon, heardAt] of this.heardAt) {
-			this.heardAt.set(daemon, Math.min(now, heardAt + stallMs));
+		for (const [daemon, lastMessageAt] of this.lastMessageAt) {
+			this.lastMessageAt.set(daemon, Math.min(now, lastMessageAt + stallMs));
 		}
 
 		for (const {waiting} of this.places.values()) {
@@ -518,9 +518,9 @@
 			this.ended.delete(key);
 		}
 
-		for (const [daemon, heardAt] of this.heardAt) {
-			if (now - heardAt > 2 * silenceMs) {
-				this.heardAt.delete(daemon);
+		for (const [daemon, lastMessageAt] of this.lastMessageAt) {
+			if (now - lastMessageAt > 2 * silenceMs) {
+				this.lastMessageAt.delete(daemon);
 			}
 		}
 
--- a/src/decisions/admission/slot-exchange.ts
+++ b/src/decisions/admission/slot-exchange.ts
@@ -36,7 +36,7 @@
 	defer(callback: () => void): void;
 	/** Called with an answer to a request of this daemon. */
 	onAnswer(coordinator: string, answer: SlotAnswer, now: number): void;
-	/** Called if a peer reports that a target told how long it is still cold. */
+	/** Called if a peer reports that a target reported how long it is still cold. */
 	onWarmUp(target: string, warmUpLeftMs: number, now: number): void;
 };
 
--- a/src/decisions/admission/target-meter.ts
+++ b/src/decisions/admission/target-meter.ts
@@ -29,10 +29,10 @@
 const suspectFactor = 4;
 
 /** Multiple of its estimate within which the answer to a trial ends the suspicion; targets five times slower mostly exceed it. */
-const wellFactor = 1.5;
+const timelyFactor = 1.5;
 
 /** Reported slowness in percent below which an answer ends the suspicion; targets report 300 at ordinary variations of speed. */
-const wellSlowness = 200;
+const timelySlowness = 200;
 
 /** First and longest delay until another trial of a suspect target that does not answer, in milliseconds. */
 const firstTrialMs = 250;
@@ -41,7 +41,7 @@
 /** Time for which a target that refused a request gets no slots, in milliseconds; its queue drains meanwhile. */
 const refusalPauseMs = 100;
 
-/** Time for which a report tells what is in flight besides the grants, in milliseconds. */
+/** Time for which a report shows what is in flight besides the grants, in milliseconds. */
 const foreignValidityMs = 500;
 
 /** Age below which a granted request may not have reached its target, in milliseconds. */
@@ -79,7 +79,7 @@
 /** A request that is granted a slot. */
 export type Grantee = Pick<Grant, 'daemon' | 'number' | 'expiresAt'>;
 
-/** What the view tells about a target besides its entry. */
+/** What the view reports about a target besides its entry. */
 export type TargetCondition = {
 	isCold: boolean;
 	/** Requests a second that it takes while it is cold; undefined if not bounded. */
@@ -114,8 +114,8 @@
 	private trial: Grant | undefined;
 	private trialAt = 0;
 	private trialDelayMs = firstTrialMs;
-	/** Time of the grant of the latest request that was answered well. */
-	private wellGrantedAt = -Infinity;
+	/** Time of the grant of the latest request that was answered in time. */
+	private timelyGrantedAt = -Infinity;
 	private averageUtilization = 0;
 	private measuredAt: number;
 	private startedAt: number;
@@ -168,7 +168,7 @@
 	/** Requests in flight, given what peers report. */
 	inFlight(peerInFlight: number, now: number): number {
 		const foreign = now - this.foreignAt < foreignValidityMs ? this.foreign : 0;
-		const known = this.grants.size - this.countOverdue(now, ({grantedAt}) => grantedAt < this.wellGrantedAt) + foreign;
+		const known = this.grants.size - this.countOverdue(now, ({grantedAt}) => grantedAt < this.timelyGrantedAt) + foreign;
 		return now - this.startedAt < takeoverMs ? Math.max(known, peerInFlight + this.countYoung(reportAgeMs, now)) : known;
 	}
 
@@ -176,7 +176,7 @@
 	isAvailable(inFlight: number, isOnlyChoice: boolean, now: number): boolean {
 		const {isCold, warmUpPerS} = this.condition;
 		// Requests that the target dropped hold their grants until the deadline and must not prevent the trial that shows that it works again.
-		const counted = this.isTrialDue(now) ? inFlight - this.countOverdue(now, ({grantedAt}) => grantedAt >= this.wellGrantedAt) : inFlight;
+		const counted = this.isTrialDue(now) ? inFlight - this.countOverdue(now, ({grantedAt}) => grantedAt >= this.timelyGrantedAt) : inFlight;
 		if (now < this.pausedUntil || counted >= this.slots + spareInFlight || (isCold && warmUpPerS !== undefined && this.coldGrants < 1)) {
 			return false;
 		}
@@ -244,8 +244,8 @@
 		switch (end) {
 			case SlotEnd.Answered: {
 				const usualMs = (durationMs ?? now - grant.grantedAt) / grant.position / ((grant.slowdown + this.slowdown(now)) / 2);
-				const isWell = (durationMs ?? now - grant.grantedAt) <= wellFactor * grant.expectedMs || (load?.slowness ?? Infinity) < wellSlowness;
-				const change = this.recordAnswer(grant, usualMs, isWell, now);
+				const isTimely = (durationMs ?? now - grant.grantedAt) <= timelyFactor * grant.expectedMs || (load?.slowness ?? Infinity) < timelySlowness;
+				const change = this.recordAnswer(grant, usualMs, isTimely, now);
 				return (load?.slowness ?? 0) >= suspectFactor * usualSlowness ? this.suspect(true, now + firstTrialMs, now) : change;
 			}
 
@@ -255,7 +255,7 @@
 
 			case SlotEnd.Silent: {
 				// A lost request says nothing about a target that has answered later ones.
-				return grant.grantedAt < this.wellGrantedAt ? undefined : this.suspect(false, now + firstTrialMs, now);
+				return grant.grantedAt < this.timelyGrantedAt ? undefined : this.suspect(false, now + firstTrialMs, now);
 			}
 
 			case SlotEnd.Refused: {
@@ -274,14 +274,14 @@
 		this.recordLoad(load, this.grants.size, now);
 	}
 
-	/** Suspects the target if its oldest request has been in flight for too long and none granted later was answered well. */
+	/** Suspects the target if its oldest request has been in flight for too long and none granted later was answered in time. */
 	checkSilence(now: number): TrustChange | undefined {
 		if (this.isSuspect) {
 			return undefined;
 		}
 
 		for (const {grantedAt, expectedMs} of this.grants) {
-			if (grantedAt >= this.wellGrantedAt) {
+			if (grantedAt >= this.timelyGrantedAt) {
 				return now - grantedAt > suspectFactor * Math.max(expectedMs, this.responseMs(0, now)) ? this.suspect(false, now + firstTrialMs, now) : undefined;
 			}
 		}
@@ -301,11 +301,11 @@
 	}
 
 	/** Records an answer with the time that the work takes without waiting at the usual speed. */
-	private recordAnswer(grant: Grant, usualMs: number, isWell: boolean, now: number): TrustChange | undefined {
+	private recordAnswer(grant: Grant, usualMs: number, isTimely: boolean, now: number): TrustChange | undefined {
 		this.sampleCount = Math.min(maxSamples, this.sampleCount + 1);
 		this.serviceMs += (Math.min(maxSampleFactor * this.serviceMs, usualMs) - this.serviceMs) / this.sampleCount;
-		if (isWell) {
-			this.wellGrantedAt = Math.max(this.wellGrantedAt, grant.grantedAt);
+		if (isTimely) {
+			this.timelyGrantedAt = Math.max(this.timelyGrantedAt, grant.grantedAt);
 		}
 
 		if (!this.isSuspect) {
@@ -313,7 +313,7 @@
 		}
 
 		this.hasAnswered = true;
-		if (isWell) {
+		if (isTimely) {
 			this.suspectSince = undefined;
 			this.trialDelayMs = firstTrialMs;
 			return TrustChange.Trusted;
--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -326,7 +326,7 @@
 	}
 
 	/**
-	 * Applies the warm-up time that a target told in an answer; returns true if the target was not known to be cold. An answer never
+	 * Applies the warm-up time that a target reported in an answer; returns true if the target was not known to be cold. An answer never
 	 * shortens the time, because answers overtake each other and entries of the store.
 	 */
 	extendWarmUp(id: string, warmUpLeftMs: number, now = performance.now()): boolean {
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -12,7 +12,7 @@
 import type {Route, ServiceRule} from '../../model/route-configuration.js';
 import {SlotEnd} from '../../model/slots.js';
 import type {TargetStatement} from '../../model/target-statement.js';
-import {attemptPatienceMs} from '../admission/attempt-patience.js';
+import {attemptTimeoutMs} from '../admission/attempt-timeout.js';
 import type {CoordinationPolicy} from '../admission/coordination-policy.js';
 import {SlotOutcomeKind, type SlotRequests, type SlotResult} from '../admission/slot-requests.js';
 import type {FleetView} from '../fleet/fleet-view.js';
@@ -665,9 +665,9 @@
 		const key = loads.startAttempt(target);
 		this.limitedAttempts += statements.limitOf(target) === undefined ? 0 : 1;
 		const budgetMs = remainingMs(context);
-		const timeoutMs = this.patienceMs(context, target, budgetMs) ?? budgetMs;
+		const timeoutMs = this.attemptTimeoutMs(context, target, budgetMs) ?? budgetMs;
 		let answerStartedAt: number | undefined;
-		let told: TargetStatement | undefined;
+		let reported: TargetStatement | undefined;
 		const recordEnd = this.options.relay?.startAttempt(target);
 		const result = await this.untilCallerLeaves(context, async cancellation => transport.send(context.request, {
 			target,
@@ -681,7 +681,7 @@
 			onStatement: statement => {
 				statements.record(target, statement, sentAt);
 				answerStartedAt = performance.now();
-				told = statement;
+				reported = statement;
 				this.recordWarmUp(context, target, statement);
 			},
 		}));
@@ -692,8 +692,8 @@
 		this.releaseSlot(context, {
 			end: isUnknown ? SlotEnd.Unused : slotEndOf(result),
 			durationMs: Math.round((result.end === AttemptEnd.Streamed ? endedAt - ageMs : endedAt) - sentAt),
-			load: ageMs > loadReportValidityMs ? undefined : told?.load,
-			warmUpLeftMs: context.service.warmUpPerS === undefined || told?.warmUpLeftMs === undefined ? undefined : Math.max(0, told.warmUpLeftMs - ageMs),
+			load: ageMs > loadReportValidityMs ? undefined : reported?.load,
+			warmUpLeftMs: context.service.warmUpPerS === undefined || reported?.warmUpLeftMs === undefined ? undefined : Math.max(0, reported.warmUpLeftMs - ageMs),
 		});
 		if (isUnknown) {
 			recordEnd?.(undefined);
@@ -703,7 +703,7 @@
 
 		if (result.isTimeout === true && timeoutMs < budgetMs) {
 			this.silentAttempts += 1;
-			this.options.log.record(LogEvent.AttemptSilent, {...requestLogFields(context), target: target.id, patienceMs: Math.round(timeoutMs)});
+			this.options.log.record(LogEvent.AttemptSilent, {...requestLogFields(context), target: target.id, timeoutMs: Math.round(timeoutMs)});
 			// The silence may show that this daemon is cut off, which is checked while the attempt still counts.
 			this.options.relay?.tick();
 		}
@@ -721,13 +721,13 @@
 	}
 
 	/** Time after which a silent attempt is given up, in milliseconds; undefined if it may use all the time that is left. */
-	private patienceMs(context: ForwardingContext, target: Target, leftMs: number): number | undefined {
+	private attemptTimeoutMs(context: ForwardingContext, target: Target, leftMs: number): number | undefined {
 		const {route, service, request, grant, deliveredAttempts} = context;
 		if (!context.isCoordinated) {
 			return undefined;
 		}
 
-		return attemptPatienceMs({
+		return attemptTimeoutMs({
 			responseMs: grant?.responseMs ?? this.options.loads.estimate(target).responseMs,
 			leftMs,
 			mayRepeat: route.isIdempotent && deliveredAttempts + 1 < route.maxAttempts && !(request.body instanceof Readable) && this.budgetOf(service.name).allowsRetry,
--- a/src/model/slots.ts
+++ b/src/model/slots.ts
@@ -2,12 +2,12 @@
  * Slots of targets that a coordinator grants to the daemons.
  */
 
-/** What a target told about its load in one answer. */
+/** What a target reported about its load in one answer. */
 export type TargetLoadReport = {
 	running: number;
 	waiting: number;
 	slots: number;
-	/** Duration of work on the target's machine at present, in percent of the usual one; undefined if it does not tell. */
+	/** Duration of work on the target's machine at present, in percent of the usual one; undefined if it does not report it. */
 	slowness: number | undefined;
 };
 
@@ -82,6 +82,6 @@
 	/** Time between sending and the answer, in milliseconds. */
 	durationMs?: number | undefined;
 	load?: TargetLoadReport | undefined;
-	/** Time until the target has warmed up as it told, in milliseconds. */
+	/** Time until the target has warmed up as it reported, in milliseconds. */
 	warmUpLeftMs?: number | undefined;
 };
--- a/src/model/target-statement.ts
+++ b/src/model/target-statement.ts
@@ -19,9 +19,9 @@
 	pauseMs: number | undefined;
 	/** True if the target ran the request; such an answer without a limit shows that there is none. */
 	hasRun: boolean;
-	/** Missing if the answer tells no readable load. */
+	/** Missing if the answer reports no readable load. */
 	load?: TargetLoadReport;
-	/** Time until the target has warmed up, in milliseconds; missing if the answer tells none. */
+	/** Time until the target has warmed up, in milliseconds; missing if the answer reports none. */
 	warmUpLeftMs?: number;
 	/** Header with a load or warm-up time that cannot be read, shortened for the log. */
 	unreadableReport?: string;
--- a/tests/decisions/coordinated-forwarding.test.ts
+++ b/tests/decisions/coordinated-forwarding.test.ts
@@ -1,6 +1,6 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
-import {attemptPatienceMs} from '../../src/decisions/admission/attempt-patience.js';
+import {attemptTimeoutMs} from '../../src/decisions/admission/attempt-timeout.js';
 import {CoordinationPolicy} from '../../src/decisions/admission/coordination-policy.js';
 import {SlotRequests} from '../../src/decisions/admission/slot-requests.js';
 import {FleetView} from '../../src/decisions/fleet/fleet-view.js';
@@ -444,7 +444,7 @@
 	[400, 660, true, undefined],
 	[100, 1000, false, undefined],
 ] as Array<[number, number, boolean, number | undefined]>) {
-	test(`should have patience for ${expected} ms with ${responseMs} ms estimated, ${leftMs} ms left and repeatable ${mayRepeat}`, t => {
-		t.is(attemptPatienceMs({responseMs, leftMs, mayRepeat}), expected);
+	test(`should give an attempt up after ${expected} ms with ${responseMs} ms estimated, ${leftMs} ms left and repeatable ${mayRepeat}`, t => {
+		t.is(attemptTimeoutMs({responseMs, leftMs, mayRepeat}), expected);
 	});
 }
