--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -355,7 +355,10 @@
 		this.capPeerRevision(revision, requestedAt.monotonic);
 		this.mustList = false;
 		if (revision < this.view.revision && revision >= this.missingRevision) {
-			// Updates from peers have brought the view to a newer revision meanwhile.
+			// Updates from peers have brought the view to a newer revision meanwhile. They do not contain what the restore has lost here.
+			this.mustList = this.isRestored;
+			// A listing from now on has that revision unless a peer named a wrong one.
+			this.missingRevision = this.isRestored ? this.view.revision : this.missingRevision;
 			return;
 		}
 
--- a/tests/decisions/store-era.test.ts
+++ b/tests/decisions/store-era.test.ts
@@ -397,6 +397,25 @@
 	});
 });
 
+// Guards against entries that stay forever because a peer's newer update made the daemon skip its own listing.
+test.serial('should remove what only one daemon knows from before a restore although a peer\'s update overtakes its listing', async t => {
+	await withRelayedFleet(async ({fleet, wait}) => {
+		const {view, client} = fleet.daemon('one-2');
+		view.applyTarget(target('lost'));
+		client.answerDelayMs = 600;
+		fleet.store.restore(fleet.store.takeCopy());
+		for (let step = 0; step < 10; step += 1) {
+			// eslint-disable-next-line no-await-in-loop -- one write after another.
+			await wait(100);
+			fleet.store.put('targets/new', `v${step}`);
+		}
+
+		await wait(4000);
+		t.is(view.listedTarget('lost'), undefined);
+		t.is(view.listedTarget('new')?.softwareVersion, 'v9');
+	});
+});
+
 test.serial('should write the entry of a member anew with a new lease, and leave leases of the lost era alone', async t => {
 	await withRelayedFleet(async ({fleet, wait}) => {
 		const {member, view, client} = fleet.daemons[0];
