--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -134,6 +134,11 @@
 		return [...this.assignments].every(([service, known]) => this.isCurrent(known) || this.configuration?.services.get(service)?.isKeyed !== true);
 	}
 
+	/** True if the owners of any service were written in the current era, so that a leader has been elected in it. */
+	get hasCurrentOwners(): boolean {
+		return [...this.assignments.values()].some(known => this.isCurrent(known));
+	}
+
 	/** Records that the known owners were the newest ones at a moment; owners of a lost era are never confirmed. */
 	confirmOwners(at: Moment): void {
 		if (this.areOwnersCurrent) {
--- a/src/decisions/ownership/leadership.ts
+++ b/src/decisions/ownership/leadership.ts
@@ -166,7 +166,8 @@
 	private isCandidate(now: number): boolean {
 		const {view, store} = this.options;
 		// A leader of the lost era that has not learned of the restore may send orders until its lease has run out.
-		const mayBeLed = now - store.era.since < this.leaseDurationMs;
+		// The writer of owners of the current era was elected after that time, so that a loss of power without a restore needs no wait.
+		const mayBeLed = now - store.era.since < this.leaseDurationMs && !view.hasCurrentOwners;
 		if (this.isResigned || this.options.isCutOff() || view.revision === 0 || view.leader !== undefined || mayBeLed) {
 			this.vacantSince = undefined;
 			return false;
--- a/tests/decisions/store-era.test.ts
+++ b/tests/decisions/store-era.test.ts
@@ -416,6 +416,28 @@
 	});
 });
 
+// Guards against a restart of all daemons that leaves keys unserved for the length of a lease although nothing was restored.
+for (const {title, isRestored} of [{title: 'at once without a restore', isRestored: false}, {title: 'after the wait if the store was restored', isRestored: true}]) {
+	test.serial(`should elect a leader ${title} when all daemons start`, async t => {
+		await withEra(async ({fleet, run, restore}) => {
+			fleet.revokeLeadership();
+			const stopped = [...fleet.daemons];
+			for (const daemon of stopped) {
+				fleet.restartDaemon(daemon);
+			}
+
+			if (isRestored) {
+				restore(fleet.store.takeCopy());
+			}
+
+			await run(600);
+			t.is(fleet.daemons.some(({leader}) => leader.leadership.isConfirmed), !isRestored);
+			await run(1200);
+			t.true(fleet.daemons.some(({leader}) => leader.leadership.isConfirmed));
+		});
+	});
+}
+
 test.serial('should write the entry of a member anew with a new lease, and leave leases of the lost era alone', async t => {
 	await withRelayedFleet(async ({fleet, wait}) => {
 		const {member, view, client} = fleet.daemons[0];
