--- a/src/decisions/ownership/assignment-draft.ts
+++ b/src/decisions/ownership/assignment-draft.ts
@@ -44,7 +44,9 @@
  * Where another known assignment differs, its owners may still hold the keys as well, so that they have to be released first.
  */
 export function reconcileAssignments(newest: KeyAssignment, others: readonly KeyAssignment[], era: number | undefined): KeyAssignment {
-	const fence = Math.max(Math.max(newest.fence, ...others.map(other => other.fence)) + fencesPerEra, firstFenceOf(era));
+	// Within an era, a step of 1 suffices, and keeps its tokens below those of the next era.
+	const step = newest.era === era ? 1 : fencesPerEra;
+	const fence = Math.max(Math.max(newest.fence, ...others.map(other => other.fence)) + step, firstFenceOf(era));
 	let {ranges} = newest;
 	for (const other of others) {
 		ranges = ranges.flatMap(range => other.ranges.filter(each => areOverlapping(each, range)).map(each => withPossibleHolders(range, each)));
--- a/tests/decisions/store-era.test.ts
+++ b/tests/decisions/store-era.test.ts
@@ -6,7 +6,7 @@
 import {storeKeys} from '../../src/decisions/fleet/daemon-documents.js';
 import {Membership} from '../../src/decisions/fleet/membership.js';
 import type {PeerMessage} from '../../src/decisions/fleet/peer-message.js';
-import {initialAssignment} from '../../src/decisions/ownership/assignment-draft.js';
+import {initialAssignment, reconcileAssignments} from '../../src/decisions/ownership/assignment-draft.js';
 import {LogEvent} from '../../src/model/events.js';
 import {TargetState} from '../../src/model/fleet.js';
 import {lastKey} from '../../src/model/key-ownership.js';
@@ -438,6 +438,17 @@
 	});
 }
 
+// Guards against tokens of an era that reach those of the next one, below which a late write of the era has to stay.
+for (const {title, newestEra, expected} of [
+	{title: 'by one within an era', newestEra: 3, expected: (3 * (2 ** 20)) + 1},
+	{title: 'by the tokens of an era in a new one', newestEra: 2, expected: 3 * (2 ** 20)},
+]) {
+	test(`should raise the tokens of reconciled owners ${title}`, t => {
+		const {fence} = reconcileAssignments(initialAssignment('service', [target('a')], newestEra), [initialAssignment('service', [target('b')], 1)], 3);
+		t.is(fence, expected);
+	});
+}
+
 test.serial('should write the entry of a member anew with a new lease, and leave leases of the lost era alone', async t => {
 	await withRelayedFleet(async ({fleet, wait}) => {
 		const {member, view, client} = fleet.daemons[0];
