--- a/src/decisions/fleet/peer-exchange.ts
+++ b/src/decisions/fleet/peer-exchange.ts
@@ -365,14 +365,16 @@
 	}
 
 	/** Counts the age of the evidence from the time of the request, because the answer may have waited in a socket. */
-	private receiveEvidence({evidence, assignments}: PeerMessage): void {
+	private receiveEvidence({evidence, assignments, revision}: PeerMessage): void {
 		const {view} = this.options;
 		const request = this.evidenceRequests.find(({number}) => number === evidence?.question);
 		if (!evidence || !request) {
 			return;
 		}
 
-		if (evidence.ageMs !== undefined && (view.configuration?.version ?? 0) >= evidence.version) {
+		// After a restore, a configuration of the same version may have other contents, which the view has up to its revision.
+		const isCovered = !view.freshness.isAheadOfStore || revision <= view.revision;
+		if (isCovered && evidence.ageMs !== undefined && (view.configuration?.version ?? 0) >= evidence.version) {
 			view.freshness.recordStoredVersion(evidence.version);
 			view.freshness.confirm(shiftMoment(request.sentAt, -evidence.ageMs));
 		}
--- a/tests/decisions/store-era.test.ts
+++ b/tests/decisions/store-era.test.ts
@@ -449,6 +449,27 @@
 	});
 }
 
+// Guards against confirming lost contents of a version that the operator has written again with other ones.
+test.serial('should not take evidence of a peer for a configuration that the view cannot have read in this era', async t => {
+	await withRelayedFleet(async ({fleet, wait}) => {
+		const {view, client, forwarder} = fleet.daemon('one-2');
+		client.isDisconnected = true;
+		fleet.dropsUpdates = true;
+		await wait(500);
+		fleet.store.restore(fleet.store.takeCopy());
+		fleet.putConfiguration(1, ['/b/'], true);
+		await wait(1000);
+		t.is(view.storeEra, 2);
+		void forwarder.forward(callerRequest('/none/x'));
+		await wait(500);
+		t.true(view.freshness.isAheadOfStore);
+		fleet.dropsUpdates = false;
+		client.isDisconnected = false;
+		await wait(4000);
+		t.false(view.freshness.isAheadOfStore);
+	});
+});
+
 test.serial('should write the entry of a member anew with a new lease, and leave leases of the lost era alone', async t => {
 	await withRelayedFleet(async ({fleet, wait}) => {
 		const {member, view, client} = fleet.daemons[0];
