--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -380,10 +380,13 @@
 		}
 	}
 
-	/** Applies an assignment of a lost era from another daemon, unless the known one is as new. */
+	/**
+	 * Applies an assignment of a lost era from another daemon, unless the known one is as new. The evidence is discarded then, because
+	 * it was for the owners known before.
+	 */
 	applyFormerAssignment(known: KnownAssignment): void {
-		if (this.storeEra !== undefined && (known.assignment.era ?? 0) < this.storeEra) {
-			this.applyNewer(known);
+		if (this.storeEra !== undefined && (known.assignment.era ?? 0) < this.storeEra && this.applyNewer(known)) {
+			this.ownerFreshness.discard();
 		}
 	}
 
@@ -490,11 +493,11 @@
 		this.notifyAssignments();
 	}
 
-	private applyNewer(known: KnownAssignment): void {
+	private applyNewer(known: KnownAssignment): boolean {
 		const {service, era} = known.assignment;
 		const current = this.assignments.get(service);
 		if (current && !isNewerAssignment(known, current)) {
-			return;
+			return false;
 		}
 
 		this.assignments.set(service, known);
@@ -502,6 +505,7 @@
 		const history = isSameEra ? this.assignmentHistory.get(service) ?? [] : [];
 		this.assignmentHistory.set(service, [...history, ...(current && isSameEra ? [current] : [])].slice(-assignmentHistoryLimit));
 		this.notifyAssignments();
+		return true;
 	}
 
 	private notifyAssignments(): void {
--- a/src/decisions/fleet/owner-freshness.ts
+++ b/src/decisions/fleet/owner-freshness.ts
@@ -69,6 +69,12 @@
 		this.isOfLostEra = this.hasEvidence;
 	}
 
+	/** Discards the evidence, because other owners than those it was for are known now. */
+	discard(): void {
+		this.confirmedAt = undefined;
+		this.isOfLostEra = false;
+	}
+
 	/**
 	 * Waits for evidence; false if none came in time, or the request was cancelled. After a wait in vain, others fail at once for
 	 * some time.
--- a/tests/decisions/store-era.test.ts
+++ b/tests/decisions/store-era.test.ts
@@ -4,9 +4,11 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {encodeAssignment} from '../../src/decisions/fleet/assignment-codec.js';
 import {storeKeys} from '../../src/decisions/fleet/daemon-documents.js';
+import {FleetView} from '../../src/decisions/fleet/fleet-view.js';
 import {Membership} from '../../src/decisions/fleet/membership.js';
 import type {PeerMessage} from '../../src/decisions/fleet/peer-message.js';
 import {initialAssignment, reconcileAssignments} from '../../src/decisions/ownership/assignment-draft.js';
+import {currentMoment} from '../../src/decisions/ownership/moment.js';
 import {LogEvent} from '../../src/model/events.js';
 import {TargetState} from '../../src/model/fleet.js';
 import {lastKey} from '../../src/model/key-ownership.js';
@@ -449,6 +451,19 @@
 	});
 }
 
+// Guards against requests to an owner of the lost era on account of evidence for another one.
+test('should discard evidence for owners when a newer assignment of the lost era arrives', t => {
+	const view = new FleetView();
+	view.beginEra(1);
+	view.applyAssignment({assignment: initialAssignment('service', [target('a')], 1), revision: 5});
+	view.confirmOwners(currentMoment());
+	view.beginEra(2);
+	view.applyFormerAssignment({assignment: initialAssignment('service', [target('b')], 1), revision: 4});
+	t.true(view.ownerFreshness.isFresh, 'an older one changes nothing');
+	view.applyFormerAssignment({assignment: initialAssignment('service', [target('b')], 1), revision: 6});
+	t.false(view.ownerFreshness.isFresh);
+});
+
 // Guards against confirming lost contents of a version that the operator has written again with other ones.
 test.serial('should not take evidence of a peer for a configuration that the view cannot have read in this era', async t => {
 	await withRelayedFleet(async ({fleet, wait}) => {
