--- a/src/decisions/configuration-check.ts
+++ b/src/decisions/configuration-check.ts
@@ -2,7 +2,7 @@
  * Checks a configuration before it is sent, and compares it with the version in force.
  */
 import {
-	parserMaxHeaderBytes, type Route, type RouteConfiguration, type ServiceRule,
+	initialLimits, parserMaxHeaderBytes, type Route, type RouteConfiguration, type ServiceRule,
 } from '../model/route-configuration.js';
 
 /** Result of a check. Requests are refused or lost on account of errors; warnings have no effect, or not the intended one. */
@@ -17,13 +17,21 @@
 export function checkConfiguration(configuration: RouteConfiguration, inForce?: RouteConfiguration): ConfigurationReport {
 	const {routes, services, limits, version, faults} = configuration;
 	const usedServices = new Set(routes.flatMap(({shares}) => shares.map(({service}) => service)));
-	const errors = [...faults, ...routes.flatMap(route => route.shares
-		.filter(({service}) => !services.has(service))
-		.map(({service}) => `route ${route.name}: service ${service} is not defined`))];
+	const errors = [
+		...faults,
+		...routes.filter(({shares}) => shares.length === 0).map(({name}) => `route ${name}: without services, its requests are refused`),
+		...routes.flatMap(route => route.shares
+			.filter(({service}) => !services.has(service))
+			.map(({service}) => `route ${route.name}: service ${service} is not defined`)),
+	];
 	const warnings = [
 		...routes.flatMap((route, index) => routeWarnings(route, routes.slice(0, index))),
 		...[...services.keys()].filter(name => !usedServices.has(name)).map(name => `service ${name}: no route uses it`),
 	];
+	if (!statesLimits(configuration)) {
+		warnings.push('limits: none are stated, so that running daemons keep the active ones');
+	}
+
 	if (limits.maxHeaderBytes > parserMaxHeaderBytes) {
 		warnings.push(`limits: maxHeaderBytes ${limits.maxHeaderBytes} is above the ${parserMaxHeaderBytes} bytes that a daemon reads`);
 	}
@@ -63,10 +71,15 @@
 	return [
 		...compareNamed('route', byName(before.routes), byName(after.routes)),
 		...compareNamed('service', before.services, after.services),
-		...compareFields('limits', before.limits, after.limits),
+		...(statesLimits(after) ? compareFields('limits', before.limits, after.limits) : []),
 	];
 }
 
+/** False for a document without readable limits, whose place the decoder fills with the initial ones. */
+function statesLimits({limits}: RouteConfiguration): boolean {
+	return limits !== initialLimits;
+}
+
 function byName(routes: Route[]): Map<string, Route> {
 	return new Map(routes.map(route => [route.name, route]));
 }
@@ -83,9 +96,8 @@
 }
 
 function compareFields(title: string, before: Record<string, unknown>, after: Record<string, unknown>): string[] {
-	const old = new Map<string, unknown>(Object.entries(before));
-	return Object.entries(after).flatMap(([field, value]: [string, unknown]) => {
-		const [from, to] = [JSON.stringify(old.get(field)), JSON.stringify(value)];
+	return [...new Set([...Object.keys(before), ...Object.keys(after)])].flatMap(field => {
+		const [from, to] = [before, after].map(fields => JSON.stringify(fields[field]) ?? 'none');
 		return from === to ? [] : [`${title}: ${field} ${from} becomes ${to}`];
 	});
 }
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -77,8 +77,9 @@
 	const configuration: RouteConfiguration = {
 		version, routes: [], services: new Map(), limits: earlier?.limits ?? initialLimits, hasUnknownRoutes: false, hasUnknownLimits: false, faults: [],
 	};
+	const known = new Set<string>();
 	for (const [index, value] of resources.entries()) {
-		addResource(configuration, value, {name: nameOf(value) ?? `#${index}`, earlier});
+		addResource(configuration, value, {name: nameOf(value) ?? `#${index}`, earlier, known});
 	}
 
 	return configuration;
@@ -88,15 +89,17 @@
 	/** Name of the resource, or its index if it has none. */
 	name: string;
 	earlier: RouteConfiguration | undefined;
+	/** Types and names of the resources before this one. */
+	known: Set<string>;
 };
 
-function addResource(configuration: RouteConfiguration, value: unknown, {name, earlier}: ResourceContext): void {
+function addResource(configuration: RouteConfiguration, value: unknown, {name, earlier, known}: ResourceContext): void {
 	const reader = new DocumentReader(name, value);
 	const specification = reader.object('spec');
 	const type = reader.text('resourceType');
 	switch (type) {
 		case 'routes': {
-			const route = decodeRoute(name, specification, earlier?.routes.find(known => known.name === name));
+			const route = decodeRoute(name, specification, earlier?.routes.find(route => route.name === name));
 			configuration.hasUnknownRoutes ||= !hasMatchFields(specification);
 			if (route) {
 				configuration.routes.push(route);
@@ -131,6 +134,12 @@
 		reader.addFault('expected a readable name');
 	}
 
+	if (known.has(`${type} ${name}`)) {
+		reader.addFault(`an earlier resource of type ${type} has the same name`);
+	}
+
+	known.add(`${type} ${name}`);
+
 	configuration.faults.push(...reader.foundFaults.slice(0, faultLimit - configuration.faults.length));
 }
 
