--- a/src/cli/configuration-file.ts
+++ b/src/cli/configuration-file.ts
@@ -16,21 +16,21 @@
 }
 
 /**
- * Checks a file, and compares it with the file of the version in force if there is one.
+ * Checks a file, and compares it with the file of the active configuration if there is one.
  *
- * @throws {CommandFailure} if a file cannot be read, or the version in force cannot be decoded
+ * @throws {CommandFailure} if a file cannot be read, or the active configuration cannot be decoded
  */
-export async function checkConfigurationFile(path: string, inForcePath?: string): Promise<ConfigurationReport> {
-	const inForce = inForcePath === undefined ? undefined : decode(await read(inForcePath));
-	if (inForce instanceof MalformedDocumentError) {
-		throw unreadable(inForcePath ?? '', inForce);
+export async function checkConfigurationFile(path: string, activePath?: string): Promise<ConfigurationReport> {
+	const active = activePath === undefined ? undefined : decode(await read(activePath));
+	if (active instanceof MalformedDocumentError) {
+		throw unreadable(activePath ?? '', active);
 	}
 
-	// Not given the version in force: the check must not fill malformed fields in from it.
+	// Not given the active configuration: the check must not fill malformed fields in from it.
 	const configuration = decode(await read(path));
 	return configuration instanceof MalformedDocumentError
 		? {errors: configuration.faults, warnings: [], differences: []}
-		: checkConfiguration(configuration, inForce);
+		: checkConfiguration(configuration, active);
 }
 
 export function exitCodeOf({errors, warnings}: ConfigurationReport): CheckExitCode {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -21,19 +21,19 @@
     plan reject ID              reject a plan
     drain SERVER                submit the intent that a server leaves
     restore SERVER              submit the intent that a server comes back
-    status                      version in force, leaders and health of every daemon
+    status                      active configuration, leaders and health of every daemon
     assignment show SERVICE     owners, epochs and moves of a service
     explain SERVICE [KEY]       why a key is where it is, and what was done
     explain request ID [FILE]   what the logs in files, or on standard input, tell of a request
-    configuration check FILE [IN_FORCE]
-                                check a configuration of the users' platform and compare it with the version in force;
+    configuration check FILE [ACTIVE]
+                                check a configuration of the users' platform and compare it with the active configuration;
                                 exits with 0 if clean, 1 with warnings, 2 with errors
     report burn [--html FILE]   error budget used by customer, service and class
 
   Options
     --daemon, EELGRASSWHEEL_DAEMON  IP:PORT of a daemon's control port (default 127.0.0.1:8081)
     --token, EELGRASSWHEEL_TOKEN    credential of an operator or veto holder
-    --wait                          after a confirmation, wait until the plan is in force on every daemon
+    --wait                          after a confirmation, wait until the plan is active on every daemon
     --id                            id of the intent for "drain" and "restore"
     --json                          print JSON
 
--- a/src/decisions/admission/slot-coordinator.ts
+++ b/src/decisions/admission/slot-coordinator.ts
@@ -203,7 +203,7 @@
 		return this.drop(lost, {unconfirmed: lost.length}, now);
 	}
 
-	/** Called periodically: grants what time has made available, and ends what nobody uses. */
+	/** Called periodically: issues grants that have become possible and drops unused ones. */
 	advance(now = performance.now()): SlotAnswer[] {
 		this.forgetEnded(now);
 		for (const meter of this.meters.values()) {
--- a/src/decisions/configuration-check.ts
+++ b/src/decisions/configuration-check.ts
@@ -1,5 +1,5 @@
 /**
- * Checks a configuration before it is sent, and compares it with the version in force.
+ * Checks a configuration before it is sent, and compares it with the active configuration.
  */
 import {
 	initialLimits, parserMaxHeaderBytes, type Route, type RouteConfiguration, type ServiceRule,
@@ -9,12 +9,12 @@
 export type ConfigurationReport = {
 	errors: string[];
 	warnings: string[];
-	/** Differences from the version in force by route, service and limit. */
+	/** Differences from the active configuration by route, service and limit. */
 	differences: string[];
 };
 
 /** Checks a decoded configuration. */
-export function checkConfiguration(configuration: RouteConfiguration, inForce?: RouteConfiguration): ConfigurationReport {
+export function checkConfiguration(configuration: RouteConfiguration, active?: RouteConfiguration): ConfigurationReport {
 	const {routes, services, limits, version, faults} = configuration;
 	const usedServices = new Set(routes.flatMap(({shares}) => shares.map(({service}) => service)));
 	const errors = [
@@ -36,11 +36,11 @@
 		warnings.push(`limits: maxHeaderBytes ${limits.maxHeaderBytes} is above the ${parserMaxHeaderBytes} bytes that a daemon reads`);
 	}
 
-	if (inForce && version <= inForce.version) {
-		warnings.push(`version ${version} is not above version ${inForce.version} in force`);
+	if (active && version <= active.version) {
+		warnings.push(`version ${version} is not above version ${active.version} of the active configuration`);
 	}
 
-	return {errors, warnings, differences: inForce ? differencesOf(inForce, configuration) : []};
+	return {errors, warnings, differences: active ? differencesOf(active, configuration) : []};
 }
 
 /** @param earlier routes before this one in the document */
--- a/src/decisions/fleet/evidence-requester.ts
+++ b/src/decisions/fleet/evidence-requester.ts
@@ -77,7 +77,7 @@
 
 	/**
 	 * Applies a change. An omitted value is read by its key, because a watch would bring all values since the known revision. A value
-	 * that says nothing is not read, so that its change takes effect although the store is unreachable.
+	 * without meaning is not read, so that its change takes effect although the store is unreachable.
 	 */
 	applyChange(change: StoreChange): void {
 		const {writer, configurationKey} = this.options;
--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -150,7 +150,7 @@
 		return this.hasLastCallSucceeded && !this.isWatchSilent;
 	}
 
-	/** Records the era of the store that a peer knows; false if it cannot be believed. */
+	/** Records the era of the store that a peer knows; false if it is not valid. */
 	learnEra(era: number): boolean {
 		return this.store.era.advance(era);
 	}
--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -146,7 +146,7 @@
 		}
 	}
 
-	/** Highest revision of this and earlier eras, for comparisons of magnitude. */
+	/** Highest revision of this and earlier eras, for plausibility checks of peers' revisions. */
 	get highestRevision(): number {
 		return Math.max(this.revision, this.lostRevision);
 	}
--- a/src/decisions/fleet/peer-exchange.ts
+++ b/src/decisions/fleet/peer-exchange.ts
@@ -264,7 +264,7 @@
 	/**
 	 * Learns the era of a peer.
 	 *
-	 * @returns false if the message is of another era than the current one, so that its revisions, changes and evidence are not believed
+	 * @returns false if the message is of another era than the current one, so that its revisions, changes and evidence are ignored
 	 */
 	private learnEra(era: number | undefined): boolean {
 		const {sync, view} = this.options;
--- a/src/decisions/fleet/view-writer.ts
+++ b/src/decisions/fleet/view-writer.ts
@@ -60,7 +60,7 @@
 		return [...this.malformed.keys()].some(key => key.startsWith(storeKeys.assignments));
 	}
 
-	/** True if the existence of a key says everything, so that its value need not be read. */
+	/** True for keys of which only the existence counts; the value is not read. */
 	isValueless(key: string): boolean {
 		return key.startsWith(this.documents.evacuationsPrefix);
 	}
--- a/src/decisions/ownership/assignment-draft.ts
+++ b/src/decisions/ownership/assignment-draft.ts
@@ -25,7 +25,7 @@
 
 /**
  * Fencing tokens of each era of the store; far more than the writes of an era. Tokens of an era are above all that were handed out
- * before, also those that a restore has lost and no daemon in touch knows.
+ * before, also those that a restore has lost and no reachable daemon knows.
  */
 const fencesPerEra = 2 ** 20;
 
--- a/src/decisions/ownership/key-balance.ts
+++ b/src/decisions/ownership/key-balance.ts
@@ -10,7 +10,7 @@
 	incarnation: TargetIncarnation;
 	/** Requests per second that the target can process. */
 	capacity: number;
-	/** True if the target breaks under more than its capacity, so that it gets no keys beyond it. */
+	/** True if the target must not exceed its capacity. */
 	hasHardLimit?: boolean;
 };
 
--- a/src/decisions/ownership/key-spread.ts
+++ b/src/decisions/ownership/key-spread.ts
@@ -90,7 +90,7 @@
 	const spare = candidates.map(({incarnation, capacity}) => Math.max(0, capacity - (ownLoads.get(incarnation.id) ?? 0)));
 	const total = leaving.reduce((sum, range) => sum + loads.of(range), 0);
 	const totalSpare = spare.reduce((sum, each) => sum + each, 0);
-	// What exceeds the capacity of all targets goes to those that do not break under it.
+	// What exceeds the capacity of all targets goes to targets without a hard limit.
 	const elastic = candidates.filter(({hasHardLimit}) => hasHardLimit !== true);
 	const bearers = elastic.length > 0 ? elastic : candidates;
 	const bearerCapacity = bearers.reduce((sum, {capacity}) => sum + capacity, 0);
--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -152,7 +152,7 @@
 	}
 }
 
-/** The store was restored from a copy during a call, so that the answer cannot be believed. */
+/** The store was restored from a copy during a call, so that the answer is rejected. */
 export class StoreRestoredError extends StoreUnavailableError {
 	override name = 'StoreRestoredError';
 }
--- a/src/model/store-era.ts
+++ b/src/model/store-era.ts
@@ -5,11 +5,11 @@
  */
 import {StoreAmbiguousError, StoreRestoredError, StoreUnavailableError} from './errors.js';
 
-/** Highest era that is believed; far more restores than a store sees. */
+/** Highest accepted era. */
 export const highestEra = 2 ** 31;
 
 /**
- * Most by which an era can rise at once. It bounds the harm of a wrong number: all answers below the highest seen era are
+ * Most by which an era can rise at once. It limits the effect of a corrupt value: all answers below the highest seen era are
  * discarded.
  */
 const riseLimit = 1000;
@@ -34,7 +34,7 @@
 		return this.known;
 	}
 
-	/** When the current era was first seen; at no time if none is known. */
+	/** When the current era was first seen; -Infinity while none is known. */
 	get since(): number {
 		return this.knownSince;
 	}
@@ -43,7 +43,7 @@
 		this.listeners.push(listener);
 	}
 
-	/** Records an era; returns false if it is lower than the current one, or too high to be believed. */
+	/** Records an era; returns false if it is lower than the current one, or too high. */
 	advance(era: number, now = performance.now()): boolean {
 		const {known} = this;
 		if (era === known) {
@@ -79,8 +79,8 @@
 			this.hasUntaggedAnswer = true;
 		}
 
-		const isBelieved = answered === undefined || this.advance(answered);
-		if (isBelieved && this.isSince(startedIn)) {
+		const isAccepted = answered === undefined || this.advance(answered);
+		if (isAccepted && this.isSince(startedIn)) {
 			return;
 		}
 
@@ -89,7 +89,7 @@
 			throw new StoreAmbiguousError(detail);
 		}
 
-		throw isBelieved ? new StoreRestoredError(detail) : new StoreUnavailableError(detail);
+		throw isAccepted ? new StoreRestoredError(detail) : new StoreUnavailableError(detail);
 	}
 
 	/**
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -183,8 +183,8 @@
 }
 
 /**
- * Returns the availability zone that a key evacuates. The value is not read, because an evacuation with an unreadable value is the
- * safe reading.
+ * Returns the availability zone that a key evacuates. The value is ignored, so that an unreadable one does not disable the
+ * evacuation.
  *
  * @throws {MalformedDocumentError} if the key ends with no name of a zone
  */
--- a/src/services/held-bytes.ts
+++ b/src/services/held-bytes.ts
@@ -13,8 +13,8 @@
 const readAheadShare = 0.5;
 
 /**
- * Multiple of the bound above which the largest answers are dropped whoever is slow: requests that were accepted below the bound may be
- * answered all at once. The process and 1.5 times the bound fit into the smallest VM (130 of 210 MB without load).
+ * Multiple of the bound above which the largest answers are dropped regardless of which callers are slow: requests that were accepted
+ * below the bound may be answered all at once. The process and 1.5 times the bound fit into the smallest VM.
  */
 const hardBoundFactor = 1.5;
 
--- a/tests/configuration-check.test.ts
+++ b/tests/configuration-check.test.ts
@@ -20,7 +20,7 @@
 	},
 });
 const documentOf = (resources: Array<Record<string, unknown>>, version = 2): string => JSON.stringify({version, resources});
-const inForce = documentOf([route(), service(), limits(1000)], 1);
+const active = documentOf([route(), service(), limits(1000)], 1);
 
 const cases: Array<{title: string; text: string; code: CheckExitCode; finding?: RegExp; before?: string}> = [
 	{title: 'accept a sound configuration', text: documentOf([route(), service(), limits(1000)]), code: CheckExitCode.Clean},
@@ -91,9 +91,9 @@
 	},
 ];
 
-for (const [index, {title, text, code, finding, before = inForce}] of cases.entries()) {
+for (const [index, {title, text, code, finding, before = active}] of cases.entries()) {
 	test(`should ${title}`, async t => {
-		const paths = [path.join(folder, `${index}.json`), path.join(folder, `${index}-in-force.json`)] as const;
+		const paths = [path.join(folder, `${index}.json`), path.join(folder, `${index}-active.json`)] as const;
 		writeFileSync(paths[0], text);
 		writeFileSync(paths[1], before);
 		const report = await checkConfigurationFile(...paths);
--- a/tests/decisions/evacuation.test.ts
+++ b/tests/decisions/evacuation.test.ts
@@ -92,7 +92,7 @@
 		},
 	},
 	{
-		title: 'the store is away soon after it acknowledged the key',
+		title: 'the store becomes unavailable soon after it acknowledged the key',
 		leadMs: -400,
 		start(fleet) {
 			disconnect(fleet.daemons, true);
--- a/tests/decisions/even-load.test.ts
+++ b/tests/decisions/even-load.test.ts
@@ -179,7 +179,7 @@
 		return at;
 	}
 
-	/** In trouble, a fifth of the targets are three times slower, other ones every 400 ms. */
+	/** With slow targets, a fifth of the targets are three times slower, other ones every 400 ms. */
 	private slowness(index: number, at: number): number {
 		const period = Math.floor((at / troubleMs) + 1e-9);
 		return this.load.isTroubled && (index + (period * 7)) % 5 === 0 ? 3 : 1;
@@ -316,7 +316,7 @@
 
 for (const [name, shape] of Object.entries(services)) {
 	for (const isTroubled of [false, true]) {
-		test(`should load the targets of the ${name} service evenly ${isTroubled ? 'in trouble' : 'on a calm day'}`, t => {
+		test(`should load the targets of the ${name} service evenly ${isTroubled ? 'with slow targets' : 'in normal operation'}`, t => {
 			const results = Object.fromEntries(Object.entries(policies).map(([policy, create]) => {
 				const play = new Play({
 					...shape, isTroubled, ageMs: 200, seed: 1,
--- a/tests/decisions/store-era.test.ts
+++ b/tests/decisions/store-era.test.ts
@@ -19,7 +19,7 @@
 import {RelayedFleet, target, type RelayedDaemon} from '../../standins/relayed-fleet.js';
 import {withPausedClock} from '../../standins/scripted-store.js';
 
-/** Seeds of the owner test; more are played by hand: ERA_SEEDS=200 ERA_FIRST=1 npx ava dist/tests/decisions/store-era.test.js */
+/** Seeds of the owner test; more are run manually: ERA_SEEDS=200 ERA_FIRST=1 npx ava dist/tests/decisions/store-era.test.js */
 const seedCount = Number(process.env.ERA_SEEDS ?? 8);
 
 const firstSeed = Number(process.env.ERA_FIRST ?? 1);
@@ -532,7 +532,7 @@
 	(fleet, draw) => {
 		const holder = fleet.holder(draw(fleet.holders.size));
 		holder.isStopped = true;
-		// A later life at the same address may take orders for the one before, with or without a restore (docs/design/holds.md).
+		// A later process at the same address may take orders for the one before, with or without a restore (docs/design/holds.md).
 		fleet.addTarget(`${holder.incarnation.id}-next`);
 	},
 	fleet => {
