--- a/src/decisions/admission/target-meter.ts
+++ b/src/decisions/admission/target-meter.ts
@@ -19,7 +19,7 @@
 /** Answers that the assumed service time of a new target counts for. */
 const initialSamples = 3;
 
-/** Most answers that the service time is averaged over; the load is as even with 12 or 60. */
+/** Most answers that the service time is averaged over. */
 const maxSamples = 30;
 
 /** Largest multiple of the estimate that one answer counts as, so that a single long request does not make a target look slow. */
