--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -5,6 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'node:http';
 import {performance} from 'node:perf_hooks';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Daemon} from './daemon.mjs';
 import {freeNetwork, freePort} from './record.mjs';
@@ -65,6 +66,17 @@
 	constructor(record, {daemonCount = 3} = {}) {
 		this.record = record;
 		this.daemonCount = daemonCount;
+		// However this process ends, its daemons end with it.
+		process.once('exit', () => {
+			for (const daemon of this.daemons) {
+				daemon.signal('SIGKILL');
+			}
+		});
+		for (const signal of ['SIGINT', 'SIGTERM']) {
+			process.once(signal, () => {
+				process.exit(2);
+			});
+		}
 	}
 
 	async startStore() {
