--- a/review/standins-2/daemon.mjs
+++ b/review/6/lib/daemon.mjs
@@ -13,7 +13,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 
-const repository = fileURLToPath(new URL('../../', import.meta.url));
+const repository = fileURLToPath(new URL('../../../', import.meta.url));
 const run = /^run = "(?<words>[^"]+)"$/mv.exec(readFileSync(path.join(repository, 'deploy/system.toml'), 'utf8')).groups.words.split(' ');
 
 /** Fills the template of the deploy file in, which holds only placeholders of values. */
--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -7,9 +7,9 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {Deployment} from '../standins-2/deployment.mjs';
-import {KeptClient} from '../standins-2/kept-client.mjs';
-import {freePort, Record} from '../standins-2/record.mjs';
+import {Deployment} from './lib/deployment.mjs';
+import {KeptClient} from './lib/kept-client.mjs';
+import {freePort, Record} from './lib/record.mjs';
 
 /** Requests that a machine may pass on to sound servers from kept connections and then leave without an answer. */
 const cutLimit = 3;
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -7,8 +7,8 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {Deployment} from '../standins-2/deployment.mjs';
-import {Record} from '../standins-2/record.mjs';
+import {Deployment} from './lib/deployment.mjs';
+import {Record} from './lib/record.mjs';
 
 const keyCount = 65_536;
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# Builds what the cases from 6 on start besides the daemons. Their stand-ins are plain JavaScript without libraries, in standins-2/ and
-# beside the cases, so that only their syntax is checked. The daemons are built by the build line of deploy/system.toml.
+# Builds what the cases from 6 on start besides the daemons. Their stand-ins are plain JavaScript without libraries, in lib/ and beside
+# the scripts, so that only their syntax is checked. The daemons are built by the build line of deploy/system.toml.
 cd "$(dirname "$0")" || exit 1
-for file in standins-2/*.mjs [6-9]/*.mjs 10/*.mjs; do
+for file in [6-9]/*.mjs [6-9]/lib/*.mjs 10/*.mjs 10/lib/*.mjs; do
 	[ -e "$file" ] || continue
 	node --check "$file" || exit 1
 done
