fix(ownership): grant no keys of a lost era before all targets have released them

Cause: after a restore, the leader released only the owners by which the store's copy and the daemons that it heard from differ. If none of them knew the newest owners (all were killed, the one that knows is cut off, or the first owners of a service are lost), nothing differed, and keys were granted to the owners of the copy while others held them for up to 10 s.

Change: the assignment that a leader writes after a restore, also the first one of a service, is marked as unconfirmed. While it is, each range is granted only once every other target of the service has answered a release under the new token, has been replaced, or can hold nothing any more. The mark is stored, so that the next leader goes on. Owners are not released from their own keys.

--- a/src/decisions/fleet/assignment-codec.ts
+++ b/src/decisions/fleet/assignment-codec.ts
@@ -36,6 +36,8 @@
 	ranges: z.array(rangeSchema),
 	/** Missing in documents of earlier versions. */
 	unreleased: z.optional(z.array(unreleasedSchema)),
+	/** 1 while targets may hold keys that no range names; missing otherwise. */
+	unconfirmed: z.optional(z.literal(1)),
 });
 
 type AssignmentDocument = z.infer<typeof assignmentSchema>;
@@ -78,20 +80,20 @@
  */
 export function applyAssignmentChange(change: AssignmentChange, base?: KeyAssignment): KnownAssignment {
 	const {
-		service, fence, writeId, era, ranges, unreleased,
+		service, fence, writeId, era, ranges, unreleased, isUnconfirmed,
 	} = fromDocument(change);
 	const kept = base?.ranges.filter(range => !ranges.some(({first, last}) => first <= range.last && last >= range.first)) ?? [];
 	const all = [...kept, ...ranges].toSorted((left, right) => left.first - right.first);
 	return {
 		assignment: requireFullCoverage({
-			service, fence, writeId, ...(era !== undefined && {era}), ranges: all, unreleased,
+			service, fence, writeId, ...(era !== undefined && {era}), ranges: all, unreleased, ...(isUnconfirmed && {isUnconfirmed}),
 		}),
 		revision: change.revision,
 	};
 }
 
 function toDocument({
-	service, fence, writeId, era, unreleased,
+	service, fence, writeId, era, unreleased, isUnconfirmed,
 }: KeyAssignment, ranges: readonly OwnedRange[]): AssignmentDocument {
 	const positions = new Map<string, number>();
 	const owners: AssignmentDocument['owners'] = [];
@@ -113,12 +115,13 @@
 		...(era !== undefined && {era}),
 		ranges: ranges.map(range => [range.first, range.last, positionOf(range.owner), range.fence, range.previous.map(incarnation => positionOf(incarnation)), range.isBlocked ? 1 : 0]),
 		...(unreleased.length > 0 && {unreleased: unreleased.map((range): z.infer<typeof unreleasedSchema> => [range.first, range.last, positionOf(range.holder), range.fence])}),
+		...(isUnconfirmed && {unconfirmed: 1 as const}),
 		owners,
 	};
 }
 
 function fromDocument({
-	service, fence, writeId, era, owners, ranges, unreleased = [],
+	service, fence, writeId, era, owners, ranges, unreleased = [], unconfirmed,
 }: AssignmentDocument): KeyAssignment {
 	const incarnations = owners.map(([id, bornAt, address]): TargetIncarnation => ({id, bornAt, address}));
 	const incarnationAt = (position: number): TargetIncarnation => {
@@ -141,6 +144,7 @@
 		unreleased: unreleased.map(([first, last, holder, rangeFence]): UnreleasedRange => ({
 			first, last, holder: incarnationAt(holder), fence: rangeFence,
 		})),
+		...(unconfirmed === 1 && {isUnconfirmed: true}),
 	};
 }
 
--- a/src/decisions/fleet/fleet-sync.ts
+++ b/src/decisions/fleet/fleet-sync.ts
@@ -57,7 +57,7 @@
 const retryPauseMs = 250;
 
 /** Time in which expired entries return after a store outage, in milliseconds; the platform promises about two seconds. */
-const renewalGraceMs = 2200;
+export const renewalGraceMs = 2200;
 
 /**
  * Delay before a catch-up query, which asks the store for a revision that peers have, in milliseconds. A watch or a peer usually
--- a/src/decisions/fleet/fleet-view.ts
+++ b/src/decisions/fleet/fleet-view.ts
@@ -8,6 +8,8 @@
 import type {KeyAssignment} from '../../model/key-ownership.js';
 import type {RouteConfiguration} from '../../model/route-configuration.js';
 import type {Moment} from '../ownership/moment.js';
+import {incarnationKey} from '../ownership/target-responsiveness.js';
+import type {PossibleHolder} from '../ownership/unconfirmed-holders.js';
 import {RouteIndex} from '../routing/route-index.js';
 import {ConfigurationFreshness} from './configuration-freshness.js';
 import {OwnerFreshness} from './owner-freshness.js';
@@ -77,6 +79,8 @@
 	private readonly unlistedMembers = new Map<string, number>();
 	/** Highest revision of earlier eras. */
 	private lostRevision = 0;
+	/** When this daemon learned of the latest restore; -Infinity without one. */
+	private restoredAt = Number.NEGATIVE_INFINITY;
 	private readonly assignmentHistory = new Map<string, KnownAssignment[]>();
 	private routes: RouteIndex | undefined;
 	private readonly targets = new Map<string, Target>();
@@ -91,6 +95,8 @@
 	private readonly reportedWarmUps = new Map<string, {bornAt: number; until: number}>();
 	private readonly assignmentListeners = new Set<() => void>();
 	private readonly evacuated = new Set<string>();
+	/** Incarnations that the store no longer listed before it was restored. */
+	private readonly leftBeforeRestore = new Set<string>();
 	/** Until then, targets whose entries are removed from the store stay in use. */
 	private graceUntil = 0;
 
@@ -146,6 +152,11 @@
 		}
 	}
 
+	/** True if this daemon knew the contents of the store before a restore. */
+	get hasLostEra(): boolean {
+		return this.lostRevision > 0;
+	}
+
 	/** Highest revision of this and earlier eras, for plausibility checks of peers' revisions. */
 	get highestRevision(): number {
 		return Math.max(this.revision, this.lostRevision);
@@ -155,13 +166,19 @@
 	 * Starts over because the store was restored. The contents stay in use until they are read again, but revisions and evidence
 	 * belong to the lost era.
 	 */
-	beginEra(era: number): void {
+	beginEra(era: number, now = performance.now()): void {
 		this.storeEra = era;
+		this.restoredAt = now;
 		this.lostRevision = this.highestRevision;
 		this.revision = 0;
 		this.leader = undefined;
 		this.formerLeaderRevision = 0;
 		this.unlistedMembers.clear();
+		this.leftBeforeRestore.clear();
+		for (const {target} of this.removed.values()) {
+			this.leftBeforeRestore.add(incarnationKey(target));
+		}
+
 		this.freshness.beginEra();
 		this.ownerFreshness.beginEra();
 	}
@@ -300,6 +317,16 @@
 		return this.targets.get(id) ?? this.removed.get(id)?.target;
 	}
 
+	/**
+	 * Targets of a service that may have been given keys in a lost era of the store: those that were listed when it was restored, and
+	 * those that were listed since. The copy may list targets again that had left before.
+	 */
+	targetsSinceRestore(service: string): PossibleHolder[] {
+		const removed = [...this.removed.values()].filter(({removedAt}) => removedAt >= this.restoredAt).map(({target}) => target);
+		return [...this.targets.values(), ...removed].filter(target => target.service === service)
+			.map(target => ({incarnation: target, hasLeft: this.leftBeforeRestore.has(incarnationKey(target))}));
+	}
+
 	/** Targets of a service that may get new requests. */
 	readyTargets(service: string, now = performance.now()): Target[] {
 		const ready = this.readyListedTargets(service);
--- a/src/decisions/ownership/assignment-draft.ts
+++ b/src/decisions/ownership/assignment-draft.ts
@@ -1,6 +1,7 @@
 /**
  * Changes to an assignment that are written to the store together.
  */
+import {omit} from 'es-toolkit';
 import {isSameIncarnation, type TargetIncarnation} from '../../model/fleet.js';
 import {
 	areOverlapping, lastKey, subtractRange, type KeyAssignment, type KeyRange, type OwnedRange, type UnreleasedRange,
@@ -81,11 +82,13 @@
 	ranges: OwnedRange[];
 	private unreleased: UnreleasedRange[];
 	private isChanged = false;
+	private isUnconfirmed: boolean;
 	private readonly fence: number;
 
 	constructor(private readonly base: KeyAssignment) {
 		this.ranges = base.ranges.map(range => ({...range}));
 		this.unreleased = [...base.unreleased];
+		this.isUnconfirmed = base.isUnconfirmed === true;
 		this.fence = base.fence + 1;
 	}
 
@@ -93,7 +96,12 @@
 	result(writeId: string): KeyAssignment | undefined {
 		return this.isChanged
 			? {
-				...this.base, fence: this.fence, writeId, ranges: this.ranges, unreleased: this.unreleased,
+				...omit(this.base, ['isUnconfirmed']),
+				fence: this.fence,
+				writeId,
+				ranges: this.ranges,
+				unreleased: this.unreleased,
+				...(this.isUnconfirmed && {isUnconfirmed: true}),
 			}
 			: undefined;
 	}
@@ -133,6 +141,15 @@
 		}
 	}
 
+	/** Records that no other targets may hold keys, except those that have not proved it although their holds count as expired. */
+	confirmOwners(unproved: ReadonlyArray<KeyRange & {holder: TargetIncarnation}>): void {
+		this.isChanged = true;
+		this.isUnconfirmed = false;
+		for (const {holder, ...range} of unproved) {
+			this.addUnreleased(range, holder);
+		}
+	}
+
 	/** Forgets unreleased ranges whose holders have proved that they no longer hold them. */
 	removeUnreleased(released: readonly UnreleasedRange[]): void {
 		if (released.length > 0) {
--- a/src/decisions/ownership/assignment-manager.ts
+++ b/src/decisions/ownership/assignment-manager.ts
@@ -14,6 +14,7 @@
 import type {ServiceRule} from '../../model/route-configuration.js';
 import {decodeAssignment, encodeAssignment} from '../fleet/assignment-codec.js';
 import {storeKeys} from '../fleet/daemon-documents.js';
+import {renewalGraceMs} from '../fleet/fleet-sync.js';
 import {isNewerAssignment, type FleetView, type KnownAssignment} from '../fleet/fleet-view.js';
 import type {TargetLoads} from '../forwarding/target-loads.js';
 import type {TargetStatements} from '../limits/target-statements.js';
@@ -54,6 +55,15 @@
 	onOwnersWritten(service: string): void;
 };
 
+/** What the plan for a range depends on. */
+type RangePlan = {
+	state: RangeState;
+	/** Targets that may own keys, and those of them that may be given further ones. */
+	candidates: readonly OwnerCandidate[];
+	takers: readonly OwnerCandidate[];
+	now: number;
+};
+
 /** Manages the owners and holds of one service during one term of leadership. */
 export class AssignmentManager {
 	readonly requestRates = new KeyRequestRates();
@@ -73,7 +83,7 @@
 	/** Era of the store in which this term began; its writes are of this era. */
 	private readonly era: number | undefined;
 
-	constructor(public rule: ServiceRule, private readonly options: AssignmentManagerOptions, takeoverAt: number) {
+	constructor(public rule: ServiceRule, private readonly options: AssignmentManagerOptions, private readonly takeoverAt: number) {
 		this.era = options.leadership.era;
 		this.rangeOrders = new RangeOrders({
 			...options,
@@ -96,8 +106,12 @@
 			return;
 		}
 
+		if (this.assignment) {
+			this.rangeOrders.followUnconfirmed(this.assignment, this.options.view.hasLostEra || this.hasEntriesBack(now), now);
+		}
+
 		this.writeNextChange(now);
-		if (!this.areFencesWritten) {
+		if (!this.areFencesWritten || !this.assignment) {
 			return;
 		}
 
@@ -105,9 +119,7 @@
 			this.rangeOrders.sendDueOrders(state, now);
 		}
 
-		if (this.assignment) {
-			this.rangeOrders.evict(this.assignment, this.rangeStates, now);
-		}
+		this.rangeOrders.evict(this.assignment, this.rangeStates, now);
 	}
 
 	/** Takes over the existing assignment and raises its fencing tokens. */
@@ -158,7 +170,9 @@
 			return;
 		}
 
-		const draft = new AssignmentDraft(reconcileAssignments(newest.assignment, others.map(({assignment}) => assignment), this.era));
+		const draft = new AssignmentDraft({
+			...reconcileAssignments(newest.assignment, others.map(({assignment}) => assignment), this.era), ...(this.mayHaveUnknownHolders && {isUnconfirmed: true}),
+		});
 		draft.raiseFences();
 		draft.mergeNeighbours();
 		this.pendingAssignment = draft.result(this.nextWriteId());
@@ -168,6 +182,7 @@
 			knownFence: newest.assignment.fence,
 			fence: this.pendingAssignment?.fence,
 			unsettled: this.pendingAssignment?.ranges.filter(({previous}) => previous.length > 0).length,
+			isUnconfirmed: this.pendingAssignment?.isUnconfirmed,
 		});
 	}
 
@@ -285,23 +300,29 @@
 
 		const draft = new AssignmentDraft(this.assignment);
 		draft.removeUnreleased(this.assignment.unreleased.filter(range => this.rangeOrders.isReleased(range, now)));
+		const unconfirmed = this.rangeOrders.unconfirmedHolders;
+		this.confirmOwners(draft, now);
+		// Releases are on their way to the others, and would take new keys away, too.
+		const takers = unconfirmed ? candidates.filter(({incarnation}) => !unconfirmed.isUnproved(incarnation)) : candidates;
 		const leaving: OwnedRange[] = [];
 		for (const [index, range] of [...draft.ranges].entries()) {
 			const state = this.rangeStates[index];
 			if (this.isEvacuating && !isOwnedByAny(range, candidates)) {
 				leaving.push(range);
 			} else if (state) {
-				this.planRange(draft, range, {state, candidates, now});
+				this.planRange(draft, range, {
+					state, candidates, takers, now,
+				});
 			}
 		}
 
 		if (leaving.length > 0) {
-			for (const {range, to} of spreadKeys(leaving, {ranges: draft.ranges, counts: this.requestRates.sortedCounts(now), candidates})) {
+			for (const {range, to} of spreadKeys(leaving, {ranges: draft.ranges, counts: this.requestRates.sortedCounts(now), candidates: takers})) {
 				draft.movePart(range, to);
 			}
 		}
 
-		if (now >= this.nextBalanceAt && candidates.length > 0) {
+		if (now >= this.nextBalanceAt && candidates.length > 0 && !unconfirmed) {
 			this.nextBalanceAt = now + balanceIntervalMs;
 			for (const {range, to} of balanceKeys(draft.ranges, this.requestRates.sortedCounts(now), candidates)) {
 				draft.movePart(range, to);
@@ -311,6 +332,30 @@
 		return draft.result(this.nextWriteId());
 	}
 
+	/** Records that every target which may hold keys of a lost era has proved that it does not, or its hold has expired. */
+	private confirmOwners(draft: AssignmentDraft, now: number): void {
+		const unconfirmed = this.rangeOrders.unconfirmedHolders;
+		if (!unconfirmed?.areSettled || !this.hasEntriesBack(now)) {
+			return;
+		}
+
+		draft.confirmOwners(unconfirmed.unproved);
+		this.options.log.record(LogEvent.OwnersSettled, {
+			service: this.rule.name, waitedMs: Math.round(now - this.takeoverAt), unproved: unconfirmed.unproved.length,
+		});
+	}
+
+	/** True once all targets that live have written the entries again that a restore of the store lost. */
+	private hasEntriesBack(now: number): boolean {
+		return now - this.options.store.era.since >= renewalGraceMs;
+	}
+
+	/** True while holds may be in force that a leader granted in a lost era of the store; the first start of a deployment looks the same. */
+	private get mayHaveUnknownHolders(): boolean {
+		const {policy, store} = this.options;
+		return this.era !== undefined && performance.now() <= policy.inheritedHold(store.era.since).lateExpiresBy;
+	}
+
 	private planInitial(candidates: readonly OwnerCandidate[], now: number): KeyAssignment | undefined {
 		if (candidates.length === 0) {
 			return undefined;
@@ -326,12 +371,12 @@
 		}
 
 		const owners = candidates.map(({incarnation}) => incarnation);
-		return {...initialAssignment(this.rule.name, owners, this.era), writeId: this.nextWriteId()};
+		return {...initialAssignment(this.rule.name, owners, this.era), ...(this.mayHaveUnknownHolders && {isUnconfirmed: true}), writeId: this.nextWriteId()};
 	}
 
-	private planRange(draft: AssignmentDraft, range: OwnedRange, {state, candidates, now}: {state: RangeState; candidates: readonly OwnerCandidate[]; now: number}): void {
+	private planRange(draft: AssignmentDraft, range: OwnedRange, {state, candidates, takers, now}: RangePlan): void {
 		if (!isOwnedByAny(range, candidates)) {
-			const owner = leastAssigned(draft.ranges, candidates);
+			const owner = leastAssigned(draft.ranges, takers);
 			if (owner) {
 				draft.replaceOwner(range, owner);
 			}
--- a/src/decisions/ownership/range-orders.ts
+++ b/src/decisions/ownership/range-orders.ts
@@ -21,6 +21,7 @@
 import type {RangeState} from './range-state.js';
 import {ReleasePacing} from './release-pacing.js';
 import {incarnationKey, type TargetResponsiveness} from './target-responsiveness.js';
+import {UnconfirmedHolders, type HoldKnowledge, type PossibleHolder} from './unconfirmed-holders.js';
 
 /** Timeout of a release in milliseconds; requests of usual duration that are being processed end within it. */
 const releaseTimeoutMs = 900;
@@ -75,6 +76,8 @@
 	private readonly evictions = new Map<string, ReleasePacing>();
 	/** Time until which daemons may send requests to owners that an earlier leader has confirmed. */
 	private earlierEvidenceUntil = -Infinity;
+	/** Undefined unless targets may hold keys that no range names. */
+	private unconfirmed: UnconfirmedHolders | undefined;
 	private readonly term: number;
 
 	constructor(private readonly options: RangeOrdersOptions, private readonly takeoverAt: number) {
@@ -91,6 +94,37 @@
 		this.earlierEvidenceUntil = this.takeoverAt + wordReachMs;
 	}
 
+	/** Targets that may hold keys that no range names; undefined if there are none. */
+	get unconfirmedHolders(): UnconfirmedHolders | undefined {
+		return this.unconfirmed;
+	}
+
+	/**
+	 * Follows which targets may hold keys that no range names.
+	 *
+	 * @param isComplete true once all of them are known
+	 */
+	followUnconfirmed(assignment: KeyAssignment, isComplete: boolean, now: number): void {
+		if (assignment.isUnconfirmed !== true) {
+			this.unconfirmed = undefined;
+			return;
+		}
+
+		const {view, responsiveness} = this.options;
+		const knowledge: HoldKnowledge = {
+			isFree: (incarnation, range) => responsiveness.hasEnded(incarnation) || this.isFree(incarnation, range, now),
+			mayHold: (incarnation, range) => {
+				const isAnswering = responsiveness.isAnswering(incarnation, now);
+				const evidence = this.holdsOf(incarnation).evidenceFor(range, isAnswering);
+				return evidence !== undefined && now <= expiryOf(evidence, isAnswering);
+			},
+		};
+		this.unconfirmed ??= new UnconfirmedHolders();
+		this.unconfirmed.update(assignment, {
+			targets: [...view.targetsSinceRestore(this.options.rule().name), ...namedHolders(assignment)], isComplete, knowledge,
+		});
+	}
+
 	/** Sends the orders that are due for a range, given its owners in the store. */
 	sendDueOrders(state: RangeState, now: number): void {
 		for (const incarnation of state.range.previous) {
@@ -99,7 +133,7 @@
 			}
 		}
 
-		if (state.isFullyCleared && this.mayBeGranted(state, now)) {
+		if (state.isFullyCleared && this.unconfirmed?.isBlocked(state.range, state.range.owner) !== true && this.mayBeGranted(state, now)) {
 			this.grant(state, now);
 		}
 	}
@@ -115,7 +149,7 @@
 			.map((holder): UnreleasedRange => ({
 				first: state.range.first, last: state.range.last, holder, fence: state.range.fence,
 			})));
-		for (const range of [...expired, ...assignment.unreleased]) {
+		for (const range of [...expired, ...assignment.unreleased, ...this.unconfirmed?.releases(assignment) ?? []]) {
 			const key = incarnationKey(range.holder);
 			unreleased.set(key, [...unreleased.get(key) ?? [], range]);
 		}
@@ -415,6 +449,11 @@
 	}
 }
 
+/** Owners that an assignment names; the store may not list them any more. */
+function namedHolders({ranges}: KeyAssignment): PossibleHolder[] {
+	return ranges.map(({owner}) => ({incarnation: owner, hasLeft: false}));
+}
+
 /** A holder without any keys of its own gets one release for all keys. */
 function joinReleases(unreleased: readonly UnreleasedRange[], {ranges, fence}: KeyAssignment): readonly UnreleasedRange[] {
 	const [{holder}] = unreleased;
--- a/src/model/events.ts
+++ b/src/model/events.ts
@@ -79,6 +79,7 @@
 	ConfigurationBehind = 2086,
 	ConfigurationCaughtUp = 2087,
 	OwnersReconciled = 2088,
+	OwnersSettled = 2089,
 	RequestsEnded = 2090,
 	AnswersDropped = 2091,
 	HeldBytesFull = 2092,
--- a/src/model/key-ownership.ts
+++ b/src/model/key-ownership.ts
@@ -62,6 +62,11 @@
 	writeId: string;
 	ranges: OwnedRange[];
 	unreleased: UnreleasedRange[];
+	/**
+	 * True while targets may hold keys that no range names: the newest owners of a lost era of the store may be known to no reachable
+	 * daemon. Owners get no grant of such keys until then.
+	 */
+	isUnconfirmed?: boolean | undefined;
 };
 
 /** Finds the range of a key by binary search. */
