fix(forwarding): give a silent attempt up only for another one that has its slot

Cause: an attempt without an answer in three times the estimate was given up if the retry budget allowed a repeat when it was sent. When it was given up, the budget could be spent, or the coordinator denied the repeat. Answers that had begun were broken off as well.

Change: the slot and the retry of the next attempt are acquired while the present one goes on; only then is it given up. Nothing is given up during a stop or once an answer has begun. The owner of a key gets a repeat only if it has a free slot.

--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -14,7 +14,9 @@
 import type {TargetStatement} from '../../model/target-statement.js';
 import {attemptTimeoutMs} from '../admission/attempt-timeout.js';
 import type {CoordinationPolicy} from '../admission/coordination-policy.js';
-import {SlotOutcomeKind, type SlotRequests, type SlotResult} from '../admission/slot-requests.js';
+import {
+	SlotOutcomeKind, type SlotOutcome, type SlotRequests, type SlotResult,
+} from '../admission/slot-requests.js';
 import type {FleetView} from '../fleet/fleet-view.js';
 import type {Permits} from '../limits/permits.js';
 import type {TargetStatements} from '../limits/target-statements.js';
@@ -246,6 +248,7 @@
 		}
 
 		const outcome = await this.attemptUntilFinal(context);
+		this.releaseNextSlot(context);
 		return {
 			...outcome, route, deliveredAttempts: context.deliveredAttempts, relay: context.relay,
 		};
@@ -313,6 +316,7 @@
 			misdirectedAttempts: 0,
 			way: RequestWay.Direct,
 			grant: undefined,
+			nextGrant: undefined,
 			relay: undefined,
 			triedPeers: new Set(),
 			mayHaveRun: false,
@@ -362,7 +366,7 @@
 				continue;
 			}
 
-			if (context.deliveredAttempts > 0 && !this.budgetOf(context.service.name).withdraw()) {
+			if (context.deliveredAttempts > 0 && !context.nextGrant && !this.budgetOf(context.service.name).withdraw()) {
 				return this.giveUp(context, OutcomeReason.RetryBudgetSpent, retryDelaysMs.overloaded);
 			}
 
@@ -482,17 +486,14 @@
 
 	/** Waits for a slot, at the owner of the key or at any target. Without an answer of a coordinator, the target is chosen as without coordination. */
 	private async acquireTarget(context: ForwardingContext, owner?: Target): Promise<Target | Outcome | undefined> {
-		const {service, route: {priority, targetLatencyMs}, request: {receivedAt, cancellation}, deadlineAt} = context;
-		const outcome = await this.options.coordination?.requests.acquire({
-			service: service.name,
-			target: owner?.id,
-			// A key has only one owner, which is asked again.
-			excluded: owner ? [] : [...context.triedTargets, ...context.deniedTargets.keys()],
-			priority,
-			targetLatencyMs,
-			dueAt: receivedAt + targetLatencyMs,
-			deadlineAt,
-		}, cancellation);
+		const {nextGrant} = context;
+		if (nextGrant) {
+			context.nextGrant = undefined;
+			context.grant = nextGrant;
+			return this.takeGrantedTarget(context, nextGrant.target);
+		}
+
+		const outcome = await this.acquireSlot(context, owner, context.request.cancellation);
 		if (outcome?.kind === SlotOutcomeKind.Denied && outcome.isUnknownTarget && owner) {
 			// The coordinator knows a newer owner, or will soon know this one.
 			return this.waitForOwner(context, OutcomeReason.KeyMoving, retryDelaysMs.moving);
@@ -510,6 +511,54 @@
 		return owner ? this.refuseColdOwner(context, owner) ?? this.refuseLateAnswer(context, owner) ?? owner : this.chooseUnkeyedTarget(context);
 	}
 
+	/** @param excluded targets beside those that earlier attempts used */
+	private async acquireSlot(context: ForwardingContext, owner: Target | undefined, cancellation: Cancellation, excluded: readonly string[] = []): Promise<SlotOutcome | undefined> {
+		const {service, route: {priority, targetLatencyMs}, request: {receivedAt}, deadlineAt} = context;
+		return this.options.coordination?.requests.acquire({
+			service: service.name,
+			target: owner?.id,
+			// A key has only one owner, which is asked again.
+			excluded: owner ? [] : [...context.triedTargets, ...context.deniedTargets.keys(), ...excluded],
+			priority,
+			targetLatencyMs,
+			dueAt: receivedAt + targetLatencyMs,
+			deadlineAt,
+		}, cancellation);
+	}
+
+	/**
+	 * Acquires the slot and the retry of another attempt while the present one goes on. Without them, a request at which its target is at
+	 * work would be broken off for an attempt that is then denied.
+	 *
+	 * @param ended cancelled when the present attempt ends
+	 */
+	private async acquireNextSlot(context: ForwardingContext, target: Target, ended: Cancellation): Promise<boolean> {
+		if (!this.mayRepeat(context)) {
+			return false;
+		}
+
+		const outcome = await this.acquireSlot(context, context.service.isKeyed ? target : undefined, ended, [target.id]);
+		if (outcome?.kind !== SlotOutcomeKind.Granted) {
+			return false;
+		}
+
+		context.nextGrant = outcome.grant;
+		const isUseful = !ended.isCancelled && remainingMs(context) > outcome.grant.responseMs;
+		if (isUseful && this.mayRepeat(context) && this.budgetOf(context.service.name).withdraw()) {
+			return true;
+		}
+
+		this.releaseNextSlot(context);
+		return false;
+	}
+
+	private releaseNextSlot(context: ForwardingContext): void {
+		if (context.nextGrant) {
+			this.options.coordination?.requests.release(context.nextGrant.number, {end: SlotEnd.Unused});
+			context.nextGrant = undefined;
+		}
+	}
+
 	/** The target may have left, or the key may have moved, while the request waited for its slot. */
 	private takeGrantedTarget(context: ForwardingContext, id: string): Target | undefined {
 		const {view, statements} = this.options;
@@ -666,6 +715,7 @@
 		this.limitedAttempts += statements.limitOf(target) === undefined ? 0 : 1;
 		const budgetMs = remainingMs(context);
 		const timeoutMs = this.attemptTimeoutMs(context, target, budgetMs) ?? budgetMs;
+		const ended = new Cancellation();
 		let answerStartedAt: number | undefined;
 		let reported: TargetStatement | undefined;
 		const recordEnd = this.options.relay?.startAttempt(target);
@@ -678,6 +728,7 @@
 			usesOpenConnection: context.way === RequestWay.OpenConnection,
 			ending: context.ending,
 			mayBeSent: () => this.mayBeSent(context, target),
+			mayGiveUp: async () => this.acquireNextSlot(context, target, ended),
 			onStatement: statement => {
 				statements.record(target, statement, sentAt);
 				answerStartedAt = performance.now();
@@ -685,6 +736,11 @@
 				this.recordWarmUp(context, target, statement);
 			},
 		}));
+		ended.cancel();
+		if (result.isGivenUp !== true) {
+			this.releaseNextSlot(context);
+		}
+
 		const isUnknown = this.isWithoutEvidence(context, target, result);
 		const endedAt = performance.now();
 		// A slow caller delays the end of a streamed answer, whose head has reported load and warm-up time.
@@ -701,7 +757,7 @@
 			return result;
 		}
 
-		if (result.isTimeout === true && timeoutMs < budgetMs) {
+		if (result.isGivenUp === true) {
 			this.silentAttempts += 1;
 			this.options.log.record(LogEvent.AttemptSilent, {...requestLogFields(context), target: target.id, timeoutMs: Math.round(timeoutMs)});
 			// The silence may show that this daemon is cut off, which is checked while the attempt still counts.
@@ -722,7 +778,7 @@
 
 	/** Time after which a silent attempt is given up, in milliseconds; undefined if it may use all the time that is left. */
 	private attemptTimeoutMs(context: ForwardingContext, target: Target, leftMs: number): number | undefined {
-		const {route, service, request, grant, deliveredAttempts} = context;
+		const {grant} = context;
 		if (!context.isCoordinated) {
 			return undefined;
 		}
@@ -730,10 +786,16 @@
 		return attemptTimeoutMs({
 			responseMs: grant?.responseMs ?? this.options.loads.estimate(target).responseMs,
 			leftMs,
-			mayRepeat: route.isIdempotent && deliveredAttempts + 1 < route.maxAttempts && !(request.body instanceof Readable) && this.budgetOf(service.name).allowsRetry,
+			mayRepeat: this.mayRepeat(context),
 		});
 	}
 
+	/** True if another attempt could follow the present one; during a stop, a request at which its target is at work is not broken off. */
+	private mayRepeat({route, service, request, deliveredAttempts}: ForwardingContext): boolean {
+		return route.isIdempotent && deliveredAttempts + 1 < route.maxAttempts && !(request.body instanceof Readable)
+			&& !this.admission.hasBegun && this.budgetOf(service.name).allowsRetry;
+	}
+
 	/** Only services with a bound on cold targets are told apart by the warm-up time in answers. */
 	private recordWarmUp({service}: ForwardingContext, {id}: Target, {warmUpLeftMs = 0}: TargetStatement): void {
 		if (service.warmUpPerS !== undefined && this.options.view.extendWarmUp(id, warmUpLeftMs)) {
--- a/src/decisions/forwarding/forwarding-context.ts
+++ b/src/decisions/forwarding/forwarding-context.ts
@@ -46,6 +46,8 @@
 	way: RequestWay;
 	/** The slot that the current attempt holds. */
 	grant: SlotGrant | undefined;
+	/** The slot of the next attempt, for which a silent one is given up. */
+	nextGrant: SlotGrant | undefined;
 	/** The peer that the request was last relayed to. */
 	relay: string | undefined;
 	/** Peers that could not forward the request. */
--- a/src/decisions/forwarding/stop-admission.ts
+++ b/src/decisions/forwarding/stop-admission.ts
@@ -24,6 +24,11 @@
 	private acceptsUntil = Infinity;
 	private endsAt = Infinity;
 
+	/** True once a stop has begun. */
+	get hasBegun(): boolean {
+		return this.endsAt !== Infinity;
+	}
+
 	/** @param endsAt monotonic time at which requests in flight are cut, in milliseconds */
 	begin(endsAt: number, now = performance.now()): void {
 		this.acceptsUntil = now + acceptanceMs;
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -64,6 +64,11 @@
 	connectionLimit: number;
 	/** True if the attempt is not sent unless a connection to the target is open. */
 	usesOpenConnection?: boolean;
+	/**
+	 * Asked when the target has not begun to answer within `timeoutMs`. Unless it returns true before the answer begins, the attempt goes
+	 * on until `budgetMs` is over.
+	 */
+	mayGiveUp?(): Promise<boolean>;
 	/** Asked right before the first byte; nothing is sent unless it returns true. */
 	mayBeSent?(): boolean;
 	/** Called with what the target says about itself, as soon as the head of its answer is read. */
@@ -95,6 +100,8 @@
 	detail?: string;
 	/** True if the attempt ended because its timeout expired. */
 	isTimeout?: boolean;
+	/** True if a silent attempt was given up before the deadline, so that another one follows. */
+	isGivenUp?: boolean;
 	/** True if a connection to the target was opened for the attempt. */
 	hasConnected?: boolean;
 };
--- a/tests/platform/target-exchange.test.ts
+++ b/tests/platform/target-exchange.test.ts
@@ -429,6 +429,56 @@
 	t.is(end, AttemptEnd.Ambiguous);
 });
 
+type TimeoutCase = {
+	title: string;
+	mayGiveUp: boolean;
+	/** When the head and the rest of the answer are written, in milliseconds. */
+	headMs: number;
+	restMs: number;
+	end: AttemptEnd;
+	/** When the attempt ends at the earliest, in milliseconds. */
+	endsAfterMs: number;
+};
+
+const timeouts: TimeoutCase[] = [
+	{
+		title: 'give up a silent attempt when its time is up', mayGiveUp: true, headMs: 900, restMs: 900, end: AttemptEnd.Ambiguous, endsAfterMs: 190,
+	},
+	{
+		title: 'go on with a silent attempt that may not be given up', mayGiveUp: false, headMs: 500, restMs: 500, end: AttemptEnd.Answered, endsAfterMs: 490,
+	},
+	{
+		title: 'go on with an attempt whose answer has begun', mayGiveUp: true, headMs: 50, restMs: 500, end: AttemptEnd.Answered, endsAfterMs: 490,
+	},
+	{
+		title: 'give up an attempt at its deadline', mayGiveUp: false, headMs: 5000, restMs: 5000, end: AttemptEnd.Ambiguous, endsAfterMs: 990,
+	},
+];
+
+for (const {title, mayGiveUp, headMs, restMs, end, endsAfterMs} of timeouts) {
+	// Guards against answers that are broken off although no other attempt can follow, or although they have begun.
+	test(`should ${title}`, async t => {
+		const server = await listen(socket => {
+			setTimeout(() => {
+				socket.write(head(['Content-Length: 5']));
+			}, headMs);
+			setTimeout(() => {
+				socket.write('hello');
+			}, restMs);
+		});
+		const transport = new TargetTransport(new PlatformTargetProtocol());
+		const startedAt = performance.now();
+		const result = await transport.send(callerRequest(), {
+			target: targetOf(server), budgetMs: 1000, timeoutMs: 200, mayGiveUp: async () => mayGiveUp, cancellation: new Cancellation(), connectionLimit: 4, onStatement: () => undefined,
+		});
+		const durationMs = performance.now() - startedAt;
+		transport.close();
+		server.close();
+		t.is(result.end, end);
+		t.true(durationMs >= endsAfterMs, `${durationMs} ms`);
+	});
+}
+
 const endings = [
 	{title: 'fail a request at a silent target', answer: '', end: AttemptEnd.Ambiguous},
 	{title: 'fail a request whose answer is incomplete and has not begun', answer: `${head(['Content-Length: 9000000'])}part`, end: AttemptEnd.Ambiguous},
