--- a/src/transport/small-reads.ts
+++ b/src/transport/small-reads.ts
@@ -14,8 +14,8 @@
 const totalTurnMs = 5;
 
 /**
- * Shares the turns of the event loop among sockets. Without it, a socket that is always readable would be read on in the same turn. Time
- * is what counts, because a chunk of one byte takes a hundred times as long for each byte as one of some kilobytes.
+ * Shares the turns of the event loop among sockets. Without it, a socket that is always readable would be read on in the same turn. The
+ * shares are times, because a byte in a chunk of its own takes many times as long as one in a chunk of some kilobytes.
  */
 class ReadTurns {
 	/** Number of the current turn. */
