fix(gateway): write the end of a burst although nothing follows

Callers would have seen: the last bytes of a streamed answer that goes on slowly arrive only with the next ones, or at its end.

Cause: a large piece was written without a callback. A small piece behind it waited for that write, and nothing called when it was done.

Evidence: joined-writes.test.ts, 'should write a small piece behind a large one although nothing follows': 4,096 of 4,106 bytes before, all after. Change: each write calls back, as those of joined blocks do.

--- a/src/transport/joined-writes.ts
+++ b/src/transport/joined-writes.ts
@@ -13,16 +13,20 @@
 	private isScheduled = false;
 	private isEnded = false;
 
+	private readonly onWritten: () => void;
+
 	constructor(private readonly sink: Writable) {
-		sink.on('drain', () => {
+		this.onWritten = () => {
 			this.schedule();
-		});
+		};
+
+		sink.on('drain', this.onWritten);
 	}
 
 	/** Returns false if the sink takes no more until its next `drain` event. */
 	write(piece: Uint8Array): boolean {
 		if (piece.length >= largePieceBytes && this.waiting.byteLength === 0 && !this.sink.writableNeedDrain) {
-			return this.sink.write(piece);
+			return this.sink.write(piece, this.onWritten);
 		}
 
 		this.waiting.add(piece);
@@ -48,9 +52,7 @@
 	}
 
 	private writeBlock(): void {
-		this.sink.write(this.waiting.take(), () => {
-			this.schedule();
-		});
+		this.sink.write(this.waiting.take(), this.onWritten);
 	}
 
 	private schedule(): void {
--- a/tests/joined-writes.test.ts
+++ b/tests/joined-writes.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {Readable, Writable} from 'node:stream';
-import {setImmediate as nextTurn} from 'node:timers/promises';
+import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
 import {ByteBlocks} from '../src/model/byte-blocks.js';
 import {JoinedWrites} from '../src/transport/joined-writes.js';
@@ -49,6 +49,22 @@
 	});
 }
 
+// Guards against the last bytes of a burst that wait until the next ones arrive.
+test.serial('should write a small piece behind a large one although nothing follows', async t => {
+	let writtenBytes = 0;
+	const sink = new Writable({
+		write(chunk: Uint8Array, _encoding, callback) {
+			writtenBytes += chunk.length;
+			setTimeout(callback, 20);
+		},
+	});
+	const writes = new JoinedWrites(sink);
+	writes.write(new Uint8Array(4096));
+	writes.write(new Uint8Array(10));
+	await delay(200);
+	t.is(writtenBytes, 4106);
+});
+
 // Guards against the objects around small pieces of an answer, which took some hundred bytes of heap each.
 test('should take little more memory than the bytes of small pieces that wait', t => {
 	const blocks = new ByteBlocks();
