test(transport): time the cases of silent attempts apart from the other tests of their file

'should go on with an attempt whose answer has begun' failed once beside other load. Trace: its answer's head, written after 50 ms, was read 146 to 183 ms after the start in four runs, because the other tests of the file run at the same time in one process; the attempt may be given up after 200 ms if no head was read by then, so that the answer had not begun for the daemon. The cases now run alone, with the head at once, 400 ms until an attempt may be given up and 1,500 ms until its deadline; what they expect is the same.

--- a/tests/platform/target-exchange.test.ts
+++ b/tests/platform/target-exchange.test.ts
@@ -442,22 +442,22 @@
 
 const timeouts: TimeoutCase[] = [
 	{
-		title: 'give up a silent attempt when its time is up', mayGiveUp: true, headMs: 900, restMs: 900, end: AttemptEnd.Ambiguous, endsAfterMs: 190,
+		title: 'give up a silent attempt when its time is up', mayGiveUp: true, headMs: 1200, restMs: 1200, end: AttemptEnd.Ambiguous, endsAfterMs: 390,
 	},
 	{
-		title: 'go on with a silent attempt that may not be given up', mayGiveUp: false, headMs: 500, restMs: 500, end: AttemptEnd.Answered, endsAfterMs: 490,
+		title: 'go on with a silent attempt that may not be given up', mayGiveUp: false, headMs: 900, restMs: 900, end: AttemptEnd.Answered, endsAfterMs: 890,
 	},
 	{
-		title: 'go on with an attempt whose answer has begun', mayGiveUp: true, headMs: 50, restMs: 500, end: AttemptEnd.Answered, endsAfterMs: 490,
+		title: 'go on with an attempt whose answer has begun', mayGiveUp: true, headMs: 0, restMs: 900, end: AttemptEnd.Answered, endsAfterMs: 890,
 	},
 	{
-		title: 'give up an attempt at its deadline', mayGiveUp: false, headMs: 5000, restMs: 5000, end: AttemptEnd.Ambiguous, endsAfterMs: 990,
+		title: 'give up an attempt at its deadline', mayGiveUp: false, headMs: 5000, restMs: 5000, end: AttemptEnd.Ambiguous, endsAfterMs: 1490,
 	},
 ];
 
 for (const {title, mayGiveUp, headMs, restMs, end, endsAfterMs} of timeouts) {
 	// Guards against answers that are broken off although no other attempt can follow, or although they have begun.
-	test(`should ${title}`, async t => {
+	test.serial(`should ${title}`, async t => {
 		const server = await listen(socket => {
 			setTimeout(() => {
 				socket.write(head(['Content-Length: 5']));
@@ -469,7 +469,7 @@
 		const transport = new TargetTransport(new PlatformTargetProtocol());
 		const startedAt = performance.now();
 		const result = await transport.send(callerRequest(), {
-			target: targetOf(server), budgetMs: 1000, timeoutMs: 200, mayGiveUp: async () => mayGiveUp, cancellation: new Cancellation(), connectionLimit: 4, onStatement: () => undefined,
+			target: targetOf(server), budgetMs: 1500, timeoutMs: 400, mayGiveUp: async () => mayGiveUp, cancellation: new Cancellation(), connectionLimit: 4, onStatement: () => undefined,
 		});
 		const durationMs = performance.now() - startedAt;
 		transport.close();
