--- a/review/11/lib/store.mjs
+++ b/review/11/lib/store.mjs
@@ -24,7 +24,8 @@
 		});
 		server.keepAliveTimeout = 60_000;
 		this.servers.push(server);
-		await new Promise(resolve => {
+		await new Promise((resolve, reject) => {
+			server.once('error', reject);
 			server.listen(port, ip, resolve);
 		});
 	}
--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -218,6 +218,24 @@
 const daemons = new Daemons({
 	root: path.join(here, '../..'), folder, network, storeAddress: `${network}.0.1:8642`,
 });
+/** Ends the daemons however the script ends; anything unexpected means that the case could not run. */
+function abandon(reason) {
+	for (const {child} of daemons.running) {
+		child.kill('SIGKILL');
+	}
+
+	writeFileSync(path.join(here, 'record.txt'), `${[...record, `could not run: ${reason}`].join('\n')}\n`);
+	// eslint-disable-next-line unicorn/no-process-exit -- nothing that is under way matters any more.
+	process.exit(2);
+}
+
+for (const event of ['uncaughtException', 'SIGTERM', 'SIGINT']) {
+	process.on(event, reason => {
+		abandon(reason?.stack ?? reason);
+	});
+}
+
+setTimeout(abandon, 110_000, 'it took too long').unref();
 let code = 2;
 try {
 	code = await play();
