--- a/src/daemon/platform-daemon.ts
+++ b/src/daemon/platform-daemon.ts
@@ -492,6 +492,7 @@
 			slots: () => this.slots.counts,
 			meanSlotWaitMs: () => this.slots.meanWaitMs,
 			silentAttempts: () => forwarder.silentAttemptCount,
+			unprovedRefusals: () => forwarder.unprovedRefusalCount,
 			coldTargets: () => this.view.coldTargetCount(),
 			evacuatedZones: () => this.view.evacuatedZones.size,
 			evacuatedRanges: () => this.view.evacuatedRangeCount,
--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -6,7 +6,7 @@
 import {LogEvent, type EventLog} from '../../model/events.js';
 import {isSameIncarnation, type Target} from '../../model/fleet.js';
 import {
-	AttemptEnd, OutcomeKind, OutcomeReason, type AttemptResult, type CallerRequest, type Outcome, type RequestTransport,
+	AttemptEnd, isRefusalStatus, OutcomeKind, OutcomeReason, type AttemptResult, type CallerRequest, type Outcome, type RequestTransport,
 } from '../../model/forwarding.js';
 import {findRange} from '../../model/key-ownership.js';
 import type {Route, ServiceRule} from '../../model/route-configuration.js';
@@ -124,6 +124,7 @@
 	private hasEnded = false;
 	private limitedAttempts = 0;
 	private silentAttempts = 0;
+	private unprovedRefusals = 0;
 	private readonly durations = new RouteDurations();
 	private readonly admission = new StopAdmission();
 
@@ -144,6 +145,11 @@
 		return this.silentAttempts;
 	}
 
+	/** Number of answers since the start whose status says that the request did not run although it may have. */
+	get unprovedRefusalCount(): number {
+		return this.unprovedRefusals;
+	}
+
 	/** From now on, refuses requests that are not expected to end by this time. */
 	endAt(time: number): void {
 		this.admission.begin(time);
@@ -857,6 +863,19 @@
 		}
 	}
 
+	/** Records an answer whose status says that the request did not run although the target did not say so. */
+	private recordUnprovedRefusal(context: ForwardingContext, target: Target, {end, answer}: AttemptResult): void {
+		const isAnswer = end === AttemptEnd.Answered || end === AttemptEnd.Streamed;
+		if (!isAnswer || !answer || !isRefusalStatus(answer.status)) {
+			return;
+		}
+
+		this.unprovedRefusals += 1;
+		this.options.log.record(LogEvent.RefusalUnproved, {
+			...requestLogFields(context), target: target.id, status: answer.status, isSealed: answer.isSealed, isStreamed: end === AttemptEnd.Streamed,
+		});
+	}
+
 	/** Decides what follows from the result of an attempt. */
 	private async handleResult(context: ForwardingContext, target: Target, result: AttemptResult): Promise<Outcome | undefined> {
 		context.lastDetail = result.detail ?? result.end;
@@ -871,6 +890,7 @@
 		}
 
 		context.deliveredAttempts += 1;
+		this.recordUnprovedRefusal(context, target, result);
 		switch (result.end) {
 			case AttemptEnd.Answered: {
 				return this.handleAnswer(context, target, result);
--- a/src/model/events.ts
+++ b/src/model/events.ts
@@ -91,6 +91,7 @@
 	RequestAbandoned = 2104,
 	RequestMalformed = 2105,
 	RequestUnrouted = 2106,
+	RefusalUnproved = 2107,
 	PeerMessageRejected = 2200,
 	LinesDropped = 2300,
 	InternalFailure = 2400,
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -47,8 +47,18 @@
 export type AnswerHead = {
 	status: number;
 	headers: Record<string, string | string[]>;
+	/** True if the answer bears the target's signature. */
+	isSealed?: boolean;
 };
 
+/** Statuses by which callers are told that a request has not run and never will. */
+const refusalStatuses = new Set([408, 421, 429, 503]);
+
+/** True if the status tells callers that the request has not run and never will. */
+export function isRefusalStatus(status: number): boolean {
+	return refusalStatuses.has(status);
+}
+
 /** One attempt at a target. */
 export type Attempt = {
 	target: Pick<Target, 'id' | 'address'>;
--- a/src/platform/relay.ts
+++ b/src/platform/relay.ts
@@ -9,7 +9,7 @@
 import type {TargetStatement} from '../model/target-statement.js';
 import {ConnectionPool} from '../transport/connection-pool.js';
 import {AnswerKind, TargetExchange, type TargetProtocol} from '../transport/target-exchange.js';
-import {passedAnswerHeaders, readCallerHeaders, type CallerHeaders} from './target-protocol.js';
+import {passedAnswerHead, readCallerHeaders, type CallerHeaders} from './target-protocol.js';
 import {readTargetStatement} from './target-statement-reader.js';
 import {WireHeader} from './wire.js';
 
@@ -142,9 +142,8 @@
 		return undefined;
 	}
 
-	answerHeaders(headers: AnswerHead['headers']): AnswerHead['headers'] {
-		const passed = passedAnswerHeaders(headers);
-		return Object.fromEntries(Object.entries(passed).filter(([name]) => !relayHeaders.has(name)));
+	answerHead(status: number, headers: AnswerHead['headers']): AnswerHead {
+		return passedAnswerHead(status, headers, relayHeaders);
 	}
 }
 
--- a/src/platform/target-protocol.ts
+++ b/src/platform/target-protocol.ts
@@ -101,21 +101,21 @@
 		return kind === AnswerKind.Unrelated || isOther ? undefined : readTargetStatement(status, headers, kind === AnswerKind.Answer);
 	}
 
-	answerHeaders(headers: AnswerHead['headers']): AnswerHead['headers'] {
-		return passedAnswerHeaders(headers);
+	answerHead(status: number, headers: AnswerHead['headers']): AnswerHead {
+		return passedAnswerHead(status, headers);
 	}
 }
 
-/** Headers of an answer that do not apply to a single connection. */
-export function passedAnswerHeaders(headers: AnswerHead['headers']): AnswerHead['headers'] {
+/** The head of an answer, without headers that apply to a single connection or are among the omitted ones. */
+export function passedAnswerHead(status: number, headers: AnswerHead['headers'], omitted: ReadonlySet<string> = new Set()): AnswerHead {
 	const passed: AnswerHead['headers'] = {};
 	for (const [name, value] of Object.entries(headers)) {
-		if (!hopByHopHeaders.has(name) && name !== 'content-length') {
+		if (!hopByHopHeaders.has(name) && name !== 'content-length' && !omitted.has(name)) {
 			passed[name] = value;
 		}
 	}
 
-	return passed;
+	return {status, headers: passed, isSealed: headers[WireHeader.Seal] !== undefined};
 }
 
 /** Names of the headers that `Connection` declares as hop-by-hop. */
--- a/src/services/platform-metrics-service.ts
+++ b/src/services/platform-metrics-service.ts
@@ -52,6 +52,8 @@
 	meanSlotWaitMs(): number;
 	/** Attempts since the start that were given up because their targets stayed silent. */
 	silentAttempts(): number;
+	/** Answers since the start whose status says that the request did not run although it may have. */
+	unprovedRefusals(): number;
 	/** Targets with a bound on their warm-up that are cold. */
 	coldTargets(): number;
 	/** Availability zones that are evacuated. */
@@ -103,6 +105,7 @@
 		this.addGauge('uncoordinated_requests', 'Requests since the start whose target this daemon chose on its own because no coordinator answered.', () => sources.slots().uncoordinated);
 		this.addGauge('slot_wait_mean_seconds', 'Average time that a request recently waited for its slot.', () => sources.meanSlotWaitMs() / secondMs);
 		this.addGauge('silent_attempts', 'Attempts since the start that were given up because their targets stayed silent.', () => sources.silentAttempts());
+		this.addGauge('unproved_refusals', 'Answers of targets since the start whose status says, without proof, that the request did not run.', () => sources.unprovedRefusals());
 		this.addGauge('cold_targets', 'Targets with a bound on their warm-up that are cold.', () => sources.coldTargets());
 		this.addGauge('evacuated_zones', 'Availability zones that are evacuated.', () => sources.evacuatedZones());
 		this.addGauge('evacuated_ranges', 'Key ranges that targets in evacuated zones own or may hold.', () => sources.evacuatedRanges());
--- a/src/transport/target-exchange.ts
+++ b/src/transport/target-exchange.ts
@@ -41,8 +41,8 @@
 	classify(request: CallerRequest, status: number, headers: AnswerHead['headers']): AnswerKind;
 	/** What the answer says about the target; undefined if it may come from another target. */
 	statement(kind: AnswerKind, attempt: Attempt, status: number, headers: AnswerHead['headers']): TargetStatement | undefined;
-	/** Headers of an answer that are forwarded to the caller. */
-	answerHeaders(headers: AnswerHead['headers']): AnswerHead['headers'];
+	/** What is forwarded of the head of an answer. */
+	answerHead(status: number, headers: AnswerHead['headers']): AnswerHead;
 };
 
 /** Runs one exchange; its result is set once. */
@@ -162,7 +162,7 @@
 		}
 
 		this.kind = this.protocol.classify(this.request, status, headers);
-		this.head = {status, headers: this.protocol.answerHeaders(headers)};
+		this.head = this.protocol.answerHead(status, headers);
 		if (this.kind === AnswerKind.Unrelated) {
 			this.fail('the answer does not belong to the request');
 			return;
