--- a/src/decisions/forwarding/forwarder.ts
+++ b/src/decisions/forwarding/forwarder.ts
@@ -411,6 +411,11 @@
 				return this.giveUp(context, OutcomeReason.RelayRefused, result.retryAfterMs ?? retryDelaysMs.overloaded);
 			}
 
+			case AttemptEnd.UnprovedRefusal: {
+				this.recordUnprovedRefusal(context, undefined, result);
+				return this.withholdRefusal(context);
+			}
+
 			case AttemptEnd.Ambiguous: {
 				context.mayHaveRun = true;
 				return this.giveUp(context, result.isTimeout ? OutcomeReason.Timeout : OutcomeReason.AnswerLost, 0);
@@ -731,6 +736,7 @@
 			timeoutMs,
 			cancellation,
 			connectionLimit: this.connectionLimit(context.service),
+			isIdempotent: context.route.isIdempotent,
 			usesOpenConnection: context.way === RequestWay.OpenConnection,
 			ending: context.ending,
 			mayBeSent: () => this.mayBeSent(context, target),
@@ -837,6 +843,7 @@
 		const {loads} = this.options;
 		switch (result.end) {
 			case AttemptEnd.Answered:
+			case AttemptEnd.UnprovedRefusal:
 			case AttemptEnd.Streamed: {
 				loads.recordAnswer(target, key, isServerFailure(result));
 				break;
@@ -863,19 +870,30 @@
 		}
 	}
 
-	/** Records an answer whose status says that the request did not run although the target did not say so. */
-	private recordUnprovedRefusal(context: ForwardingContext, target: Target, {end, answer}: AttemptResult): void {
-		const isAnswer = end === AttemptEnd.Answered || end === AttemptEnd.Streamed;
+	/**
+	 * Records an answer whose status says that the request did not run although the target did not say so.
+	 *
+	 * @param target undefined if a peer passed the answer on
+	 */
+	private recordUnprovedRefusal(context: ForwardingContext, target: Target | undefined, {end, answer}: AttemptResult): void {
+		const isWithheld = end === AttemptEnd.UnprovedRefusal;
+		const isAnswer = isWithheld || end === AttemptEnd.Answered || end === AttemptEnd.Streamed;
 		if (!isAnswer || !answer || !isRefusalStatus(answer.status)) {
 			return;
 		}
 
 		this.unprovedRefusals += 1;
 		this.options.log.record(LogEvent.RefusalUnproved, {
-			...requestLogFields(context), target: target.id, status: answer.status, isSealed: answer.isSealed, isStreamed: end === AttemptEnd.Streamed,
+			...requestLogFields(context), target: target?.id, status: answer.status, isSealed: answer.isSealed, isWithheld,
 		});
 	}
 
+	/** The caller would take the target's status for the promise that the request has not run, and repeat it. */
+	private withholdRefusal(context: ForwardingContext): Outcome {
+		context.mayHaveRun = true;
+		return this.giveUp(context, OutcomeReason.RefusalUnproved, 0);
+	}
+
 	/** Decides what follows from the result of an attempt. */
 	private async handleResult(context: ForwardingContext, target: Target, result: AttemptResult): Promise<Outcome | undefined> {
 		context.lastDetail = result.detail ?? result.end;
@@ -908,6 +926,10 @@
 				return this.handleRefusal(context, target, result);
 			}
 
+			case AttemptEnd.UnprovedRefusal: {
+				return this.withholdRefusal(context);
+			}
+
 			case AttemptEnd.Ambiguous: {
 				context.triedTargets.add(target.id);
 				context.mayHaveRun = true;
@@ -1025,6 +1047,7 @@
 function slotEndOf(result: AttemptResult): SlotEnd {
 	switch (result.end) {
 		case AttemptEnd.Answered:
+		case AttemptEnd.UnprovedRefusal:
 		case AttemptEnd.Streamed: {
 			return isServerFailure(result) ? SlotEnd.Failed : SlotEnd.Answered;
 		}
--- a/src/decisions/forwarding/request-relay.ts
+++ b/src/decisions/forwarding/request-relay.ts
@@ -101,9 +101,9 @@
 		this.relayed += 1;
 		peers.startRequest(peer);
 		const result = await transport.relay(context.request, {
-			peer, cancellation, ending: context.ending, deliveredAttempts: context.deliveredAttempts, budgetMs: leftMs - hopMs, timeoutMs: leftMs,
+			peer, cancellation, ending: context.ending, deliveredAttempts: context.deliveredAttempts, isIdempotent: context.route.isIdempotent, budgetMs: leftMs - hopMs, timeoutMs: leftMs,
 		});
-		const isAnswered = result.end === AttemptEnd.Answered || result.end === AttemptEnd.Streamed;
+		const isAnswered = [AttemptEnd.Answered, AttemptEnd.Streamed, AttemptEnd.UnprovedRefusal].includes(result.end);
 		const isUsable = isAnswered || result.end === AttemptEnd.Refused || cancellation.isCancelled;
 		peers.endRequest(peer, isUsable);
 		if (isAnswered) {
--- a/src/decisions/forwarding/target-access.ts
+++ b/src/decisions/forwarding/target-access.ts
@@ -108,6 +108,7 @@
 			case AttemptEnd.Answered:
 			case AttemptEnd.Streamed:
 			case AttemptEnd.Refused:
+			case AttemptEnd.UnprovedRefusal:
 			case AttemptEnd.Misdirected: {
 				this.lastAnswerAt = now;
 				break;
--- a/src/model/forwarding.ts
+++ b/src/model/forwarding.ts
@@ -72,6 +72,8 @@
 	ending?: Cancellation;
 	/** Largest number of connections that this daemon may have to the target. */
 	connectionLimit: number;
+	/** True if the request may run more than once. Otherwise its caller must not repeat it unless it has certainly not run. */
+	isIdempotent?: boolean;
 	/** True if the attempt is not sent unless a connection to the target is open. */
 	usesOpenConnection?: boolean;
 	/**
@@ -97,6 +99,8 @@
 	Misdirected = 'misdirected',
 	/** No byte of the request was sent. */
 	NotSent = 'not_sent',
+	/** The target answered with a status by which callers are told that the request did not run, but did not say so. It may have run. */
+	UnprovedRefusal = 'unproved_refusal',
 	/** The request may have run. */
 	Ambiguous = 'ambiguous',
 }
@@ -129,7 +133,7 @@
 };
 
 /** One attempt to have a peer forward a request. */
-export type RelayAttempt = Pick<Attempt, 'budgetMs' | 'timeoutMs' | 'cancellation' | 'ending'> & {
+export type RelayAttempt = Pick<Attempt, 'budgetMs' | 'timeoutMs' | 'cancellation' | 'ending' | 'isIdempotent'> & {
 	peer: Member;
 	/** Number of attempts so far that reached a target or may have reached one. */
 	deliveredAttempts: number;
@@ -203,6 +207,8 @@
 	AttemptsUsed = 'attempts_used',
 	RetryBudgetSpent = 'retry_budget_spent',
 	AnswerLost = 'answer_lost',
+	/** A target refused the request without saying that it has not run it. */
+	RefusalUnproved = 'refusal_unproved',
 	Timeout = 'timeout',
 	CallerLeft = 'caller_left',
 }
--- a/src/platform/relay.ts
+++ b/src/platform/relay.ts
@@ -9,7 +9,9 @@
 import type {TargetStatement} from '../model/target-statement.js';
 import {ConnectionPool} from '../transport/connection-pool.js';
 import {AnswerKind, TargetExchange, type TargetProtocol} from '../transport/target-exchange.js';
-import {passedAnswerHead, readCallerHeaders, type CallerHeaders} from './target-protocol.js';
+import {
+	answerKindOf, passedAnswerHead, readCallerHeaders, type CallerHeaders,
+} from './target-protocol.js';
 import {readTargetStatement} from './target-statement-reader.js';
 import {WireHeader} from './wire.js';
 
@@ -123,14 +125,16 @@
 		];
 	}
 
-	classify(request: CallerRequest, _status: number, headers: AnswerHead['headers']): AnswerKind {
+	classify(request: CallerRequest, attempt: Pick<Attempt, 'isIdempotent'>, status: number, headers: AnswerHead['headers']): AnswerKind {
 		if (request.requestId !== '' && headers[WireHeader.RequestId] !== request.requestId) {
 			return AnswerKind.Unrelated;
 		}
 
 		const {[RelayHeader.Outcome]: outcome, [RelayHeader.Attempts]: attempts} = headers;
 		this.deliveredAttempts = Math.max(this.deliveredAttempts, readCount(String(attempts)) ?? 0);
-		return answerKinds.get(String(outcome)) ?? AnswerKind.Unrelated;
+		const kind = answerKinds.get(String(outcome)) ?? AnswerKind.Unrelated;
+		// Peers of earlier versions pass the refusal status of a target on.
+		return kind === AnswerKind.Answer ? answerKindOf(attempt, status) : kind;
 	}
 
 	/** A target's statements are recorded by the peer; only the delay until a retry is read here. */
--- a/src/platform/target-protocol.ts
+++ b/src/platform/target-protocol.ts
@@ -1,8 +1,8 @@
 /**
  * Headers of requests to targets and of the targets' answers.
  */
-import type {
-	AnswerHead, Attempt, CallerRequest, HeaderList,
+import {
+	isRefusalStatus, type AnswerHead, type Attempt, type CallerRequest, type HeaderList,
 } from '../model/forwarding.js';
 import type {TargetStatement} from '../model/target-statement.js';
 import {AnswerKind, type TargetProtocol} from '../transport/target-exchange.js';
@@ -76,7 +76,7 @@
 		];
 	}
 
-	classify(request: CallerRequest, status: number, headers: AnswerHead['headers']): AnswerKind {
+	classify(request: CallerRequest, attempt: Pick<Attempt, 'isIdempotent'>, status: number, headers: AnswerHead['headers']): AnswerKind {
 		// A late or duplicate answer to an earlier request can arrive on a reused connection.
 		if (request.requestId !== '' && headers[WireHeader.RequestId] !== request.requestId) {
 			return AnswerKind.Unrelated;
@@ -92,13 +92,13 @@
 
 		// Callers treat these statuses as final, so they must carry the target's seal.
 		const isFinal = status >= 200 && status < 500;
-		return isFinal && headers[WireHeader.Seal] === undefined ? AnswerKind.Unrelated : AnswerKind.Answer;
+		return isFinal && headers[WireHeader.Seal] === undefined ? AnswerKind.Unrelated : answerKindOf(attempt, status);
 	}
 
 	/** Another target may have given a misdirected answer, which names its id. */
 	statement(kind: AnswerKind, {target}: Attempt, status: number, headers: AnswerHead['headers']): TargetStatement | undefined {
 		const isOther = kind === AnswerKind.Misdirected && headers[WireHeader.Target] !== target.id;
-		return kind === AnswerKind.Unrelated || isOther ? undefined : readTargetStatement(status, headers, kind === AnswerKind.Answer);
+		return kind === AnswerKind.Unrelated || isOther ? undefined : readTargetStatement(status, headers, kind === AnswerKind.Answer || kind === AnswerKind.UnprovedRefusal);
 	}
 
 	answerHead(status: number, headers: AnswerHead['headers']): AnswerHead {
@@ -106,6 +106,14 @@
 	}
 }
 
+/**
+ * The kind of an answer that a target gave after it may have run the request. Callers repeat any request after a refusal status, so the
+ * answer must not reach them if the request may run only once.
+ */
+export function answerKindOf({isIdempotent = false}: Pick<Attempt, 'isIdempotent'>, status: number): AnswerKind {
+	return !isIdempotent && isRefusalStatus(status) ? AnswerKind.UnprovedRefusal : AnswerKind.Answer;
+}
+
 /** The head of an answer, without headers that apply to a single connection or are among the omitted ones. */
 export function passedAnswerHead(status: number, headers: AnswerHead['headers'], omitted: ReadonlySet<string> = new Set()): AnswerHead {
 	const passed: AnswerHead['headers'] = {};
--- a/src/transport/target-exchange.ts
+++ b/src/transport/target-exchange.ts
@@ -17,8 +17,8 @@
 /** Answers up to this size are buffered until complete, so that the request can be retried if they fail; in bytes. */
 const maxBufferedAnswerBytes = 262_144;
 
-/** Maximum size of the body of a refusal, in bytes. It is read only so that the connection can be reused. */
-const maxRefusalBodyBytes = 16_384;
+/** Maximum size of a body that is not forwarded, in bytes. It is read only so that the connection can be reused. */
+const maxDiscardedBodyBytes = 16_384;
 
 /** Timeout for opening a connection, in milliseconds. It usually takes a few; a lost SYN is retransmitted only after a second. */
 const connectTimeoutMs = 300;
@@ -29,16 +29,25 @@
 	Answer = 'answer',
 	NotRun = 'not_run',
 	Misdirected = 'misdirected',
+	/** The target's answer, whose status would tell the caller that the request did not run although it may have. */
+	UnprovedRefusal = 'unproved_refusal',
 	/** A peer that the request was relayed to does not know whether it ran. */
 	Unknown = 'unknown',
 	/** The answer does not belong to the request, or did not come from the target. */
 	Unrelated = 'foreign',
 }
 
+/** Results of exchanges that the head of the answer decides. */
+const refusalEnds = new Map([
+	[AnswerKind.NotRun, AttemptEnd.Refused],
+	[AnswerKind.Misdirected, AttemptEnd.Misdirected],
+	[AnswerKind.UnprovedRefusal, AttemptEnd.UnprovedRefusal],
+]);
+
 /** Headers between daemons and targets, implemented by an adapter. */
 export type TargetProtocol = {
 	requestHeaders(request: CallerRequest, attempt: Attempt): HeaderList;
-	classify(request: CallerRequest, status: number, headers: AnswerHead['headers']): AnswerKind;
+	classify(request: CallerRequest, attempt: Pick<Attempt, 'isIdempotent'>, status: number, headers: AnswerHead['headers']): AnswerKind;
 	/** What the answer says about the target; undefined if it may come from another target. */
 	statement(kind: AnswerKind, attempt: Attempt, status: number, headers: AnswerHead['headers']): TargetStatement | undefined;
 	/** What is forwarded of the head of an answer. */
@@ -54,7 +63,7 @@
 	private kind = AnswerKind.Unrelated;
 	private head: AnswerHead | undefined;
 	private readonly body = new ByteBuffer(maxBufferedAnswerBytes);
-	private refusalBytes = 0;
+	private discardedBytes = 0;
 	private readonly provisionalAnswers = new ProvisionalAnswers();
 	private answerWrites: JoinedWrites | undefined;
 	private requestBody: PassThrough | undefined;
@@ -161,7 +170,7 @@
 			return;
 		}
 
-		this.kind = this.protocol.classify(this.request, status, headers);
+		this.kind = this.protocol.classify(this.request, this.attempt, status, headers);
 		this.head = this.protocol.answerHead(status, headers);
 		if (this.kind === AnswerKind.Unrelated) {
 			this.fail('the answer does not belong to the request');
@@ -190,8 +199,8 @@
 		}
 
 		if (this.isRefusal) {
-			this.refusalBytes += chunk.length;
-			this.enforceRefusalLimit();
+			this.discardedBytes += chunk.length;
+			this.enforceDiscardLimit();
 			return;
 		}
 
@@ -274,20 +283,20 @@
 		return this.isRefusal ? this.refusal() : {end: AttemptEnd.Answered, answer: this.head, body: this.body.take()};
 	}
 
+	/** True if the head alone decides the result; the body is not forwarded. */
 	private get isRefusal(): boolean {
-		return this.kind === AnswerKind.NotRun || this.kind === AnswerKind.Misdirected;
+		return refusalEnds.has(this.kind);
 	}
 
 	private refusal(): AttemptResult {
-		return this.kind === AnswerKind.Misdirected
-			? {end: AttemptEnd.Misdirected, answer: this.head}
-			: {end: AttemptEnd.Refused, answer: this.head, detail: `status ${this.head?.status}`};
+		const end = refusalEnds.get(this.kind) ?? AttemptEnd.Ambiguous;
+		return {end, answer: this.head, ...(end !== AttemptEnd.Misdirected && {detail: `status ${this.head?.status}`})};
 	}
 
-	/** Closes the connection if the body of a refusal is too large. The refusal itself still counts. */
-	private enforceRefusalLimit(): void {
-		if (this.refusalBytes > maxRefusalBodyBytes) {
-			this.fail('the body of the refusal is too large');
+	/** Closes the connection if a body that is not forwarded is too large. The head still counts. */
+	private enforceDiscardLimit(): void {
+		if (this.discardedBytes > maxDiscardedBodyBytes) {
+			this.fail('the body that is not forwarded is too large');
 		}
 	}
 
--- a/standins/json-http.ts
+++ b/standins/json-http.ts
@@ -8,10 +8,15 @@
 /** Handles one request; the body is parsed JSON, or text if it is not JSON. */
 export type JsonHandler = (request: IncomingMessage, response: ServerResponse, body: unknown) => Promise<void> | void;
 
+/** Handles a request before its body is read; returns true if it did, and reads the body then. */
+export type EarlyHandler = (request: IncomingMessage, response: ServerResponse) => boolean;
+
 /** Starts a server on loopback that parses JSON bodies. */
-export async function listenJson(port: number, handler: JsonHandler, ip = '127.0.0.1'): Promise<Server> {
+export async function listenJson(port: number, handler: JsonHandler, ip = '127.0.0.1', handleEarly: EarlyHandler = () => false): Promise<Server> {
 	const server = createServer((request, response) => {
-		void handleJson(request, response, handler);
+		if (!handleEarly(request, response)) {
+			void handleJson(request, response, handler);
+		}
 	});
 	server.keepAliveTimeout = 60_000;
 	await new Promise<void>(resolve => {
--- a/standins/platform-deployment.ts
+++ b/standins/platform-deployment.ts
@@ -30,6 +30,15 @@
 	onRun(target: string, requestId: string): void;
 };
 
+/** What a caller gets. */
+export type DeploymentAnswer = {
+	status: number;
+	retryAfter: string | undefined;
+	/** True if the answer bears a target's signature. */
+	isSealed: boolean;
+	text: string;
+};
+
 export class PlatformDeployment {
 	readonly daemons: PlatformDaemon[] = [];
 	readonly targets: PlatformTargetServer[];
@@ -75,8 +84,8 @@
 		await this.waitUntilServed();
 	}
 
-	/** Sends a request to a daemon and returns its status; undefined if the connection ended without an answer. */
-	async send(daemon: number, budgetMs: number, requestId = this.nextRequestId()): Promise<{status: number; retryAfter: string | undefined} | undefined> {
+	/** Sends a request to a daemon and returns its answer; undefined if the connection ended without one. */
+	async send(daemon: number, budgetMs: number, requestId = this.nextRequestId(), requestBody = '{}'): Promise<DeploymentAnswer | undefined> {
 		const key = String((this.requestCount * 7919) % 65_536);
 		try {
 			const {statusCode, headers, body} = await request(`http://${this.ipOf(daemon)}:${ports.caller}/records/${key}`, {
@@ -84,11 +93,13 @@
 				headers: {
 					host: 'demo.example', [WireHeader.RequestId]: requestId, [WireHeader.Budget]: String(budgetMs), [WireHeader.Key]: key,
 				},
-				body: '{}',
+				body: requestBody,
 				dispatcher: this.agent,
 			});
-			await body.dump();
-			return {status: statusCode, retryAfter: headers['retry-after'] as string | undefined};
+			const text = await body.text();
+			return {
+				status: statusCode, retryAfter: headers['retry-after'] as string | undefined, isSealed: headers[WireHeader.Seal] !== undefined, text,
+			};
 		} catch {
 			// The daemon closed the connection.
 			return undefined;
@@ -135,12 +146,12 @@
 		this.storeServer.close();
 	}
 
-	private proxyIp(index: number): string {
-		return `${this.options.network}.3.${index + 1}`;
+	ipOf(daemon: number): string {
+		return `${this.options.network}.2.${daemon + 1}`;
 	}
 
-	private ipOf(daemon: number): string {
-		return `${this.options.network}.2.${daemon + 1}`;
+	private proxyIp(index: number): string {
+		return `${this.options.network}.3.${index + 1}`;
 	}
 
 	private async waitUntilServed(): Promise<void> {
--- a/standins/platform-target-server.ts
+++ b/standins/platform-target-server.ts
@@ -29,6 +29,21 @@
 	onRun(target: string, requestId: string, key: number): void;
 };
 
+/** How a target fails the requests that it runs. */
+export type RunFailure = {
+	status: number;
+	/** True if the answer bears the target's signature. */
+	isSealed?: boolean;
+	bodyBytes?: number;
+	/** True if the body is sent in chunks, without a length. */
+	isChunked?: boolean;
+	/** True if the target answers as soon as the first part of the request's body has arrived, and reads the rest later. */
+	isEarly?: boolean;
+	/** Time until the answer, in milliseconds; the time that the work takes by default. */
+	delayMs?: number;
+	headers?: Record<string, string>;
+};
+
 /** Path of the targets' health check. */
 export const healthPath = '/health';
 
@@ -39,6 +54,8 @@
 	readonly holder: KeyHolder;
 	/** Headers in which the target says something of itself in each answer to a request. */
 	statementHeaders: Record<string, string> = {};
+	/** Undefined while requests succeed. */
+	failure: RunFailure | undefined;
 	private readonly servers: Server[] = [];
 	private sequence = 0;
 
@@ -79,7 +96,7 @@
 	protected async listenAt(ip: string | undefined): Promise<void> {
 		this.servers.push(await listenJson(this.options.port, async (request, response, body) => {
 			await this.handle(request, response, body);
-		}, ip));
+		}, ip, (request, response) => this.failEarly(request, response)));
 	}
 
 	protected async handle(request: IncomingMessage, response: ServerResponse, body: unknown): Promise<void> {
@@ -143,12 +160,40 @@
 		}
 
 		onRun(id, requestId, key);
-		await new Promise(resolve => {
-			setTimeout(resolve, typeof workMs === 'number' ? workMs : workMs());
-		});
+		const {failure} = this;
+		await delay(failure?.delayMs ?? (typeof workMs === 'number' ? workMs : workMs()));
+		if (failure) {
+			this.fail(response, requestId, failure);
+			return;
+		}
+
 		sendJson(response, 200, {target: id}, {[WireHeader.RequestId]: requestId, [WireHeader.Seal]: `${id}.${requestId}`, ...this.statementHeaders});
 	}
 
+	/** Runs and fails a request whose body has not been read; returns false if this target does not answer early. */
+	private failEarly(request: IncomingMessage, response: ServerResponse): boolean {
+		const isOrder = [wirePaths.grant, wirePaths.release, healthPath].includes(request.url ?? '');
+		if (this.failure?.isEarly !== true || isOrder) {
+			return false;
+		}
+
+		request.once('data', () => {
+			void this.run(request, response);
+		});
+		return true;
+	}
+
+	private fail(response: ServerResponse, requestId: string, {status, isSealed = true, bodyBytes = 70, isChunked = false, headers}: RunFailure): void {
+		response.writeHead(status, {
+			[WireHeader.RequestId]: requestId,
+			...(isSealed && {[WireHeader.Seal]: `${this.options.id}.${requestId}`}),
+			...(!isChunked && {'content-length': String(bodyBytes)}),
+			...this.statementHeaders,
+			...headers,
+		});
+		response.end('x'.repeat(bodyBytes));
+	}
+
 	/** Applies the faults of orders and probes; resolves when the request is to be carried out, with undefined if it is lost. */
 	private async receive(request: IncomingMessage, response: ServerResponse): Promise<{holdStartsAt: number} | undefined> {
 		const {isUnreachable, lateOrders} = this.holder;
--- a/standins/raw-caller.ts
+++ b/standins/raw-caller.ts
@@ -9,10 +9,10 @@
 }
 
 /** Sends bytes and returns what was received until the connection closed or the text matched `until`. */
-export async function exchange(port: number, text: string, until?: RegExp): Promise<string> {
+export async function exchange(port: number, text: string, until?: RegExp, host = '127.0.0.1'): Promise<string> {
 	return new Promise((resolve, reject) => {
 		let received = '';
-		const socket = connect(port, '127.0.0.1', () => {
+		const socket = connect(port, host, () => {
 			socket.write(text);
 		});
 		socket.on('data', data => {
--- a/tests/decisions/forwarder.test.ts
+++ b/tests/decisions/forwarder.test.ts
@@ -23,6 +23,9 @@
 		{
 			name: 'order', host: 'host', prefix: '/order/', shares: [{service: 'plain', weight: 1}], isIdempotent: false, timeoutMs: 1000, targetLatencyMs: 300, priority: 0, maxAttempts: 3,
 		},
+		{
+			name: 'entry', host: 'host', prefix: '/entry/', shares: [{service: 'keyed', weight: 1}], isIdempotent: false, timeoutMs: 1000, targetLatencyMs: 300, priority: 0, maxAttempts: 2,
+		},
 		{
 			name: 'record', host: 'host', prefix: '/record/', shares: [{service: 'keyed', weight: 1}], isIdempotent: true, timeoutMs: 1000, targetLatencyMs: 300, priority: 1, maxAttempts: 2,
 		},
@@ -63,6 +66,10 @@
 const answered: Step = {end: AttemptEnd.Answered, answer: {status: 200, headers: {}}, body: new Uint8Array([1])};
 const failed: Step = {end: AttemptEnd.Answered, answer: {status: 500, headers: {}}, body: new Uint8Array([2])};
 
+/** REFUSED: the target may have run the request, but its status says that it has not. */
+const refusedWithoutProof: Step = {end: AttemptEnd.UnprovedRefusal, answer: {status: 503, headers: {}, isSealed: true}};
+const withheld = {kind: OutcomeKind.Unknown, reason: OutcomeReason.RefusalUnproved};
+
 type SetupOptions = {
 	targetCount?: number | undefined;
 	retryReserve?: number | undefined;
@@ -240,6 +247,33 @@
 		steps: [{end: AttemptEnd.Refused}, answered],
 		expected: {kind: OutcomeKind.Answered, attemptCount: 2, status: 200},
 	},
+	{
+		title: 'not report an order as not run whose target refuses without proof', path: '/order/a', steps: [refusedWithoutProof, answered], expected: {...withheld, attemptCount: 1},
+	},
+	{
+		title: 'not report an order as not run whose target refuses without proof after another one refused it',
+		path: '/order/a',
+		steps: [{end: AttemptEnd.Refused}, refusedWithoutProof, answered],
+		expected: {...withheld, attemptCount: 2},
+	},
+	{
+		title: 'not report an order as not run whose target refuses without proof after another one was not reached',
+		path: '/order/a',
+		steps: [{end: AttemptEnd.NotSent}, refusedWithoutProof, answered],
+		expected: {...withheld, attemptCount: 2},
+	},
+	{
+		title: 'not report an order as not run whose owner refuses without proof after it was misdirected',
+		path: '/entry/a',
+		steps: [{end: AttemptEnd.Misdirected}, refusedWithoutProof, answered],
+		expected: {...withheld, attemptCount: 2},
+	},
+	{
+		title: 'not report an order as not run whose target refuses without proof at the deadline',
+		path: '/order/a',
+		steps: [{...refusedWithoutProof, isTimeout: true, afterMs: 5000}],
+		expected: {...withheld, attemptCount: 1},
+	},
 	{
 		title: 'retry a keyed request that was misdirected', path: '/record/a', steps: [{end: AttemptEnd.Misdirected}, answered], expected: {kind: OutcomeKind.Answered, attemptCount: 2, status: 200},
 	},
@@ -291,6 +325,22 @@
 	}]);
 });
 
+test.serial('should log and count a refusal without proof, and count it as a failure of its target', async t => {
+	const {setup, outcome} = await withClock(async tick => {
+		const setup = setUp([refusedWithoutProof], {targetCount: 1});
+		const forwarding = setup.forwarder.forward(callerRequest('/order/a'));
+		await tick(100);
+		return {setup, outcome: await forwarding};
+	});
+	const {forwarder, loads, view, lines} = setup;
+	t.is(outcome.kind, OutcomeKind.Unknown);
+	t.is(forwarder.unprovedRefusalCount, 1);
+	t.like(lines.find(({event}) => event === LogEvent.RefusalUnproved)?.fields, {
+		request: 'request-1', target: 'plain-0', status: 503, isSealed: true, isWithheld: true, arrivals: 1,
+	});
+	t.true(view.readyTargets('plain').every(ready => loads.estimate(ready).failureShare > 0));
+});
+
 test.serial('should pass on no more time than the caller and the route have left', async t => {
 	const budget = await withClock(async tick => {
 		const {forwarder, attempts} = setUp([{end: AttemptEnd.Refused, afterMs: 100}, answered]);
--- a/tests/decisions/stale-information.test.ts
+++ b/tests/decisions/stale-information.test.ts
@@ -152,7 +152,7 @@
 });
 
 test('should forward no 3xx or 4xx answer without a seal', t => {
-	const answerKind = new PlatformTargetProtocol().classify(callerRequest('/a'), 404, {'attempt-id': 'request-1'});
+	const answerKind = new PlatformTargetProtocol().classify(callerRequest('/a'), {isIdempotent: true}, 404, {'attempt-id': 'request-1'});
 	t.not(answerKind, AnswerKind.Answer);
 });
 
--- a/tests/http/exchange.test.ts
+++ b/tests/http/exchange.test.ts
@@ -115,6 +115,15 @@
 		end: AttemptEnd.NotRun,
 		reason: NotRunReason.Fenced,
 	},
+	{
+		// REFUSED: callers of this interface get the promise as an outcome, so that a server's status promises nothing.
+		title: 'forward a failure of a server that did not say that it has not run the request',
+		handler(response) {
+			response.writeHead(503, {'retry-after': '1'});
+			response.end('failed');
+		},
+		end: AttemptEnd.Completed,
+	},
 	{
 		title: 'write nothing if the guard refuses the request',
 		handler: endWith(''),
--- a/tests/http/relay.test.ts
+++ b/tests/http/relay.test.ts
@@ -25,7 +25,8 @@
 
 type Setup = {
 	broker: ServiceBroker;
-	relay(request: CallerRequest, ending?: Cancellation): Promise<RelayResult>;
+	/** Relays a request that may run more than once unless it is said not to. */
+	relay(request: CallerRequest, ending?: Cancellation, isIdempotent?: boolean): Promise<RelayResult>;
 };
 
 /** Creates a request with the headers that every request has. */
@@ -59,11 +60,11 @@
 	const transport = new PeerRelayTransport('daemon-1');
 	try {
 		await run({
-			broker, relay: async (request, ending = new Cancellation()) => transport.relay(request, {
+			broker, relay: async (request, ending = new Cancellation(), isIdempotent = true) => transport.relay(request, {
 				peer: {
 					daemon: 'daemon-2', availabilityZone: 'zone', ip: '127.0.0.1', port, room: 1,
 				},
-				deliveredAttempts: 1, budgetMs: 700, timeoutMs: 800, cancellation: request.cancellation, ending,
+				deliveredAttempts: 1, budgetMs: 700, timeoutMs: 800, cancellation: request.cancellation, ending, isIdempotent,
 			}),
 		});
 	} finally {
@@ -120,6 +121,33 @@
 	});
 }
 
+const unprovedRefusals: Array<{title: string; forward: Forward}> = [408, 429, 503].flatMap(status => [
+	{
+		title: `the status ${status} of a target`,
+		forward: async () => ({
+			kind: OutcomeKind.Answered, answer: {status, headers: seal}, body: Buffer.from('failed'), deliveredAttempts: 2,
+		}),
+	},
+	{
+		title: `the status ${status} of a target, streamed`,
+		async forward(request) {
+			request.beginStream({status, headers: seal}).end(Buffer.alloc(400_000));
+			return {kind: OutcomeKind.Streamed};
+		},
+	},
+]);
+
+for (const {title, forward} of unprovedRefusals) {
+	// REFUSED: a peer of an earlier version passes such an answer on, which the relaying daemon passed on to its caller.
+	test(`should not pass on as a promise what a peer passed on: ${title}`, async t => {
+		await withPeer(forward, async ({relay}) => {
+			const {end, body} = await relay(identifiedRequest(), undefined, false);
+			t.is(end, AttemptEnd.UnprovedRefusal);
+			t.is(body, undefined);
+		});
+	});
+}
+
 test('should report an answer without its id or without an outcome as ambiguous', async t => {
 	const wrongId: Outcome = {kind: OutcomeKind.Answered, answer: {status: 200, headers: {...seal, [WireHeader.RequestId]: 'request-0'}}, body: new Uint8Array()};
 	const noOutcome: Outcome = {kind: OutcomeKind.Answered, answer: {status: 503, headers: {...seal, [RelayHeader.Outcome]: ''}}, body: new Uint8Array()};
--- a/tests/platform/target-exchange.test.ts
+++ b/tests/platform/target-exchange.test.ts
@@ -7,6 +7,7 @@
 import {Cancellation} from '../../src/model/cancellation.js';
 import {TargetState, type Target} from '../../src/model/fleet.js';
 import {AttemptEnd, type CallerRequest} from '../../src/model/forwarding.js';
+import type {TargetStatement} from '../../src/model/target-statement.js';
 import {PlatformTargetProtocol} from '../../src/platform/target-protocol.js';
 import {TargetTransport} from '../../src/transport/target-transport.js';
 
@@ -19,6 +20,8 @@
 type Answer = {
 	title: string;
 	end: AttemptEnd;
+	/** True if the request may run more than once. */
+	isIdempotent?: boolean;
 	status?: number;
 	body?: string;
 	/** Writes the answer after a request was read. */
@@ -122,6 +125,42 @@
 	},
 ];
 
+/** REFUSED: statuses that tell callers that a request did not run, in answers of targets that did not say so. */
+const refusals: Array<{status: number; headers?: string[]; isUnsealed?: boolean; isIdempotent?: boolean; end: AttemptEnd}> = [
+	{status: 408, end: AttemptEnd.UnprovedRefusal},
+	{status: 429, end: AttemptEnd.UnprovedRefusal},
+	{status: 503, end: AttemptEnd.UnprovedRefusal},
+	{status: 503, isUnsealed: true, end: AttemptEnd.UnprovedRefusal},
+	{status: 503, headers: ['Retry-After: 0.1'], end: AttemptEnd.UnprovedRefusal},
+	{status: 429, isUnsealed: true, end: AttemptEnd.Ambiguous},
+	{status: 421, end: AttemptEnd.Misdirected},
+	{status: 429, isIdempotent: true, end: AttemptEnd.Answered},
+	{status: 503, isIdempotent: true, end: AttemptEnd.Answered},
+	{
+		status: 503, isUnsealed: true, isIdempotent: true, end: AttemptEnd.Answered,
+	},
+	{status: 503, headers: ['Not-Executed: 1'], end: AttemptEnd.Refused},
+	{status: 429, headers: ['Not-Executed: 1'], end: AttemptEnd.Refused},
+	{status: 500, end: AttemptEnd.Answered},
+	{status: 504, end: AttemptEnd.Answered},
+	{status: 404, end: AttemptEnd.Answered},
+];
+
+for (const {status, headers = [], isUnsealed = false, isIdempotent = false, end} of refusals) {
+	const hasBody = end === AttemptEnd.Answered;
+	answers.push({
+		title: `the status ${status}${isUnsealed ? ' without a seal' : ''}${headers.map(text => ` with ${text}`).join('')} to a request that may run ${isIdempotent ? 'again' : 'only once'}`,
+		write(socket) {
+			const lines = [`HTTP/1.1 ${status} Status`, `Attempt-Id: ${requestId}`, ...(isUnsealed ? [] : [`Response-Seal: ${seal}`]), ...headers, 'Content-Length: 5'];
+			socket.write(`${lines.join('\r\n')}\r\n\r\nhello`);
+		},
+		isIdempotent,
+		end,
+		...(end !== AttemptEnd.Ambiguous && {status}),
+		...(hasBody && {body: 'hello'}),
+	});
+}
+
 async function listen(onRequest: (socket: Socket, text: string) => void): Promise<Server> {
 	const server = createServer(socket => {
 		socket.on('error', () => undefined);
@@ -165,7 +204,7 @@
 	};
 }
 
-for (const {title, write, end, status, body} of answers) {
+for (const {title, write, isIdempotent = false, end, status, body} of answers) {
 	test(`should end as ${end} after ${title}`, async t => {
 		const server = await listen(socket => {
 			write(socket);
@@ -174,7 +213,7 @@
 		for (let round = 0; round < rounds; round += 1) {
 			// eslint-disable-next-line no-await-in-loop -- sequential rounds.
 			const result = await transport.send(callerRequest(), {
-				target: targetOf(server), budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4, onStatement: () => undefined,
+				target: targetOf(server), budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4, isIdempotent, onStatement: () => undefined,
 			});
 			t.is(result.end, end);
 			t.is(result.answer?.status, status);
@@ -482,6 +521,9 @@
 const endings = [
 	{title: 'fail a request at a silent target', answer: '', end: AttemptEnd.Ambiguous},
 	{title: 'fail a request whose answer is incomplete and has not begun', answer: `${head(['Content-Length: 9000000'])}part`, end: AttemptEnd.Ambiguous},
+	{
+		title: 'report an unproved refusal whose body is incomplete as one', answer: `${head(['Content-Length: 9000']).replace('200 OK', '503 Unavailable')}part`, end: AttemptEnd.UnprovedRefusal,
+	},
 	{title: 'complete a streamed answer', answer: `${head(['Content-Length: 500000'])}${'x'.repeat(400_000)}`, end: AttemptEnd.Streamed},
 ];
 
@@ -520,3 +562,48 @@
 		t.is(bytes, end === AttemptEnd.Streamed ? 500_000 : 0);
 	});
 }
+
+const discardedBodies = [
+	{title: 'keep the connection of an unproved refusal with a short body', bytes: 1000, connectionCount: 1},
+	{title: 'close the connection of an unproved refusal with a long body before its end', bytes: 9_000_000, connectionCount: 3},
+];
+
+for (const {title, bytes, connectionCount} of discardedBodies) {
+	test(`should ${title}, and read what the target says of itself`, async t => {
+		let connections = 0;
+		let wholeBodies = 0;
+		const server = await listen((socket, text) => {
+			const [id = ''] = /attempt-\d/v.exec(text) ?? [];
+			socket.write(head([`Content-Length: ${bytes}`, 'Server-Limit: 7', 'Server-Leaving: 1', 'Retry-After: 2']).replace('200 OK', '503 Unavailable').replace(requestId, id));
+			socket.write('x'.repeat(bytes), error => {
+				wholeBodies += error ?? socket.destroyed ? 0 : 1;
+			});
+		});
+		server.on('connection', () => {
+			connections += 1;
+		});
+		const transport = new TargetTransport(new PlatformTargetProtocol());
+		const statements: TargetStatement[] = [];
+		for (let round = 0; round < 3; round += 1) {
+			// eslint-disable-next-line no-await-in-loop -- one attempt after another.
+			const {end} = await transport.send(callerRequest({requestId: `attempt-${round}`, headers: ['Attempt-Id', `attempt-${round}`]}), {
+				target: targetOf(server), budgetMs: 1000, timeoutMs: 20_000, cancellation: new Cancellation(), connectionLimit: 4, onStatement(statement) {
+					statements.push(statement);
+				},
+			});
+			t.is(end, AttemptEnd.UnprovedRefusal);
+			// eslint-disable-next-line no-await-in-loop -- the connection is released a turn later.
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+
+		t.is(connections, connectionCount);
+		t.is(wholeBodies, bytes > 1_000_000 ? 0 : 3);
+		t.deepEqual(statements, Array.from({length: 3}, () => ({
+			limitPerS: 7, unreadableLimit: undefined, isLeaving: true, pauseMs: 2000, hasRun: true,
+		})));
+		transport.close();
+		server.close();
+	});
+}
--- a/tests/request-timeline.test.ts
+++ b/tests/request-timeline.test.ts
@@ -46,12 +46,19 @@
 	text(20_000, 'c', LogEvent.RequestRefused, {request: 'peak', service: 'desk', reason: 'overloaded'}),
 	text(20_100, 'c', LogEvent.LinesDropped, {of: 'RequestRefused', count: 300}),
 	text(20_100, 'a', LogEvent.LinesDropped, {of: 'RequestRefused', count: 400}),
+	text(29_000, 'b', LogEvent.RefusalUnproved, {request: 'other', target: 'failing', status: 503}),
+	text(30_000, 'a', LogEvent.RefusalUnproved, {
+		request: 'booking', service: 'desk', target: 'failing', status: 503, isWithheld: true,
+	}),
+	text(30_001, 'a', LogEvent.RequestUnknown, {request: 'booking', service: 'desk', reason: 'refusal_unproved'}),
+	text(30_500, 'c', LogEvent.TargetRemoved, {target: 'failing'}),
 ];
 
 const timelines: Array<{request: string; events: LogEvent[]}> = [
 	{request: 'moving', events: [LogEvent.StoreRegained, LogEvent.RangeReleased, LogEvent.RequestRefused, LogEvent.RangeGranted]},
 	{request: 'lost', events: [LogEvent.TargetEjected, LogEvent.RequestUnknown, LogEvent.TargetRemoved]},
 	{request: 'peak', events: [LogEvent.RequestRefused, LogEvent.LinesDropped]},
+	{request: 'booking', events: [LogEvent.RefusalUnproved, LogEvent.RequestUnknown, LogEvent.TargetRemoved]},
 	{request: 'nowhere', events: [LogEvent.ConfigurationInForce, LogEvent.RequestUnrouted, LogEvent.StoreReadFailed]},
 	{request: 'unknown', events: []},
 ];
