--- a/src/decisions/forwarding/forwarding-context.ts
+++ b/src/decisions/forwarding/forwarding-context.ts
@@ -4,7 +4,7 @@
 import {Readable} from 'node:stream';
 import type {Cancellation} from '../../model/cancellation.js';
 import type {LogFields} from '../../model/events.js';
-import type {AttemptResult, CallerRequest} from '../../model/forwarding.js';
+import {isRefusalStatus, type AttemptResult, type CallerRequest} from '../../model/forwarding.js';
 import type {Route, ServiceRule} from '../../model/route-configuration.js';
 import type {SlotGrant} from '../admission/slot-requests.js';
 import type {LoadEstimate} from './target-loads.js';
@@ -69,9 +69,9 @@
 	return deadlineAt - performance.now();
 }
 
-/** True if the target answered with a server error. */
+/** True if the target answered with a server error, or with a refusal status without the statement that the request did not run. */
 export function isServerFailure({answer}: AttemptResult): boolean {
-	return (answer?.status ?? 0) >= 500;
+	return answer !== undefined && (answer.status >= 500 || isRefusalStatus(answer.status));
 }
 
 /** True if part of a streamed body has been read, so that another target could not receive the whole request. */
--- a/tests/decisions/forwarder.test.ts
+++ b/tests/decisions/forwarder.test.ts
@@ -66,6 +66,8 @@
 const answered: Step = {end: AttemptEnd.Answered, answer: {status: 200, headers: {}}, body: new Uint8Array([1])};
 const failed: Step = {end: AttemptEnd.Answered, answer: {status: 500, headers: {}}, body: new Uint8Array([2])};
 
+const limited: Step = {end: AttemptEnd.Answered, answer: {status: 429, headers: {}}, body: new Uint8Array([3])};
+
 /** REFUSED: the target may have run the request, but its status says that it has not. */
 const refusedWithoutProof: Step = {end: AttemptEnd.UnprovedRefusal, answer: {status: 503, headers: {}, isSealed: true}};
 const withheld = {kind: OutcomeKind.Unknown, reason: OutcomeReason.RefusalUnproved};
@@ -213,6 +215,12 @@
 	{
 		title: 'retry a read that a target answered with a server error', path: '/read/a', steps: [failed, answered], expected: {kind: OutcomeKind.Answered, attemptCount: 2, status: 200},
 	},
+	{
+		title: 'retry a read that a target answered with 429', path: '/read/a', steps: [limited, answered], expected: {kind: OutcomeKind.Answered, attemptCount: 2, status: 200},
+	},
+	{
+		title: 'pass on the last 429 of a read', path: '/read/a', steps: [limited, limited], expected: {kind: OutcomeKind.Answered, attemptCount: 2, status: 429},
+	},
 	{
 		title: 'pass on the server error of an order', path: '/order/a', steps: [failed], expected: {kind: OutcomeKind.Answered, attemptCount: 1, status: 500},
 	},
@@ -325,21 +333,36 @@
 	}]);
 });
 
-test.serial('should log and count a refusal without proof, and count it as a failure of its target', async t => {
-	const {setup, outcome} = await withClock(async tick => {
-		const setup = setUp([refusedWithoutProof], {targetCount: 1});
-		const forwarding = setup.forwarder.forward(callerRequest('/order/a'));
-		await tick(100);
-		return {setup, outcome: await forwarding};
-	});
-	const {forwarder, loads, view, lines} = setup;
-	t.is(outcome.kind, OutcomeKind.Unknown);
-	t.is(forwarder.unprovedRefusalCount, 1);
-	t.like(lines.find(({event}) => event === LogEvent.RefusalUnproved)?.fields, {
-		request: 'request-1', target: 'plain-0', status: 503, isSealed: true, isWithheld: true, arrivals: 1,
+const unprovedStatuses = [408, 429, 503].flatMap(status => [
+	{
+		status, path: '/order/a', end: AttemptEnd.UnprovedRefusal, kind: OutcomeKind.Unknown,
+	},
+	{
+		status, path: '/read/a', end: AttemptEnd.Answered, kind: OutcomeKind.Answered,
+	},
+	{
+		status, path: '/read/a', end: AttemptEnd.Streamed, kind: OutcomeKind.Streamed,
+	},
+]);
+
+for (const {status, path, end, kind} of unprovedStatuses) {
+	// Guards against targets that fail with a status below 500 and go on to get as many requests as sound ones.
+	test.serial(`should log and count a ${status} without proof that is ${end}, and count it as a failure of its target`, async t => {
+		const {setup, outcome} = await withClock(async tick => {
+			const setup = setUp([{end, answer: {status, headers: {}, isSealed: true}}], {targetCount: 1});
+			const forwarding = setup.forwarder.forward(callerRequest(path));
+			await tick(100);
+			return {setup, outcome: await forwarding};
+		});
+		const {forwarder, loads, view, lines} = setup;
+		t.is(outcome.kind, kind);
+		t.is(forwarder.unprovedRefusalCount, 1);
+		t.like(lines.find(({event}) => event === LogEvent.RefusalUnproved)?.fields, {
+			request: 'request-1', target: 'plain-0', status, isSealed: true, isWithheld: end === AttemptEnd.UnprovedRefusal, arrivals: 1,
+		});
+		t.true(view.readyTargets('plain').every(ready => loads.estimate(ready).failureShare > 0));
 	});
-	t.true(view.readyTargets('plain').every(ready => loads.estimate(ready).failureShare > 0));
-});
+}
 
 test.serial('should pass on no more time than the caller and the route have left', async t => {
 	const budget = await withClock(async tick => {
