--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -55,6 +55,15 @@
 	}
 }
 
+/** The caller sends the body of its request too slowly. The status promises that the request has not run, so a target must not have it. */
+export class BodyTimeoutError extends BadRequestError {
+	override name = 'BodyTimeoutError';
+
+	constructor() {
+		super('The body was not sent in time.', 408);
+	}
+}
+
 /** Limits of the configuration that a request can exceed. */
 export enum LimitName {
 	HeaderBytes = 'maxHeaderBytes',
--- a/src/services/caller-connections.ts
+++ b/src/services/caller-connections.ts
@@ -21,11 +21,14 @@
 /** Number of requests behind the last one that is served after which a connection is read no further. */
 const maxDiscardedRequests = 1000;
 
+/** Code of the parser's error if headers or a body are not sent in time. */
+const bodyTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 /** Status codes for malformed requests by the parser's error code; 400 for all others. */
 const malformedStatuses = new Map([
 	['HPE_HEADER_OVERFLOW', 431],
 	['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413],
-	['ERR_HTTP_REQUEST_TIMEOUT', 408],
+	[bodyTimeoutCode, 408],
 ]);
 
 /** Events of a socket after which its caller takes no further answer: Node's server ends a connection that the caller has closed for writing. */
@@ -42,7 +45,9 @@
 	/** True until the first request is read. */
 	isNew: boolean;
 	/** The last request that was read, and its answer. */
-	latest: {request: OpenRequest; response: ServerResponse} | undefined;
+	latest: {request: OpenRequest; response: ServerResponse; bodyExpiry: Cancellation} | undefined;
+	/** True once the body of the last request was not sent in time; the connection is closed behind its answer. */
+	hasBodyExpired: boolean;
 	/** Bytes read when the last request was answered. */
 	answeredBytes: number;
 	/** True once the connection is to be closed, or an answer was begun that closes it; requests from then on get no answer. */
@@ -56,6 +61,8 @@
 export type RequestState = {
 	/** Cancelled when the caller takes no further answer. */
 	cancellation: Cancellation;
+	/** Cancelled when the body has not been sent in time. */
+	bodyExpiry: Cancellation;
 	openRequest: OpenRequest;
 	/** Undefined if the caller has closed the connection before the request was read. */
 	connection: Connection | undefined;
@@ -99,14 +106,17 @@
 		}
 
 		const cancellation = new Cancellation();
+		const bodyExpiry = new Cancellation();
 		connection?.pending.add(cancellation);
 		const openRequest = new OpenRequest(request.method ?? 'GET', request.url ?? '/');
 		this.openRequests.add(openRequest);
 		if (connection) {
-			connection.latest = {request: openRequest, response};
+			connection.latest = {request: openRequest, response, bodyExpiry};
 		}
 
-		return {cancellation, openRequest, connection};
+		return {
+			cancellation, bodyExpiry, openRequest, connection,
+		};
 	}
 
 	/** Calls `write` once all earlier answers on the connection are written; `bytes` is the size of the body until then. */
@@ -190,6 +200,11 @@
 			return false;
 		}
 
+		if (connection?.latest && code === bodyTimeoutCode && !connection.latest.response.req.complete) {
+			this.expireBody(socket, connection, connection.latest);
+			return false;
+		}
+
 		if (connection) {
 			connection.isClosing = true;
 		}
@@ -267,6 +282,15 @@
 		request.resume();
 	}
 
+	/** Ends a request whose headers were read and whose body is late. Its own answer says whether it may have run. */
+	private expireBody(socket: Socket, connection: Connection, {request, bodyExpiry}: NonNullable<Connection['latest']>): void {
+		connection.hasBodyExpired = true;
+		bodyExpiry.cancel();
+		if (request.stage === RequestStage.Closing) {
+			this.close(socket, connection);
+		}
+	}
+
 	private add(socket: Socket): void {
 		const connection: Connection = {
 			pending: new Set(),
@@ -275,6 +299,7 @@
 			isNew: true,
 			latest: undefined,
 			answeredBytes: 0,
+			hasBodyExpired: false,
 			isClosing: false,
 			waitingAnswers: new WaitingAnswers(socket, this.held),
 			discardedCount: 0,
@@ -336,6 +361,11 @@
 		}
 
 		connection.unfinished.delete(request);
+		if (connection.hasBodyExpired) {
+			this.close(socket, connection);
+			return;
+		}
+
 		if (this.isEnding) {
 			await this.closeIfIdle(socket);
 		}
--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -11,7 +11,7 @@
 import {Readable, type Writable} from 'node:stream';
 import type {Service, ServiceBroker, ServiceSchema} from 'moleculer';
 import {
-	BadRequestError, describeFailure, LimitExceededError, LimitName, RouterError,
+	BadRequestError, BodyTimeoutError, describeFailure, LimitExceededError, LimitName, RouterError,
 } from '../model/errors.js';
 import {LogEvent, type EventLog} from '../model/events.js';
 import {Cancellation} from '../model/cancellation.js';
@@ -286,7 +286,7 @@
 			return {caller, outcome};
 		}
 
-		const start = await this.untilEnding(openBody(request, limits.maxBodyBytes, heldBytes));
+		const start = await this.untilEnding(openBody(request, {maxBytes: limits.maxBodyBytes, held: heldBytes, expiry: state.bodyExpiry}));
 		if (!start) {
 			return {caller, outcome: {kind: OutcomeKind.NotRun, reason: OutcomeReason.DaemonStopping, retryAfterMs: stoppingRetryMs}};
 		}
@@ -305,7 +305,8 @@
 		if (failure instanceof BadRequestError) {
 			// The rest of the body is discarded.
 			this.connections.closeAfter(response);
-			if (await this.isFinalRefusal(failure, cancellation)) {
+			// A target has got a part of a late body, so that 408 would be a false promise.
+			if (!(failure instanceof BodyTimeoutError) && await this.isFinalRefusal(failure, cancellation)) {
 				return {caller, outcome, refusal: failure};
 			}
 		}
--- a/src/services/request-body.ts
+++ b/src/services/request-body.ts
@@ -5,7 +5,10 @@
 import {Readable} from 'node:stream';
 import {blockBytes} from '../model/byte-blocks.js';
 import {ByteBuffer} from '../model/byte-buffer.js';
-import {BadRequestError, LimitExceededError, LimitName} from '../model/errors.js';
+import type {Cancellation} from '../model/cancellation.js';
+import {
+	BadRequestError, BodyTimeoutError, LimitExceededError, LimitName,
+} from '../model/errors.js';
 import type {HeldBytes} from './held-bytes.js';
 
 /** Largest body that is buffered, in bytes. A request with a buffered body can be retried. */
@@ -17,28 +20,36 @@
 /** Memory for all such bodies, in bytes; a tenth of the memory of a small VM. Further ones are read ahead less far. */
 const maxReservedBytes = 33_554_432;
 
+/** What bounds a body. */
+export type BodyOptions = {
+	maxBytes: number;
+	held: HeldBytes;
+	/** Cancelled when the time to send the body is over. */
+	expiry: Cancellation;
+};
+
 /**
  * Returns the body of a request: the bytes of a small one, a stream of a large one, undefined if there is none.
  * A stream that fails has its `BadRequestError` in `errored`.
  *
- * @throws {BadRequestError} if the declared or read length is above the limit, or the caller aborts the body
+ * @throws {BadRequestError} if the declared or read length is above the limit, the caller aborts the body or does not send it in time
  */
-export async function openBody(request: IncomingMessage, maxBodyBytes: number, held: HeldBytes): Promise<Uint8Array | Readable | undefined> {
+export async function openBody(request: IncomingMessage, {maxBytes, held, expiry}: BodyOptions): Promise<Uint8Array | Readable | undefined> {
 	const declared = request.headers['content-length'];
 	if (declared === undefined && request.headers['transfer-encoding'] === undefined) {
 		return undefined;
 	}
 
-	if (Number(declared ?? 0) > maxBodyBytes) {
-		throw bodyTooLarge(maxBodyBytes);
+	if (Number(declared ?? 0) > maxBytes) {
+		throw bodyTooLarge(maxBytes);
 	}
 
 	if (Number(declared ?? 0) > maxBufferedBytes) {
-		return new CallerBody(request, {maxBytes: maxBodyBytes, held}, new Uint8Array(0));
+		return new CallerBody(request, {maxBytes, held, expiry}, new Uint8Array(0));
 	}
 
-	const {bytes, isWhole} = await readStart(request, held);
-	return isWhole ? bytes : new CallerBody(request, {maxBytes: maxBodyBytes, held}, bytes);
+	const {bytes, isWhole} = await readStart(request, {held, expiry});
+	return isWhole ? bytes : new CallerBody(request, {maxBytes, held, expiry}, bytes);
 }
 
 /** Ends the use of a body. What is left of it is discarded, so that its connection is read on. */
@@ -91,8 +102,9 @@
 
 	private readonly onData: (chunk: Uint8Array) => void;
 	private readonly onEnd: () => void;
+	private readonly onExpiry: () => void;
 
-	constructor(private readonly request: IncomingMessage, private readonly options: {maxBytes: number; held: HeldBytes}, start: Uint8Array) {
+	constructor(private readonly request: IncomingMessage, private readonly options: BodyOptions, start: Uint8Array) {
 		super();
 		this.onData = chunk => {
 			this.receive(chunk);
@@ -103,6 +115,10 @@
 			this.pass();
 		};
 
+		this.onExpiry = () => {
+			this.destroy(new BodyTimeoutError());
+		};
+
 		// Consumers check `errored`. Without a listener, an error event would end the process.
 		this.on('error', () => undefined);
 		request.once('close', () => {
@@ -112,6 +128,7 @@
 		});
 		request.on('data', this.onData);
 		request.once('end', this.onEnd);
+		options.expiry.subscribe(this.onExpiry);
 		this.receive(start);
 	}
 
@@ -122,6 +139,7 @@
 
 	override _destroy(...[error, callback]: Parameters<Readable['_destroy']>): void {
 		readAheadMemory.release(this.capacity);
+		this.options.expiry.unsubscribe(this.onExpiry);
 		this.waiting.take();
 		this.countHeld(0);
 		this.discardRest();
@@ -199,14 +217,19 @@
 }
 
 /** Reads a body to its end, or until it is too large to be buffered. */
-async function readStart(request: IncomingMessage, held: HeldBytes): Promise<{bytes: Uint8Array; isWhole: boolean}> {
+async function readStart(request: IncomingMessage, {held, expiry}: Pick<BodyOptions, 'held' | 'expiry'>): Promise<{bytes: Uint8Array; isWhole: boolean}> {
 	return new Promise((resolve, reject) => {
 		const received = new ByteBuffer();
-		const finish = (isWhole: boolean): void => {
+		const stopReading = (): void => {
 			request.pause();
 			request.off('data', onData);
 			request.off('end', onEnd);
 			request.off('close', onClose);
+			expiry.unsubscribe(onExpiry);
+		};
+
+		const finish = (isWhole: boolean): void => {
+			stopReading();
 			if (!isWhole) {
 				held.addBody(-received.byteLength);
 			}
@@ -226,14 +249,24 @@
 			finish(true);
 		};
 
-		const onClose = (): void => {
+		const abort = (error: BadRequestError): void => {
+			stopReading();
 			held.addBody(-received.byteLength);
-			reject(bodyAborted());
+			reject(error);
+		};
+
+		const onClose = (): void => {
+			abort(bodyAborted());
+		};
+
+		const onExpiry = (): void => {
+			abort(new BodyTimeoutError());
 		};
 
 		request.on('data', onData);
 		request.once('end', onEnd);
 		request.once('close', onClose);
+		expiry.subscribe(onExpiry);
 	});
 }
 
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
-import {connect, type AddressInfo, type Server} from 'node:net';
+import type {Server} from 'node:http';
+import {connect, type AddressInfo} from 'node:net';
 import {PassThrough, Readable} from 'node:stream';
 import {pipeline} from 'node:stream/promises';
 import {Worker} from 'node:worker_threads';
@@ -25,6 +26,9 @@
 /** Answer that fits into the buffers of the kernel, and one that does not, in bytes. */
 const answerBytes = {largest: 32_000_000, buffered: 200_000};
 
+/** Time for the body of a request, in milliseconds. */
+const slowBodyTimeoutMs = 400;
+
 /** Largest body of a request; above the size that the gateway buffers, so that streamed bodies fit. */
 const bodyLimitBytes = 100_000;
 
@@ -33,6 +37,7 @@
 	forwarded: Array<{path: string; isCancelled: boolean}>;
 	outcomes: Outcome[];
 	openRequests: OpenRequests;
+	server: Server;
 	bodies: Array<CallerRequest['body']>;
 	/** Lets the dispatcher answer requests whose paths begin with /held. */
 	release(): void;
@@ -130,7 +135,7 @@
 	const {gateway} = service as unknown as {gateway: {server: Server}};
 	try {
 		await run({
-			port: (gateway.server.address() as AddressInfo).port, forwarded, release, outcomes, openRequests, bodies, async stop() {
+			port: (gateway.server.address() as AddressInfo).port, forwarded, release, outcomes, openRequests, server: gateway.server, bodies, async stop() {
 				await broker.call('gateway.drain');
 				await broker.call('gateway.closeListener');
 			},
@@ -240,6 +245,34 @@
 	});
 }
 
+const slowBodies = [
+	{
+		title: 'before anything was forwarded', path: '/a', bytes: 100, declaredBytes: 200, statuses: [408], forwardedCount: 0,
+	},
+	{
+		title: 'while a target reads it', path: '/a', bytes: 70_000, declaredBytes: bodyLimitBytes, statuses: [200], forwardedCount: 1,
+	},
+	{
+		title: 'after the answer of a target', path: '/early', bytes: 70_000, declaredBytes: bodyLimitBytes, statuses: [200], forwardedCount: 1,
+	},
+];
+
+for (const {title, path, bytes, declaredBytes, statuses, forwardedCount} of slowBodies) {
+	// REFUSED: 408 promises that a request has not run; a request that a target has must not get one, and no request may wait for ever.
+	test(`should end a request whose body is not sent in time ${title}`, async t => {
+		await withGateway(t, async ({port, server, openRequests, forwarded}) => {
+			const received = exchange(port, `POST ${path} HTTP/1.1\r\nHost: h\r\nContent-Length: ${declaredBytes}\r\n\r\n${'x'.repeat(bytes)}`);
+			await waitUntil(() => openRequests.count === 1);
+			// The gateway sets the timeout anew for each request.
+			server.requestTimeout = slowBodyTimeoutMs;
+			const text = await received;
+			t.deepEqual([...text.matchAll(/^HTTP\/1\.1 (?<status>\d+) /gmv)].map(({groups}) => Number(groups?.status)), statuses);
+			t.is(forwarded.length, forwardedCount);
+			await waitUntil(() => openRequests.count === 0);
+		});
+	});
+}
+
 test('should buffer a small chunked body so that the request can be retried', async t => {
 	await withGateway(t, async ({port, bodies}) => {
 		await exchange(port, `${chunked(10)}\r\n0\r\n\r\n`, /\/a$/v);
