--- a/src/platform/target-protocol.ts
+++ b/src/platform/target-protocol.ts
@@ -86,12 +86,14 @@
 			return AnswerKind.Misdirected;
 		}
 
-		if (headers[WireHeader.NotRun] !== undefined) {
-			return AnswerKind.NotRun;
+		const isFinal = status >= 200 && status < 500;
+		// Server errors other than 503 count as run, whatever the target says beside them.
+		const isNotRun = headers[WireHeader.NotRun] !== undefined && (isFinal || status === 503);
+		if (isNotRun) {
+			return status < 400 ? AnswerKind.Contradictory : AnswerKind.NotRun;
 		}
 
 		// Callers treat these statuses as final, so they must carry the target's seal.
-		const isFinal = status >= 200 && status < 500;
 		return isFinal && headers[WireHeader.Seal] === undefined ? AnswerKind.Unrelated : answerKindOf(attempt, status);
 	}
 
--- a/src/transport/target-exchange.ts
+++ b/src/transport/target-exchange.ts
@@ -31,6 +31,8 @@
 	Misdirected = 'misdirected',
 	/** The target's answer, whose status would tell the caller that the request did not run although it may have. */
 	UnprovedRefusal = 'unproved_refusal',
+	/** The answer says both that the target ran the request and that it did not. */
+	Contradictory = 'contradictory',
 	/** A peer that the request was relayed to does not know whether it ran. */
 	Unknown = 'unknown',
 	/** The answer does not belong to the request, or did not come from the target. */
@@ -44,6 +46,13 @@
 	[AnswerKind.UnprovedRefusal, AttemptEnd.UnprovedRefusal],
 ]);
 
+/** Why answers of these kinds tell nothing about the request. */
+const answerFailures = new Map([
+	[AnswerKind.Unrelated, 'the answer does not belong to the request'],
+	[AnswerKind.Contradictory, 'the answer says both that the request ran and that it did not'],
+	[AnswerKind.Unknown, 'the peer does not know whether the request ran'],
+]);
+
 /** Headers between daemons and targets, implemented by an adapter. */
 export type TargetProtocol = {
 	requestHeaders(request: CallerRequest, attempt: Attempt): HeaderList;
@@ -172,20 +181,15 @@
 
 		this.kind = this.protocol.classify(this.request, this.attempt, status, headers);
 		this.head = this.protocol.answerHead(status, headers);
-		if (this.kind === AnswerKind.Unrelated) {
-			this.fail('the answer does not belong to the request');
-			return;
-		}
-
-		if (this.kind === AnswerKind.Unknown) {
-			this.fail('the peer does not know whether the request ran');
-			return;
-		}
-
 		const statement = this.protocol.statement(this.kind, this.attempt, status, headers);
 		if (statement) {
 			this.attempt.onStatement(statement);
 		}
+
+		const failure = answerFailures.get(this.kind);
+		if (failure !== undefined) {
+			this.fail(failure);
+		}
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
--- a/tests/platform/target-exchange.test.ts
+++ b/tests/platform/target-exchange.test.ts
@@ -141,6 +141,18 @@
 	},
 	{status: 503, headers: ['Not-Executed: 1'], end: AttemptEnd.Refused},
 	{status: 429, headers: ['Not-Executed: 1'], end: AttemptEnd.Refused},
+	{status: 400, headers: ['Not-Executed: 1'], end: AttemptEnd.Refused},
+	{
+		status: 503, headers: ['Not-Executed: 1'], isUnsealed: true, end: AttemptEnd.Refused,
+	},
+	// TWICE: a request that was answered with a status that counts as run must not be sent again.
+	{status: 200, headers: ['Not-Executed: 1'], end: AttemptEnd.Ambiguous},
+	{
+		status: 200, headers: ['Not-Executed: 1'], isIdempotent: true, end: AttemptEnd.Ambiguous,
+	},
+	{status: 302, headers: ['Not-Executed: 1'], end: AttemptEnd.Ambiguous},
+	{status: 500, headers: ['Not-Executed: 1'], end: AttemptEnd.Answered},
+	{status: 504, headers: ['Not-Executed: 1'], end: AttemptEnd.Answered},
 	{status: 500, end: AttemptEnd.Answered},
 	{status: 504, end: AttemptEnd.Answered},
 	{status: 404, end: AttemptEnd.Answered},
