--- a/src/services/caller-connections.ts
+++ b/src/services/caller-connections.ts
@@ -361,7 +361,7 @@
 		}
 
 		connection.unfinished.delete(request);
-		if (connection.hasBodyExpired) {
+		if (connection.hasBodyExpired && connection.latest?.request === request) {
 			this.close(socket, connection);
 			return;
 		}
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -29,6 +29,9 @@
 /** Time for the body of a request, in milliseconds. */
 const slowBodyTimeoutMs = 400;
 
+/** Interval at which the server looks for late bodies, and a margin, in milliseconds. */
+const timeoutCheckMs = 700;
+
 /** Largest body of a request; above the size that the gateway buffers, so that streamed bodies fit. */
 const bodyLimitBytes = 100_000;
 
@@ -110,6 +113,7 @@
 				}
 
 				await (path.startsWith('/held') ? held : delay(path.startsWith('/slow') ? slowAnswerMs : answerMs));
+				await (path.endsWith('/later') && delay(slowAnswerMs));
 				return {kind: OutcomeKind.Answered, answer: {status: 200, headers: {}}, body: answerBody(path)};
 			},
 		},
@@ -245,6 +249,9 @@
 	});
 }
 
+/** Node looks for late bodies only once the time for headers is over as well. */
+const slowBodyState: ConfigurationState = {areLimitsConfirmed: true, limits: {...limits, headerTimeoutMs: slowBodyTimeoutMs}};
+
 const slowBodies = [
 	{
 		title: 'before anything was forwarded', path: '/a', bytes: 100, declaredBytes: 200, statuses: [408], forwardedCount: 0,
@@ -257,6 +264,20 @@
 	},
 ];
 
+test('should not close a connection behind an earlier answer while a target has a request whose body is not sent in time', async t => {
+	await withGateway(t, async ({port, server, openRequests, release}) => {
+		const post = `POST /held/later HTTP/1.1\r\nHost: h\r\nContent-Length: ${bodyLimitBytes}\r\n\r\n${'x'.repeat(70_000)}`;
+		const received = exchange(port, `${get('/held')}${post}`);
+		await waitUntil(() => openRequests.count === 2);
+		server.requestTimeout = slowBodyTimeoutMs;
+		await delay(slowBodyTimeoutMs + timeoutCheckMs);
+		release();
+		const text = await received;
+		t.is(text.match(/HTTP\/1\.1 200 /gv)?.length, 2);
+		t.regex(text, /connection: close/v);
+	}, slowBodyState);
+});
+
 for (const {title, path, bytes, declaredBytes, statuses, forwardedCount} of slowBodies) {
 	// REFUSED: 408 promises that a request has not run; a request that a target has must not get one, and no request may wait for ever.
 	test(`should end a request whose body is not sent in time ${title}`, async t => {
@@ -269,7 +290,7 @@
 			t.deepEqual([...text.matchAll(/^HTTP\/1\.1 (?<status>\d+) /gmv)].map(({groups}) => Number(groups?.status)), statuses);
 			t.is(forwarded.length, forwardedCount);
 			await waitUntil(() => openRequests.count === 0);
-		});
+		}, slowBodyState);
 	});
 }
 
