--- a/src/transport/target-exchange.ts
+++ b/src/transport/target-exchange.ts
@@ -20,6 +20,9 @@
 /** Maximum size of a body that is not forwarded, in bytes. It is read only so that the connection can be reused. */
 const maxDiscardedBodyBytes = 16_384;
 
+/** Timeout for a body that is not forwarded, in milliseconds; its request waits for it, and a new connection costs less than a longer wait. */
+const discardedBodyTimeoutMs = 100;
+
 /** Timeout for opening a connection, in milliseconds. It usually takes a few; a lost SYN is retransmitted only after a second. */
 const connectTimeoutMs = 300;
 
@@ -78,6 +81,7 @@
 	private requestBody: PassThrough | undefined;
 	private timer: NodeJS.Timeout | undefined;
 	private connectTimer: NodeJS.Timeout | undefined;
+	private discardTimer: NodeJS.Timeout | undefined;
 	private resolve: ((result: AttemptResult) => void) | undefined;
 
 	private readonly onCancel: () => void;
@@ -189,6 +193,13 @@
 		const failure = answerFailures.get(this.kind);
 		if (failure !== undefined) {
 			this.fail(failure);
+			return;
+		}
+
+		if (this.isRefusal) {
+			this.discardTimer = setTimeout(() => {
+				this.fail('the body that is not forwarded is late');
+			}, discardedBodyTimeoutMs);
 		}
 	}
 
@@ -338,6 +349,7 @@
 		this.isSettled = true;
 		clearTimeout(this.timer);
 		clearTimeout(this.connectTimer);
+		clearTimeout(this.discardTimer);
 		this.attempt.cancellation.unsubscribe(this.onCancel);
 		this.attempt.ending?.unsubscribe(this.onEnding);
 		if (this.request.body instanceof Readable) {
--- a/tests/platform/target-exchange.test.ts
+++ b/tests/platform/target-exchange.test.ts
@@ -619,3 +619,38 @@
 		server.close();
 	});
 }
+
+const slowRefusals = [
+	{
+		title: 'a refusal', line: '503 Unavailable', header: 'Not-Executed: 1', end: AttemptEnd.Refused,
+	},
+	{
+		title: 'a misdirection', line: '421 Misdirected', header: 'Not-Executed: 1', end: AttemptEnd.Misdirected,
+	},
+	{
+		title: 'an unproved refusal', line: '503 Unavailable', header: 'Server-Limit: 7', end: AttemptEnd.UnprovedRefusal,
+	},
+];
+
+for (const {title, line, header, end} of slowRefusals) {
+	// Guards against requests that wait until their deadline for a body that is not forwarded.
+	test(`should not wait for a late body behind the head of ${title}`, async t => {
+		const sockets: Socket[] = [];
+		const server = await listen(socket => {
+			sockets.push(socket);
+			socket.write(`${head([header, 'Content-Length: 10']).replace('200 OK', line)}part`);
+		});
+		const transport = new TargetTransport(new PlatformTargetProtocol());
+		const startedAt = performance.now();
+		const result = await transport.send(callerRequest(), {
+			target: targetOf(server), budgetMs: 5000, timeoutMs: 5000, cancellation: new Cancellation(), connectionLimit: 4, onStatement: () => undefined,
+		});
+		t.is(result.end, end);
+		t.true(performance.now() - startedAt < 1000);
+		transport.close();
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+}
