--- a/tests/platform/unproved-refusals.test.ts
+++ b/tests/platform/unproved-refusals.test.ts
@@ -190,7 +190,7 @@
 });
 
 test('should not tell callers that a relayed request has not run because its target answers so after the run', async t => {
-	await withDeployment({network: '127.62', kind: 'unsafe', daemonCount: 3}, async ({deployment, send, fail, lines}) => {
+	await withDeployment({network: '127.52', kind: 'unsafe', daemonCount: 3}, async ({deployment, send, fail, lines}) => {
 		const links = await deployment.createLinks(0);
 		links.cut(LinkCut.Reset);
 		let isRelayed = false;
@@ -212,7 +212,7 @@
 });
 
 test('should end requests at targets that answer 503 after the run during a stop without a promise', async t => {
-	await withDeployment({network: '127.63', kind: 'unsafe', shutdownGraceS: 1}, async ({deployment, send, fail}) => {
+	await withDeployment({network: '127.53', kind: 'unsafe', shutdownGraceS: 1}, async ({deployment, send, fail}) => {
 		fail({status: 503, delayMs: 300});
 		const sent = Array.from({length: requestCount}, async () => send());
 		await delay(100);
