--- a/tests/decisions/coordinated-forwarding.test.ts
+++ b/tests/decisions/coordinated-forwarding.test.ts
@@ -216,6 +216,16 @@
 		attempts: ['plain-1 800 800'],
 		ends: [SlotEnd.Silent],
 	},
+	{
+		title: 'end the slot of an order whose target refuses without proof as failed',
+		path: '/order/a',
+		decisions: [{grant: 'plain-0'}],
+		steps: [{end: AttemptEnd.UnprovedRefusal, answer: {status: 429, headers: {}}, afterMs: 100}],
+		kind: OutcomeKind.Unknown,
+		reason: OutcomeReason.RefusalUnproved,
+		attempts: ['plain-0 800 800'],
+		ends: [SlotEnd.Failed],
+	},
 	{
 		title: 'send to the owner of the key',
 		path: '/record/a',
--- a/tests/http/exchange.test.ts
+++ b/tests/http/exchange.test.ts
@@ -200,3 +200,23 @@
 		server.close();
 	});
 }
+
+test('should not take over the statement of an outcome from a server that answers with a refusal status', async t => {
+	const {server, port} = await listen(response => {
+		response.writeHead(503, {'eelgrasswheel-outcome': 'done', 'retry-after': '1'});
+		response.end('failed');
+	});
+	const exchanged = createExchange(port);
+	const begun: Array<{status: number; headers: Record<string, string | string[]>}> = [];
+	exchanged.request.responder.start = (status, headers) => {
+		begun.push({status, headers});
+		return new PassThrough().resume();
+	};
+
+	const {end} = await new HttpTransport().send(exchanged.request, exchanged.attempt);
+	t.is(end, AttemptEnd.Completed);
+	t.is(begun[0]?.status, 503);
+	t.false('eelgrasswheel-outcome' in (begun[0]?.headers ?? {}));
+	server.closeAllConnections();
+	server.close();
+});
