--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -176,7 +176,7 @@
 		planned: 1, ownership: 1, longestMs: 4500, amount: lingerMs,
 	},
 	[FaultKind.TargetSlow]: {ownership: 1, longestMs: 4000, amount: [2, 6]},
-	[FaultKind.RunsRefused]: {ownership: 2, longestMs: 6500, amount: refusedPercents},
+	[FaultKind.RunsRefused]: {ownership: 6, longestMs: 6500, amount: refusedPercents},
 	[FaultKind.AnswersLost]: {ownership: 1, longestMs: 3000},
 	[FaultKind.OrdersLate]: {ownership: 1, shortestMs: 2000, longestMs: 9000},
 	[FaultKind.OrdersHeldUp]: {ownership: 3, shortestMs: 2000, longestMs: 9000},
