--- a/src/platform/relay.ts
+++ b/src/platform/relay.ts
@@ -4,7 +4,8 @@
  * The peer tells in a header what became of the request, because the status alone does not tell whether a target or the peer answered.
  */
 import {
-	isDaemonSpecific, OutcomeKind, type AnswerHead, type Attempt, type CallerRequest, type HeaderList, type Outcome, type RelayAttempt, type RelayOrigin, type RelayResult, type RelayTransport,
+	isDaemonSpecific, OutcomeKind, OutcomeReason,
+	type AnswerHead, type Attempt, type CallerRequest, type HeaderList, type Outcome, type RelayAttempt, type RelayOrigin, type RelayResult, type RelayTransport,
 } from '../model/forwarding.js';
 import type {TargetStatement} from '../model/target-statement.js';
 import {ConnectionPool} from '../transport/connection-pool.js';
@@ -32,6 +33,8 @@
 	/** The request did not run because of the peer's own state; another peer may forward it. */
 	Elsewhere = 'elsewhere',
 	Unknown = 'unknown',
+	/** The request may have run at a target that refused it without proof; peers of earlier versions take it for unknown. */
+	Unproved = 'unproved',
 }
 
 /** Bytes that relaying may add to the headers of a request. */
@@ -47,6 +50,7 @@
 	[RelayOutcome.NotRun, AnswerKind.NotRun],
 	[RelayOutcome.Elsewhere, AnswerKind.Misdirected],
 	[RelayOutcome.Unknown, AnswerKind.Unknown],
+	[RelayOutcome.Unproved, AnswerKind.UnprovedRefusal],
 ]);
 
 /** Parses the headers of a relayed request. */
@@ -99,7 +103,7 @@
 		case OutcomeKind.Unknown:
 		case OutcomeKind.TimedOut:
 		case OutcomeKind.Abandoned: {
-			return RelayOutcome.Unknown;
+			return reason === OutcomeReason.RefusalUnproved ? RelayOutcome.Unproved : RelayOutcome.Unknown;
 		}
 	}
 }
--- a/tests/http/relay.test.ts
+++ b/tests/http/relay.test.ts
@@ -103,6 +103,9 @@
 	{
 		title: 'an unknown outcome', outcome: {kind: OutcomeKind.Unknown, reason: OutcomeReason.AnswerLost}, expected: {end: AttemptEnd.Ambiguous},
 	},
+	{
+		title: 'a refusal of a target without proof', outcome: {kind: OutcomeKind.Unknown, reason: OutcomeReason.RefusalUnproved}, expected: {end: AttemptEnd.UnprovedRefusal},
+	},
 	{
 		title: 'an expired time budget', outcome: {kind: OutcomeKind.TimedOut, reason: OutcomeReason.Timeout}, expected: {end: AttemptEnd.Ambiguous},
 	},
