--- a/src/services/caller-connections.ts
+++ b/src/services/caller-connections.ts
@@ -8,8 +8,10 @@
 import type {Writable} from 'node:stream';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {Cancellation} from '../model/cancellation.js';
+import {BadRequestError, BodyTimeoutError} from '../model/errors.js';
 import type {HeldBytes} from './held-bytes.js';
 import {OpenRequest, RequestStage, type OpenRequests} from './open-requests.js';
+import {BodyFailure} from './request-body.js';
 import {WaitingAnswers} from './waiting-answers.js';
 
 /** Time for a caller to close a connection after its last answer, in milliseconds; as long as callers wait to connect. */
@@ -45,9 +47,9 @@
 	/** True until the first request is read. */
 	isNew: boolean;
 	/** The last request that was read, and its answer. */
-	latest: {request: OpenRequest; response: ServerResponse; bodyExpiry: Cancellation} | undefined;
-	/** True once the body of the last request was not sent in time; the connection is closed behind its answer. */
-	hasBodyExpired: boolean;
+	latest: {request: OpenRequest; response: ServerResponse; bodyFailure: BodyFailure} | undefined;
+	/** True once the body of the last request has failed; the connection is closed behind its answer. */
+	hasBodyFailed: boolean;
 	/** Bytes read when the last request was answered. */
 	answeredBytes: number;
 	/** True once the connection is to be closed, or an answer was begun that closes it; requests from then on get no answer. */
@@ -61,8 +63,8 @@
 export type RequestState = {
 	/** Cancelled when the caller takes no further answer. */
 	cancellation: Cancellation;
-	/** Cancelled when the body has not been sent in time. */
-	bodyExpiry: Cancellation;
+	/** Fails when the body is malformed, or has not been sent in time. */
+	bodyFailure: BodyFailure;
 	openRequest: OpenRequest;
 	/** Undefined if the caller has closed the connection before the request was read. */
 	connection: Connection | undefined;
@@ -106,16 +108,16 @@
 		}
 
 		const cancellation = new Cancellation();
-		const bodyExpiry = new Cancellation();
+		const bodyFailure = new BodyFailure();
 		connection?.pending.add(cancellation);
 		const openRequest = new OpenRequest(request.method ?? 'GET', request.url ?? '/');
 		this.openRequests.add(openRequest);
 		if (connection) {
-			connection.latest = {request: openRequest, response, bodyExpiry};
+			connection.latest = {request: openRequest, response, bodyFailure};
 		}
 
 		return {
-			cancellation, bodyExpiry, openRequest, connection,
+			cancellation, bodyFailure, openRequest, connection,
 		};
 	}
 
@@ -200,8 +202,8 @@
 			return false;
 		}
 
-		if (connection?.latest && code === bodyTimeoutCode && !connection.latest.response.req.complete) {
-			this.expireBody(socket, connection, connection.latest);
+		if (connection?.latest && !connection.latest.response.req.complete) {
+			this.failBody(socket, connection, connection.latest, code);
 			return false;
 		}
 
@@ -282,10 +284,10 @@
 		request.resume();
 	}
 
-	/** Ends a request whose headers were read and whose body is late. Its own answer says whether it may have run. */
-	private expireBody(socket: Socket, connection: Connection, {request, bodyExpiry}: NonNullable<Connection['latest']>): void {
-		connection.hasBodyExpired = true;
-		bodyExpiry.cancel();
+	/** Ends the body of a request whose headers were read. The only answer to the request says whether it may have run. */
+	private failBody(socket: Socket, connection: Connection, {request, bodyFailure}: NonNullable<Connection['latest']>, code: string | undefined): void {
+		connection.hasBodyFailed = true;
+		bodyFailure.fail(code === bodyTimeoutCode ? new BodyTimeoutError() : new BadRequestError(`The body is malformed: ${code}.`, malformedStatus(code)));
 		if (request.stage === RequestStage.Closing) {
 			this.close(socket, connection);
 		}
@@ -299,7 +301,7 @@
 			isNew: true,
 			latest: undefined,
 			answeredBytes: 0,
-			hasBodyExpired: false,
+			hasBodyFailed: false,
 			isClosing: false,
 			waitingAnswers: new WaitingAnswers(socket, this.held),
 			discardedCount: 0,
@@ -361,7 +363,7 @@
 		}
 
 		connection.unfinished.delete(request);
-		if (connection.hasBodyExpired && connection.latest?.request === request) {
+		if (connection.hasBodyFailed && connection.latest?.request === request) {
 			this.close(socket, connection);
 			return;
 		}
--- a/src/services/gateway-service.ts
+++ b/src/services/gateway-service.ts
@@ -179,7 +179,7 @@
 		method: head.method,
 		path,
 		headers: forwardedHeaderList(request.headers),
-		body: await openBody(request, {maxBytes: match.service.maxBodyBytes, held, expiry: state.bodyExpiry}),
+		body: await openBody(request, {maxBytes: match.service.maxBodyBytes, held, failure: state.bodyFailure}),
 		isForwarded: request.headers[ContractHeader.Forwarded] === peerSecret,
 		receivedAt,
 		deadlineAt: receivedAt + match.requestClass.deadlineMs,
--- a/src/services/platform-gateway-service.ts
+++ b/src/services/platform-gateway-service.ts
@@ -286,7 +286,7 @@
 			return {caller, outcome};
 		}
 
-		const start = await this.untilEnding(openBody(request, {maxBytes: limits.maxBodyBytes, held: heldBytes, expiry: state.bodyExpiry}));
+		const start = await this.untilEnding(openBody(request, {maxBytes: limits.maxBodyBytes, held: heldBytes, failure: state.bodyFailure}));
 		if (!start) {
 			return {caller, outcome: {kind: OutcomeKind.NotRun, reason: OutcomeReason.DaemonStopping, retryAfterMs: stoppingRetryMs}};
 		}
--- a/src/services/request-body.ts
+++ b/src/services/request-body.ts
@@ -5,10 +5,8 @@
 import {Readable} from 'node:stream';
 import {blockBytes} from '../model/byte-blocks.js';
 import {ByteBuffer} from '../model/byte-buffer.js';
-import type {Cancellation} from '../model/cancellation.js';
-import {
-	BadRequestError, BodyTimeoutError, LimitExceededError, LimitName,
-} from '../model/errors.js';
+import {Cancellation} from '../model/cancellation.js';
+import {BadRequestError, LimitExceededError, LimitName} from '../model/errors.js';
 import type {HeldBytes} from './held-bytes.js';
 
 /** Largest body that is buffered, in bytes. A request with a buffered body can be retried. */
@@ -20,12 +18,22 @@
 /** Memory for all such bodies, in bytes; a tenth of the memory of a small VM. Further ones are read ahead less far. */
 const maxReservedBytes = 33_554_432;
 
+/** Ends a body whose rest will not be read. */
+export class BodyFailure extends Cancellation {
+	/** Why; set once the body has failed. */
+	error: BadRequestError | undefined;
+
+	fail(error: BadRequestError): void {
+		this.error ??= error;
+		this.cancel();
+	}
+}
+
 /** What bounds a body. */
 export type BodyOptions = {
 	maxBytes: number;
 	held: HeldBytes;
-	/** Cancelled when the time to send the body is over. */
-	expiry: Cancellation;
+	failure: BodyFailure;
 };
 
 /**
@@ -34,7 +42,7 @@
  *
  * @throws {BadRequestError} if the declared or read length is above the limit, the caller aborts the body or does not send it in time
  */
-export async function openBody(request: IncomingMessage, {maxBytes, held, expiry}: BodyOptions): Promise<Uint8Array | Readable | undefined> {
+export async function openBody(request: IncomingMessage, {maxBytes, held, failure}: BodyOptions): Promise<Uint8Array | Readable | undefined> {
 	const declared = request.headers['content-length'];
 	if (declared === undefined && request.headers['transfer-encoding'] === undefined) {
 		return undefined;
@@ -45,11 +53,11 @@
 	}
 
 	if (Number(declared ?? 0) > maxBufferedBytes) {
-		return new CallerBody(request, {maxBytes, held, expiry}, new Uint8Array(0));
+		return new CallerBody(request, {maxBytes, held, failure}, new Uint8Array(0));
 	}
 
-	const {bytes, isWhole} = await readStart(request, {held, expiry});
-	return isWhole ? bytes : new CallerBody(request, {maxBytes, held, expiry}, bytes);
+	const {bytes, isWhole} = await readStart(request, {held, failure});
+	return isWhole ? bytes : new CallerBody(request, {maxBytes, held, failure}, bytes);
 }
 
 /** Ends the use of a body. What is left of it is discarded, so that its connection is read on. */
@@ -102,7 +110,7 @@
 
 	private readonly onData: (chunk: Uint8Array) => void;
 	private readonly onEnd: () => void;
-	private readonly onExpiry: () => void;
+	private readonly onFailure: () => void;
 
 	constructor(private readonly request: IncomingMessage, private readonly options: BodyOptions, start: Uint8Array) {
 		super();
@@ -115,8 +123,8 @@
 			this.pass();
 		};
 
-		this.onExpiry = () => {
-			this.destroy(new BodyTimeoutError());
+		this.onFailure = () => {
+			this.destroy(options.failure.error);
 		};
 
 		// Consumers check `errored`. Without a listener, an error event would end the process.
@@ -128,7 +136,7 @@
 		});
 		request.on('data', this.onData);
 		request.once('end', this.onEnd);
-		options.expiry.subscribe(this.onExpiry);
+		options.failure.subscribe(this.onFailure);
 		this.receive(start);
 	}
 
@@ -139,7 +147,7 @@
 
 	override _destroy(...[error, callback]: Parameters<Readable['_destroy']>): void {
 		readAheadMemory.release(this.capacity);
-		this.options.expiry.unsubscribe(this.onExpiry);
+		this.options.failure.unsubscribe(this.onFailure);
 		this.waiting.take();
 		this.countHeld(0);
 		this.discardRest();
@@ -217,7 +225,7 @@
 }
 
 /** Reads a body to its end, or until it is too large to be buffered. */
-async function readStart(request: IncomingMessage, {held, expiry}: Pick<BodyOptions, 'held' | 'expiry'>): Promise<{bytes: Uint8Array; isWhole: boolean}> {
+async function readStart(request: IncomingMessage, {held, failure}: Pick<BodyOptions, 'held' | 'failure'>): Promise<{bytes: Uint8Array; isWhole: boolean}> {
 	return new Promise((resolve, reject) => {
 		const received = new ByteBuffer();
 		const stopReading = (): void => {
@@ -225,7 +233,7 @@
 			request.off('data', onData);
 			request.off('end', onEnd);
 			request.off('close', onClose);
-			expiry.unsubscribe(onExpiry);
+			failure.unsubscribe(onFailure);
 		};
 
 		const finish = (isWhole: boolean): void => {
@@ -259,14 +267,14 @@
 			abort(bodyAborted());
 		};
 
-		const onExpiry = (): void => {
-			abort(new BodyTimeoutError());
+		const onFailure = (): void => {
+			abort(failure.error ?? bodyAborted());
 		};
 
 		request.on('data', onData);
 		request.once('end', onEnd);
 		request.once('close', onClose);
-		expiry.subscribe(onExpiry);
+		failure.subscribe(onFailure);
 	});
 }
 
--- a/tests/http/platform-gateway.test.ts
+++ b/tests/http/platform-gateway.test.ts
@@ -252,6 +252,34 @@
 /** Node looks for late bodies only once the time for headers is over as well. */
 const slowBodyState: ConfigurationState = {areLimitsConfirmed: true, limits: {...limits, headerTimeoutMs: slowBodyTimeoutMs}};
 
+const malformedBodies = [
+	{
+		title: 'before anything was forwarded', path: '/a', bytes: 3, statuses: [400], forwardedCount: 0,
+	},
+	{
+		title: 'while a target reads it', path: '/a', bytes: 70_000, statuses: [400], forwardedCount: 1,
+	},
+	{
+		title: 'after the answer of a target', path: '/early', bytes: 70_000, statuses: [200], forwardedCount: 1,
+	},
+];
+
+for (const {title, path, bytes, statuses, forwardedCount} of malformedBodies) {
+	// Guards against requests that wait for ever for the rest of a body that cannot be read, and against two answers to one request.
+	test(`should answer a request once whose chunked body is malformed ${title}`, async t => {
+		await withGateway(t, async ({port, outcomes, openRequests, forwarded}) => {
+			const socket = connect(port, '127.0.0.1');
+			const ended = readAll(socket);
+			socket.write(chunked(bytes).replace('/a', path));
+			await waitUntil(() => path === '/early' ? outcomes.length === 1 : openRequests.count === 1 && forwarded.length === forwardedCount);
+			socket.write('\r\nZZ\r\n');
+			const {text} = await ended;
+			t.deepEqual([...text.matchAll(/^HTTP\/1\.1 (?<status>\d+) /gmv)].map(({groups}) => Number(groups?.status)), statuses);
+			await waitUntil(() => openRequests.count === 0);
+		});
+	});
+}
+
 const slowBodies = [
 	{
 		title: 'before anything was forwarded', path: '/a', bytes: 100, declaredBytes: 200, statuses: [408], forwardedCount: 0,
