--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -50,6 +50,7 @@
 
 const troubles: ReadonlyMap<FaultKind, TroubleOf> = new Map<FaultKind, TroubleOf>([
 	[FaultKind.TargetSlow, ({amount}) => ({slowness: amount})],
+	[FaultKind.RunsRefused, ({amount}) => ({refusedShare: amount / 100})],
 	[FaultKind.AnswersLost, () => ({losesAnswers: true})],
 	[FaultKind.OrdersLate, lateOrdersOf],
 	[FaultKind.OrdersHeldUp, lateOrdersOf],
@@ -400,6 +401,7 @@
 	[FaultKind.TargetRestart]: TargetCrashFault,
 	[FaultKind.TargetDrain]: TargetDrainFault,
 	[FaultKind.TargetSlow]: TargetTroubleFault,
+	[FaultKind.RunsRefused]: TargetTroubleFault,
 	[FaultKind.AnswersLost]: TargetTroubleFault,
 	[FaultKind.OrdersLate]: TargetTroubleFault,
 	[FaultKind.OrdersHeldUp]: TargetTroubleFault,
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -36,6 +36,7 @@
     --regression    name of a schedule that failed once, instead of a seed: ${regressions.map(({name}) => `"${name}"`).join(', ')}
     --network       first two parts of the addresses (default: by the seed)
     --restores      the store names its era and is restored from copies
+    --refused-runs  targets answer some requests after the run as if they had not run
     --logs          folder for the logs of the processes of a run with violations
     --schedule      print the schedule without running it
 `, {
@@ -49,6 +50,7 @@
 		regression: {type: 'string', choices: regressions.map(({name}) => name)},
 		network: {type: 'string'},
 		restores: {type: 'boolean', default: false},
+		refusedRuns: {type: 'boolean', default: false},
 		logs: {type: 'string'},
 		schedule: {type: 'boolean', default: false},
 	},
@@ -65,6 +67,7 @@
 		targetCount: flags.targets,
 		delayLimitMs: flags.delayLimit,
 		restoresStore: flags.restores,
+		refusesRuns: flags.refusedRuns,
 	};
 	return {
 		...options,
--- a/soak/regressions.ts
+++ b/soak/regressions.ts
@@ -67,6 +67,19 @@
 			step(FaultKind.OddConfiguration, {atMs: (index * 200) + 100, amount: index}),
 		]).flat(),
 	},
+	{
+		name: 'runs refused',
+		cause: 'REFUSED: daemons passed a target\'s refusal status on although the target had run the request',
+		options: {...small, seed: 105, durationMs: 0},
+		// Site file vrt-gateway, srv_grey: x = 0.45, for_s = 6.5.
+		steps: [
+			step(FaultKind.RunsRefused, {target: undefined, durationMs: 6500, amount: 45}),
+			step(FaultKind.Stop, {atMs: 2000, daemon: 1}),
+			step(FaultKind.RunsRefused, {
+				atMs: 7000, target: 5, durationMs: 4000, amount: 100,
+			}),
+		],
+	},
 	{
 		name: 'planned stops',
 		cause: 'LOST: an answer closed its connection while targets ran requests that were sent behind it; requests that came after the wait for open ones were passed on and cut',
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -28,6 +28,8 @@
 	TargetRestart = 'target restart',
 	TargetDrain = 'target drain',
 	TargetSlow = 'target slow',
+	/** A share of the requests is answered with a status that says that they have not run, after the run. */
+	RunsRefused = 'runs refused',
 	/** Requests and orders are carried out, but their answers are lost. */
 	AnswersLost = 'answers lost',
 	/** A share of the orders gets no answer and is carried out late; holds count from the arrival. */
@@ -82,7 +84,7 @@
 	/** Index of the target; for links, the far end. Undefined for the store, and for late orders of all targets. */
 	target: number | undefined;
 	/**
-	 * Delay of links, writes and the store and further service of leaving targets in milliseconds, factor of slow targets,
+	 * Share of refused runs in percent, delay of links, writes and the store and further service of leaving targets in milliseconds, factor of slow targets,
 	 * `Deafness`, number of the odd document, 1 if the leader is cut off from the store when leases are revoked.
 	 */
 	amount: number;
@@ -103,6 +105,8 @@
 	delayLimitMs: number;
 	/** True if the store names its era, and is restored from copies. */
 	restoresStore?: boolean;
+	/** True if targets answer requests that they have run as if they had not. */
+	refusesRuns?: boolean;
 };
 
 /** Sets of faults that overlap. Faults of every kind at once would leave no request that no fault excuses. */
@@ -128,6 +132,9 @@
 /** Share of late orders in percent; `fleetbench kinds`, applied_late: "a share x (.5) of the orders", up to 0.7. */
 const lateOrderPercents: Bounds = [50, 70];
 
+/** Share of refused runs in percent; site files, srv_grey: x from 0.38 to 0.55, for 6.5 s. */
+const refusedPercents: Bounds = [38, 55];
+
 /** Lateness of writes in milliseconds; `fleetbench kinds`, platform_lost, late: "done 1 to 6 s later". */
 const writeLatenessMs: Bounds = [1000, 6000];
 
@@ -169,6 +176,7 @@
 		planned: 1, ownership: 1, longestMs: 4500, amount: lingerMs,
 	},
 	[FaultKind.TargetSlow]: {ownership: 1, longestMs: 4000, amount: [2, 6]},
+	[FaultKind.RunsRefused]: {ownership: 2, longestMs: 6500, amount: refusedPercents},
 	[FaultKind.AnswersLost]: {ownership: 1, longestMs: 3000},
 	[FaultKind.OrdersLate]: {ownership: 1, shortestMs: 2000, longestMs: 9000},
 	[FaultKind.OrdersHeldUp]: {ownership: 3, shortestMs: 2000, longestMs: 9000},
@@ -236,9 +244,14 @@
 	return steps.toSorted((left, right) => left.atMs - right.atMs);
 }
 
+/** Kinds that came later are drawn only on request, so that the schedules of earlier seeds stay as they were. */
+function isDrawn(kind: FaultKind, {restoresStore = false, refusesRuns = false}: ScheduleOptions): boolean {
+	return (restoresStore || kind !== FaultKind.StoreRestored) && (refusesRuns || kind !== FaultKind.RunsRefused);
+}
+
 function createEpisode(theme: Theme, [startMs, endMs]: Bounds, focus: number, {draws, options}: {draws: Draws; options: ScheduleOptions}): Step[] {
 	const steps: Step[] = [];
-	const kinds = kindsOf(theme).filter(kind => kind !== FaultKind.StoreRestored || options.restoresStore === true);
+	const kinds = kindsOf(theme).filter(kind => isDrawn(kind, options));
 	for (let atMs = startMs + draws.integer(0, 800); atMs < endMs - defaultShortestMs;) {
 		const kind = draws.item(kinds);
 		const {shortestMs = defaultShortestMs, longestMs = shortestMs} = plans[kind];
--- a/soak/soak-target.ts
+++ b/soak/soak-target.ts
@@ -20,10 +20,15 @@
 /** Interval at which a release checks whether work on its keys has ended, in milliseconds. */
 const releasePollMs = 10;
 
+/** Statuses of answers to refused runs; each would promise that the request has not run. */
+const refusalStatuses = [503, 429, 408];
+
 /** What a fault does to a target; absent fields do nothing. */
 export type Trouble = {
 	/** Factor of the time that requests take. */
 	slowness?: number;
+	/** Share of the requests that are answered after the run as if they had not run. */
+	refusedShare?: number;
 	/** Requests and orders are carried out, but their answers are lost. */
 	losesAnswers?: boolean;
 	/** Orders are lost. */
@@ -55,6 +60,7 @@
 	ordersUntil = 0;
 	readonly name: string;
 	private readonly runs = new Set<RunRecord>();
+	private answerCount = 0;
 
 	constructor(private readonly place: SoakTargetOptions, store: MemoryCoordinationStore, private readonly trace: Trace, private readonly ledger: HoldLedger) {
 		super({
@@ -170,7 +176,7 @@
 
 		// Work that outlasts its hold fails.
 		const hasLostKey = run.key !== undefined && !this.holder.isHolding(run.key);
-		const status = isLate ? 504 : (hasLostKey ? 500 : 200);
+		const status = isLate ? 504 : (hasLostKey ? 500 : this.drawStatus());
 		const body = bodyOf(run.requestId, status === 200 ? bodyBytes : 0);
 		response.writeHead(status, {
 			[WireHeader.RequestId]: run.requestId, [WireHeader.Seal]: sealOf(run.requestId, status, body), 'content-length': String(body.length),
@@ -178,6 +184,14 @@
 		response.end(body);
 	}
 
+	/** Spreads the refused runs evenly and takes the statuses in turn. */
+	private drawStatus(): number {
+		const share = Math.max(0, ...[...this.troubles].map(({refusedShare = 0}) => refusedShare));
+		const refusedCount = Math.floor(this.answerCount * share);
+		this.answerCount += 1;
+		return Math.floor(this.answerCount * share) > refusedCount ? refusalStatuses[refusedCount % refusalStatuses.length] : 200;
+	}
+
 	private endRun(run: RunRecord, end: RunEnd): void {
 		this.runs.delete(run);
 		this.ledger.recordRunEnd(run);
